--- /dev/null
+++ b/bamboospring/outcomes.py
@@ -0,0 +1,104 @@
+"""What became of a statement, as values.
+
+The three refusals keep their words: `NotRun` and `Overloaded` are said only
+when nothing was sent to a target or the target itself said that nothing ran.
+Everything else that has no answer is `Unknown`.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+
+__all__ = [
+    "Done",
+    "Failed",
+    "NotRun",
+    "Outcome",
+    "Overloaded",
+    "Reason",
+    "Unknown",
+]
+
+
+class Reason(str, Enum):
+    """Why a statement was refused, failed or is unknown."""
+
+    BAD_REQUEST = "bad_request"
+    UNKNOWN_GROUP = "unknown_group"
+    BAD_TOKEN = "bad_token"
+    TOKEN_AHEAD = "token_ahead"
+    STALE = "stale"
+    NO_HOLDER = "no_holder"
+    NOT_HOLDER = "not_holder"
+    NO_PRIMARY = "no_primary"
+    PRIMARY_CHANGED = "primary_changed"
+    TARGET_UNREACHABLE = "target_unreachable"
+    TARGET_LEAVING = "target_leaving"
+    TARGET_SLOTS = "target_slots"
+    HOLDER_LOST = "holder_lost"
+    QUEUE_FULL = "queue_full"
+    CALLER_LIMIT = "caller_limit"
+    DEADLINE = "deadline"
+    NO_MAJORITY = "no_majority"
+    NO_TRANSACTION = "no_transaction"
+    TRANSACTION_LOST = "transaction_lost"
+    KEY_REUSED = "key_reused"
+    LOCK_TIMEOUT = "lock_timeout"
+    SQL = "sql"
+    DRAINING = "draining"
+    ANSWER_LOST = "answer_lost"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Done:
+    """The statement ran, and its effect is held by a majority."""
+
+    term: int
+    index: int
+    target: str
+    columns: tuple[str, ...] = ()
+    rows: tuple[tuple[Any, ...], ...] = ()
+    rowcount: int = 0
+    replayed: bool = False
+    at_replica: bool = False
+    transaction: str = ""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Failed:
+    """The statement ran and was rolled back, for example an SQL error."""
+
+    reason: Reason
+    message: str = ""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class NotRun:
+    """Nothing ran. `retry_after_ms` says when another try makes sense."""
+
+    reason: Reason
+    retry_after_ms: int = 0
+    message: str = ""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Overloaded:
+    """Nothing ran, because a limit or queue is full."""
+
+    reason: Reason
+    retry_after_ms: int = 0
+    message: str = ""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Unknown:
+    """It may or may not have run; asking again with the same key tells."""
+
+    reason: Reason
+    retry_after_ms: int = 0
+    message: str = ""
+
+
+Outcome = Done | Failed | NotRun | Overloaded | Unknown
