Split a target's limits among the holders of its group

Cause: several holders of a group open connections to the same target, so each needs a share of its slots and connections, and the shares must never sum to more than the limit while VMs see different lists.

Change: shares.py, a state machine without I/O. A share shrinks at once and grows only after a promise of every VM that may still use some of the limit.

Seen failing: the exploration found two real faults while it was written. A VM whose first list came after the whole fleet had been replaced took the share of one that still ran (now a new VM has to learn from one that watched for the grace time, or watch that long itself), and busy connections of a VM that is cut off outlived the grace time (now cut_off closes them too). Eight seeded faults are kept as a mutation list in the feature.

--- /dev/null
+++ b/bamboospring/shares.py
@@ -0,0 +1,403 @@
+"""Split a target's limits exactly among the holders of its group.
+
+Every holder of a group opens connections to the same targets, so each may use
+only a share of a target's `slots` and `connections`. All holders compute the
+same split from the same ordered list of holders. The hard part is a change of
+that list, because VMs see it at different times: `GroupShares` makes sure
+that the sum of what all VMs use never exceeds the limit meanwhile.
+
+The rule: a share shrinks at once and grows only after every VM that may
+still use some of the limit has answered, to a question sent after our own
+last change of holders, that it follows the same list of holders. An answer
+is also a promise to stay within that list's split until its sender moves on,
+and the sender can't grow after that without asking us in turn. What a VM
+still uses above its new share is taken from the growth of the others until
+it has drained.
+
+Nothing here does I/O or asks for the time.
+
+Example: three holders of a target with 20 connections.
+
+    >>> [split(20, 3, rank, 0) for rank in range(3)]
+    [7, 7, 6]
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+
+__all__ = [
+    "Ask",
+    "GroupShares",
+    "Reply",
+    "ShareTiming",
+    "TargetLimit",
+    "Units",
+    "ranks_with_share",
+    "split",
+]
+
+NEVER = -1e9
+PROBE_PART = 0.3
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Units:
+    """A number of slots and of connections at one target."""
+
+    slots: int = 0
+    connections: int = 0
+
+    def at_most(self, other: Units) -> Units:
+        """Return the smaller of the two, each kind by itself."""
+        return Units(
+            slots=min(self.slots, other.slots),
+            connections=min(self.connections, other.connections),
+        )
+
+    def at_least(self, other: Units) -> Units:
+        """Return the larger of the two, each kind by itself."""
+        return Units(
+            slots=max(self.slots, other.slots),
+            connections=max(self.connections, other.connections),
+        )
+
+    def minus(self, other: Units) -> Units:
+        """Return what is left, never below zero."""
+        return Units(
+            slots=max(0, self.slots - other.slots),
+            connections=max(0, self.connections - other.connections),
+        )
+
+    def plus(self, other: Units) -> Units:
+        """Return the sum."""
+        return Units(
+            slots=self.slots + other.slots,
+            connections=self.connections + other.connections,
+        )
+
+
+NONE = Units()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TargetLimit:
+    """What one target allows over all holders together."""
+
+    target: str
+    units: Units
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ShareTiming:
+    """Times of the protocol, in seconds.
+
+    `grace` is how long a VM that has left the platform's list counts as
+    alive. `isolation` is how long a VM keeps its share while it hears from
+    nobody; it must be shorter than `grace`, so that a VM that is cut off
+    has stopped before the others take its share.
+    """
+
+    grace: float = 10.0
+    isolation: float = 5.0
+    retry: float = 0.25
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Ask:
+    """Ask `vm` whether it follows `holders` and what it still uses."""
+
+    vm: str
+    holders: tuple[str, ...]
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Reply:
+    """The answer to `Ask`: `agrees` is the promise described above.
+
+    `informed` says that the sender would know of any VM that has left the
+    list before `revision` and may still use a share.
+    """
+
+    vm: str
+    agrees: bool
+    informed: bool = False
+    revision: int = 0
+    held: dict[str, Units] = field(default_factory=dict)
+
+
+def split(limit: int, holders: int, rank: int, rotation: int) -> int:
+    """Return the part of `limit` that the holder at `rank` may use.
+
+    The parts of all ranks sum to `limit`. The remainder goes to different
+    ranks for different `rotation` (the position of the target in its group),
+    so with 2 slots and 3 holders every holder has a slot at some target. A
+    larger limit never gives any rank less; holders that have not yet seen the
+    same limit therefore never exceed the larger one together.
+    """
+    if holders <= 0 or not 0 <= rank < holders:
+        return 0
+    part, remainder = divmod(max(0, limit), holders)
+    position = (rank - rotation) % holders
+    return part + (1 if position < remainder else 0)
+
+
+def ranks_with_share(limit: int, holders: int, rotation: int) -> list[int]:
+    """Return the ranks of holders that may use any of `limit`."""
+    return [
+        rank
+        for rank in range(holders)
+        if split(limit, holders, rank, rotation) > 0
+    ]
+
+
+@dataclass(slots=True, kw_only=True)
+class GroupShares:
+    """What this VM may use of each target of one group, and since when.
+
+    The adapter feeds `see`, `answer`, `reply`, `heard` and `tick`, sends the
+    `Ask`s that come back, and reads `allowed`. It reports what is in use by
+    `use`, which keeps connections counted until they are really closed. While
+    `cut_off` is set it closes busy connections too.
+    """
+
+    me: str
+    timing: ShareTiming = field(default_factory=ShareTiming)
+    holders: tuple[str, ...] = ()
+    limits: tuple[TargetLimit, ...] = ()
+    attempt: int = 0
+    revision: int = -1
+    cut_off: bool = False
+    _allowed: dict[str, Units] = field(default_factory=dict)
+    _used: dict[str, Units] = field(default_factory=dict)
+    _peers: frozenset[str] = frozenset()
+    _gone: dict[str, float] = field(default_factory=dict)
+    _replies: dict[str, Reply] = field(default_factory=dict)
+    _asked_at: float = NEVER
+    _heard_at: float = NEVER
+    _ticked_at: float = NEVER
+    _informed: bool = False
+    _watching_since: float = NEVER
+
+    def allowed(self, target: str) -> Units:
+        """Return what may be used of a target now."""
+        return self._allowed.get(target, NONE)
+
+    def use(self, target: str, units: Units) -> None:
+        """Record what is in use: running statements, open connections."""
+        self._used[target] = units
+
+    def held(self, target: str) -> Units:
+        """Return what others must count as taken by this VM."""
+        used = self._used.get(target, NONE)
+        return self.allowed(target).at_least(used)
+
+    def see(
+        self,
+        *,
+        now: float,
+        revision: int,
+        holders: tuple[str, ...],
+        peers: frozenset[str],
+        limits: tuple[TargetLimit, ...],
+    ) -> None:
+        """Take a newer list of VMs or newer limits.
+
+        `holders` are the group's holders in rank order. `peers` are all
+        listed VMs that may be or may have been a holder of the group; too
+        many cost messages, too few could exceed a limit.
+        """
+        if self._watching_since == NEVER:
+            self._watching_since = now
+        self._note_gone(now, peers)
+        self.revision = revision
+        self._peers = peers - {self.me}
+        self.limits = limits
+        if holders != self.holders:
+            self.holders = holders
+            self._forget()
+        self._heard_at = now
+        self._shrink()
+        self._grow(now)
+
+    def answer(
+        self, *, now: float, vm: str, holders: tuple[str, ...]
+    ) -> Reply:
+        """Answer another VM's `Ask`.
+
+        Nothing is promised while a VM that has just left the list may still
+        use a share: the asker may be new and not know of it.
+        """
+        self.heard(now=now)
+        agrees = holders == self.holders and not self._lingering(now, {vm})
+        informed = self._is_informed(now)
+        held = {limit.target: self.held(limit.target) for limit in self.limits}
+        held.update({name: self.held(name) for name in self._used})
+        return Reply(
+            vm=self.me,
+            agrees=agrees,
+            informed=informed,
+            revision=self.revision,
+            held=held,
+        )
+
+    def reply(self, *, now: float, attempt: int, reply: Reply) -> None:
+        """Take the answer to an `Ask`; late answers count for nothing."""
+        self.heard(now=now)
+        if attempt != self.attempt:
+            return
+        if reply.agrees:
+            self._replies[reply.vm] = reply
+            self._inform(reply)
+        else:
+            self._replies.pop(reply.vm, None)
+        self._grow(now)
+
+    def heard(self, *, now: float) -> None:
+        """Note that the platform or some other VM has been heard."""
+        self._heard_at = max(self._heard_at, now)
+
+    def tick(self, *, now: float) -> list[Ask]:
+        """Check for pauses and isolation; return the questions to send."""
+        self.cut_off = self._paused(now) or self._isolated(now)
+        if self.cut_off:
+            self._give_up(now)
+        self._grow(now)
+        if now - self._asked_at < self.timing.retry:
+            return []
+        asked = self._to_ask(now)
+        if asked:
+            self._asked_at = now
+        return [
+            Ask(vm=vm, holders=self.holders, attempt=self.attempt)
+            for vm in sorted(asked)
+        ]
+
+    def _to_ask(self, now: float) -> set[str]:
+        if self._wants_growth():
+            others = self._may_use(now)
+            informed = self._is_informed(now)
+            return {
+                vm for vm in others if not informed or not self._settled(vm)
+            }
+        # With the platform silent, a question to the other VMs shows that
+        # this VM isn't cut off from everything.
+        silent = now - self._heard_at
+        if silent > self.timing.isolation * PROBE_PART:
+            return set(self._peers)
+        return set()
+
+    def _paused(self, now: float) -> bool:
+        # A process that was stopped for longer than the others wait for it
+        # wakes with a share that may be used elsewhere by now. The symptom
+        # would be refused connections at the target. Starting anew, as after
+        # a restart, is enough because growth then needs all promises again.
+        paused = now - self._ticked_at
+        known = self._ticked_at != NEVER
+        self._ticked_at = now
+        return known and paused > self.timing.isolation
+
+    def _isolated(self, now: float) -> bool:
+        # A VM that is cut off can't see that it has left the list. It stops
+        # before `grace` has passed for the others. An outage of the platform
+        # alone doesn't come here, because other VMs are still heard.
+        silent = now - self._heard_at
+        return bool(self._peers) and silent > self.timing.isolation
+
+    def _inform(self, reply: Reply) -> None:
+        if reply.informed and reply.revision >= self.revision:
+            self._informed = True
+
+    def _is_informed(self, now: float) -> bool:
+        # A new process has not seen which VMs left the list shortly before.
+        # Without this check it would take the share of one that still runs.
+        # One VM that watched for long enough, and that agreed, is enough:
+        # nobody agrees while such a VM may still be running.
+        watched = now - self._watching_since
+        if self._watching_since != NEVER and watched >= self.timing.grace:
+            self._informed = True
+        return self._informed
+
+    def _give_up(self, now: float) -> None:
+        self._allowed.clear()
+        self._informed = False
+        self._watching_since = now
+        self._forget()
+
+    def _forget(self) -> None:
+        # Answers to questions from before a change promise nothing for the
+        # time after it: their sender may have grown since.
+        self.attempt += 1
+        self._replies.clear()
+        self._asked_at = NEVER
+
+    def _note_gone(self, now: float, peers: frozenset[str]) -> None:
+        for vm in self._peers - peers:
+            self._gone.setdefault(vm, now)
+        for vm in peers:
+            self._gone.pop(vm, None)
+
+    def _lingering(self, now: float, besides: set[str]) -> set[str]:
+        limit = self.timing.grace
+        self._gone = {
+            vm: since
+            for vm, since in self._gone.items()
+            if now - since < limit
+        }
+        return set(self._gone) - besides
+
+    def _may_use(self, now: float) -> set[str]:
+        return set(self._peers) | self._lingering(now, {self.me})
+
+    def _share(self, vm: str, position: int) -> Units:
+        if vm not in self.holders:
+            return NONE
+        rank = self.holders.index(vm)
+        count = len(self.holders)
+        units = self.limits[position].units
+        return Units(
+            slots=split(units.slots, count, rank, position),
+            connections=split(units.connections, count, rank, position),
+        )
+
+    def _excess(self, vm: str, position: int) -> Units:
+        reply = self._replies.get(vm)
+        if reply is None:
+            return NONE
+        held = reply.held.get(self.limits[position].target, NONE)
+        return held.minus(self._share(vm, position))
+
+    def _settled(self, vm: str) -> bool:
+        return vm in self._replies and all(
+            self._excess(vm, position) == NONE
+            for position in range(len(self.limits))
+        )
+
+    def _wants_growth(self) -> bool:
+        return any(
+            self.allowed(limit.target) != self._share(self.me, position)
+            for position, limit in enumerate(self.limits)
+        )
+
+    def _shrink(self) -> None:
+        self._allowed = {
+            limit.target: self.allowed(limit.target).at_most(
+                self._share(self.me, position)
+            )
+            for position, limit in enumerate(self.limits)
+        }
+
+    def _grow(self, now: float) -> None:
+        if not self._wants_growth():
+            return
+        others = self._may_use(now)
+        if not others <= self._replies.keys() or not self._is_informed(now):
+            return
+        for position, limit in enumerate(self.limits):
+            free = self._share(self.me, position)
+            for vm in others:
+                free = free.minus(self._excess(vm, position))
+            grown = self.allowed(limit.target).at_least(free)
+            self._allowed[limit.target] = grown
--- /dev/null
+++ b/features/steps/shares_steps.py
@@ -0,0 +1,358 @@
+"""Steps for the split of limits, with an exploration by hypothesis.
+
+The exploration keeps some real `GroupShares` and plays the platform, the
+network and the clock. `FAULTS` is its mutation list: each entry breaks one
+safeguard, and the exploration must then find an order that exceeds the limit.
+"""
+
+from contextlib import ExitStack
+from unittest import mock
+
+from behave import given
+from behave import then
+from behave import when
+from hypothesis import HealthCheck
+from hypothesis import Phase
+from hypothesis import given as for_all
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+from hypothesis.stateful import run_state_machine_as_test
+
+from bamboospring.shares import GroupShares
+from bamboospring.shares import Reply
+from bamboospring.shares import ShareTiming
+from bamboospring.shares import TargetLimit
+from bamboospring.shares import Units
+from bamboospring.shares import split
+
+LIMIT = 5
+HOLDERS = 3
+NAMES = ("a", "b", "c", "d", "e")
+TIMING = ShareTiming(grace=4.0, isolation=2.0, retry=0.5)
+
+
+def limits_of(connections):
+    units = Units(slots=3, connections=connections)
+    return (TargetLimit(target="t", units=units),)
+
+
+class Process:
+    """One run of a VM: its shares, what it uses and what it has seen."""
+
+    def __init__(self, name):
+        self.shares = GroupShares(me=name, timing=TIMING)
+        self.seen = -1
+        self.paused = False
+        self.used = 0
+
+    def set_used(self, count):
+        self.used = count
+        self.shares.use("t", Units(connections=count))
+
+
+class Fleet(RuleBasedStateMachine):
+    """A target's limit, the VMs before it and everything between them."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.lists = [frozenset("abc")]
+        self.processes = {name: Process(name) for name in "abc"}
+        self.cut = set()
+        self.gone = {}
+        self.asks = []
+        self.replies = []
+        for _ in range(12):
+            self.settle()
+
+    def running(self, name):
+        process = self.processes.get(name)
+        if process is None or process.paused:
+            return None
+        return process
+
+    def linked(self, *names):
+        return not self.cut.intersection(names)
+
+    @rule(name=st.sampled_from(NAMES))
+    def join_or_leave(self, name):
+        listed = self.lists[-1]
+        if name in listed and len(listed) > 1:
+            self.lists.append(listed - {name})
+            self.gone[name] = self.now
+        elif name not in listed and name not in self.processes:
+            self.processes[name] = Process(name)
+            self.lists.append(listed | {name})
+
+    @rule(name=st.sampled_from(NAMES), skip=st.integers(0, 1))
+    def see_list(self, name, skip):
+        process = self.running(name)
+        if process is None or name in self.cut:
+            return
+        seen = max(process.seen, len(self.lists) - 1 - skip, 0)
+        process.seen = seen
+        listed = self.lists[seen]
+        process.shares.see(
+            now=self.now,
+            revision=seen,
+            holders=tuple(sorted(listed, reverse=True))[:HOLDERS],
+            peers=listed,
+            limits=limits_of(LIMIT),
+        )
+
+    @rule(seconds=st.sampled_from([0.5, 1.0]))
+    def tick(self, seconds):
+        self.now += seconds
+        for name, process in sorted(self.processes.items()):
+            if not process.paused:
+                self.ask(name, process)
+        for name, since in list(self.gone.items()):
+            self.stop_replaced(name, since)
+
+    def ask(self, name, process):
+        for ask in process.shares.tick(now=self.now):
+            self.asks.append((name, process, ask))
+        if process.shares.cut_off:
+            process.set_used(0)
+
+    def stop_replaced(self, name, since):
+        # The platform stops what it has taken off its list. A VM that can
+        # be neither seen nor stopped must have given up by itself, unless
+        # it stands still, which nothing outside the target can prevent.
+        process = self.processes.get(name)
+        if process is None:
+            del self.gone[name]
+        elif self.now - since >= TIMING.grace - 1.0 and (
+            process.paused or name not in self.cut
+        ):
+            del self.processes[name]
+
+    @rule(data=st.data(), fate=st.sampled_from(["pass", "lose"]))
+    def deliver_one(self, data, fate):
+        count = len(self.asks) + len(self.replies)
+        if count == 0:
+            return
+        index = data.draw(st.integers(0, count - 1))
+        if index < len(self.asks):
+            ask = self.asks.pop(index)
+            if fate == "pass":
+                self.pass_ask(*ask)
+        else:
+            reply = self.replies.pop(index - len(self.asks))
+            if fate == "pass":
+                self.pass_reply(*reply)
+
+    @rule()
+    def deliver_asks(self):
+        while self.asks:
+            self.pass_ask(*self.asks.pop(0))
+
+    @rule()
+    def deliver_all(self):
+        self.deliver_asks()
+        while self.replies:
+            self.pass_reply(*self.replies.pop(0))
+
+    def pass_ask(self, name, process, ask):
+        other = self.running(ask.vm)
+        if other is None or not self.linked(name, ask.vm):
+            return
+        reply = other.shares.answer(now=self.now, vm=name, holders=ask.holders)
+        self.replies.append((name, process, ask.attempt, reply))
+
+    def pass_reply(self, name, process, attempt, reply):
+        if self.running(name) is process and self.linked(name, reply.vm):
+            process.shares.reply(now=self.now, attempt=attempt, reply=reply)
+
+    @rule()
+    def use_all(self):
+        for name in sorted(self.processes):
+            process = self.running(name)
+            if process is not None:
+                allowed = process.shares.allowed("t").connections
+                process.set_used(max(process.used, allowed))
+
+    @rule(name=st.sampled_from(NAMES), idle=st.booleans())
+    def finish(self, name, idle):
+        process = self.running(name)
+        if process is not None:
+            allowed = process.shares.allowed("t").connections
+            process.set_used(0 if idle else min(process.used, allowed))
+
+    @rule()
+    def settle(self):
+        for _ in range(2):
+            for name in sorted(self.processes):
+                self.see_list(name=name, skip=0)
+            self.tick(seconds=0.5)
+            self.deliver_all()
+            self.use_all()
+
+    @rule(name=st.sampled_from(NAMES))
+    def restart(self, name):
+        if name in self.processes:
+            self.processes[name] = Process(name)
+
+    @rule(name=st.sampled_from(NAMES))
+    def pause_or_wake(self, name):
+        process = self.processes.get(name)
+        if process is not None:
+            process.paused = not process.paused
+            if not process.paused:
+                self.ask(name, process)
+
+    @rule(name=st.sampled_from(NAMES))
+    def cut_or_mend(self, name):
+        self.cut ^= {name}
+
+    @invariant()
+    def within_limit(self):
+        used = sum(process.used for process in self.processes.values())
+        assert used <= LIMIT, f"{used} of {LIMIT} connections in use"
+
+
+def explore(examples=400):
+    run_state_machine_as_test(
+        Fleet,
+        settings=settings(
+            max_examples=examples,
+            stateful_step_count=50,
+            derandomize=True,
+            database=None,
+            deadline=None,
+            phases=[Phase.generate],
+            print_blob=False,
+            suppress_health_check=list(HealthCheck),
+        ),
+    )
+
+
+def agree_to_all(self, *, now, vm, holders):
+    held = {"t": self.held("t")}
+    return Reply(
+        vm=self.me, agrees=True, informed=True, revision=99, held=held
+    )
+
+
+FAULTS = {
+    "a share grows without a promise": {"_may_use": lambda self, now: set()},
+    "promises from before a change count": {"_forget": lambda self: None},
+    "what is still used is ignored": {
+        "_excess": lambda self, vm, position: Units()
+    },
+    "a VM off the list is forgotten": {
+        "_lingering": lambda self, now, besides: set()
+    },
+    "any list of holders is agreed to": {"answer": agree_to_all},
+    "a share is kept after a change": {
+        "_shrink": lambda self: None,
+        "held": lambda self, target: self._used.get(target, Units()),
+    },
+    "a new VM trusts its first list": {"_is_informed": lambda self, now: True},
+    "a cut-off VM keeps its share": {"_isolated": lambda self, now: None},
+}
+
+
+@then("every split of a limit is exact, fair and never shrinks as it grows")
+def step_split(context):
+    @settings(derandomize=True, database=None, deadline=None)
+    @for_all(st.integers(0, 200), st.integers(1, 8), st.integers(0, 20))
+    def check(limit, holders, rotation):
+        ranks = range(holders)
+        parts = [split(limit, holders, rank, rotation) for rank in ranks]
+        larger = [split(limit + 1, holders, rank, rotation) for rank in ranks]
+        assert sum(parts) == limit
+        assert max(parts) - min(parts) <= 1
+        assert all(new >= old for old, new in zip(parts, larger))
+
+    check()
+
+
+@given("shares of VMs a, b and c of a target with 20 connections")
+def step_shares(context):
+    context.now = 100.0
+    context.revision = 0
+    context.shares = {name: GroupShares(me=name) for name in "abc"}
+    see(context, "abc", "abc")
+    pass_time(context, 11)
+
+
+def see(context, holders, peers):
+    context.revision += 1
+    for shares in context.shares.values():
+        shares.see(
+            now=context.now,
+            revision=context.revision,
+            holders=tuple(holders),
+            peers=frozenset(peers),
+            limits=limits_of(20),
+        )
+
+
+def exchange(context, cut=""):
+    for name, shares in context.shares.items():
+        for ask in shares.tick(now=context.now):
+            if name in cut or ask.vm in cut:
+                continue
+            reply = context.shares[ask.vm].answer(
+                now=context.now, vm=name, holders=ask.holders
+            )
+            shares.reply(now=context.now, attempt=ask.attempt, reply=reply)
+
+
+def pass_time(context, seconds, cut=""):
+    for _ in range(seconds * 2):
+        context.now += 0.5
+        exchange(context, cut)
+
+
+@when("VM d takes the place of c, which still uses 2")
+def step_replace(context):
+    context.shares["c"].use("t", Units(connections=2))
+    context.shares["d"] = GroupShares(me="d")
+    see(context, "abd", "abcd")
+    pass_time(context, 1)
+
+
+@when("VM c has closed its connections")
+def step_closed(context):
+    context.shares["c"].use("t", Units())
+    pass_time(context, 1)
+
+
+@when("the platform is silent for {seconds:d} seconds")
+def step_silent(context, seconds):
+    pass_time(context, seconds)
+
+
+@when("VM {name} hears nobody for {seconds:d} seconds")
+def step_cut(context, name, seconds):
+    pass_time(context, seconds, cut=name)
+
+
+@then("VM {name} may use {count:d} connections")
+def step_may_use(context, name, count):
+    allowed = context.shares[name].allowed("t").connections
+    assert allowed == count, allowed
+
+
+@then("no explored order of events exceeds the limit")
+def step_explore(context):
+    explore()
+
+
+@then("the exploration fails when {fault}")
+def step_seeded(context, fault):
+    with ExitStack() as stack:
+        for name, broken in FAULTS[fault].items():
+            patch = mock.patch.object(GroupShares, name, broken)
+            stack.enter_context(patch)
+        try:
+            explore()
+        except AssertionError as exc:
+            assert "connections in use" in str(exc), exc
+            return
+    raise AssertionError(f"not caught: {fault}")
