--- a/bamboospring/rendezvous.py
+++ b/bamboospring/rendezvous.py
@@ -43,12 +43,12 @@
 
 def bucket_of(group: str) -> int:
     """Return the lease bucket of a group, 0 to 15."""
-    return xxh64_intdigest(group) % BUCKETS
+    return _hash(group) % BUCKETS
 
 
 def shard_of(group: str) -> int:
     """Return the table shard of a group, 0 to 15."""
-    return xxh64_intdigest(group) % SHARDS
+    return _hash(group) % SHARDS
 
 
 def rank(key: str, vms: Iterable[Vm]) -> list[Vm]:
@@ -128,8 +128,12 @@
         return found
 
 
+def _hash(text: str) -> int:
+    return xxh64_intdigest(text.encode())
+
+
 def _weight(key: str, vm: str) -> tuple[int, str]:
-    return xxh64_intdigest(f"{key}\0{vm}"), vm
+    return _hash(f"{key}\0{vm}"), vm
 
 
 def _ranked_live(key: str, vms: Iterable[Vm]) -> list[Vm]:
