--- /dev/null
+++ b/bamboospring/platform_client.py
@@ -0,0 +1,430 @@
+"""Calls to the platform's object API, paced and with typed results.
+
+Each purpose has one connection and one call in flight, so that a slow
+platform is never asked by one VM for the same thing many times over. After a
+failure a purpose backs off, with jitter: until then further calls are refused
+here at once with `Unavailable`, whose `retry_after` says when the next one
+will be sent.
+
+    client.get("group", "ledger-1", "group", on_result)
+
+A purpose may be divided with a slash, as in `lease/7`: the parts then have a
+call in flight each and are counted together, as `lease`.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+import random
+from typing import Any
+
+import orjson
+
+from bamboospring.http_codec import HttpAnswer
+from bamboospring.http_codec import HttpClient
+from bamboospring.http_codec import HttpLost
+from bamboospring.reactor import Reactor
+
+__all__ = [
+    "Backoff",
+    "CallCounts",
+    "Changes",
+    "Conflict",
+    "Found",
+    "Missing",
+    "PlatformClient",
+    "Rejected",
+    "Stored",
+    "Unavailable",
+    "VmsFound",
+]
+
+CALL_TIMEOUT = 2.0
+LIST_TIMEOUT = 5.0
+# A watch is answered at the end of its waiting time at the latest; the rest
+# is for the way there and back and a slow platform.
+WATCH_MARGIN = 3.0
+FIRST_BACKOFF = 0.1
+MAX_BACKOFF = 5.0
+# A steward that finds the platform back late loses its lease for nothing.
+MAX_LEASE_BACKOFF = 1.0
+MAX_WAITING = 32
+
+SERVER_ERRORS = 500
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Found:
+    """An object as the platform has it."""
+
+    kind: str
+    name: str
+    version: int
+    value: Any
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Missing:
+    """There is no such object."""
+
+    kind: str
+    name: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Stored:
+    """The conditional update was done; the object has this version now."""
+
+    version: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Conflict:
+    """Nothing was stored: the object is at another version.
+
+    Version 0 without a value means that there is no object.
+    """
+
+    version: int
+    value: Any
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Rejected:
+    """The platform refuses the value itself, for example as too large."""
+
+    status: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Unavailable:
+    """No answer that tells anything.
+
+    `maybe_applied` is true where an update may have taken effect, or may
+    still do so. `retry_after` is in seconds; a call before then is refused.
+    """
+
+    maybe_applied: bool
+    retry_after: float
+    reason: str = ""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Changes:
+    """Objects of a kind; deleted ones have version 0 and no value.
+
+    `revision` is where the next watch goes on from.
+    """
+
+    objects: tuple[Found, ...]
+    revision: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class VmsFound:
+    """The list of VMs, each as the platform's JSON object."""
+
+    revision: int
+    vms: tuple[dict[str, Any], ...]
+
+
+@dataclass(slots=True, kw_only=True)
+class CallCounts:
+    """Calls of one purpose since the process started.
+
+    `held` counts calls refused here, which never reached the platform.
+    """
+
+    calls: int = 0
+    failed: int = 0
+    held: int = 0
+
+
+@dataclass(slots=True, kw_only=True)
+class Backoff:
+    """When the next call of a purpose may be sent.
+
+    The wait doubles with each failure up to `limit` seconds. Half of it is
+    random: VMs that lost the platform at the same instant would otherwise
+    come back to it in step.
+    """
+
+    limit: float = MAX_BACKOFF
+    failures: int = 0
+    until: float = -1e9
+
+    def failed(self, now: float, chance: float) -> float:
+        """Count a failure and return the seconds to wait.
+
+        `chance` is a random number of 0 to 1.
+        """
+        # Bounded, because a long outage must not overflow the power.
+        doublings = min(self.failures, 16)
+        wait = min(self.limit, FIRST_BACKOFF * 2.0**doublings)
+        wait *= 0.5 + chance / 2
+        self.failures += 1
+        self.until = now + wait
+        return wait
+
+    def succeeded(self) -> None:
+        """Forget all failures."""
+        self.failures = 0
+        self.until = -1e9
+
+
+OnAnswer = Callable[[HttpAnswer | Unavailable], None]
+
+
+@dataclass(slots=True, kw_only=True)
+class _Lane:
+    """The connection of one purpose and how it fares."""
+
+    client: HttpClient
+    backoff: Backoff
+    waiting: int = 0
+
+
+class PlatformClient:
+    """Calls to the platform; every result comes by `on_result`, once."""
+
+    def __init__(
+        self,
+        *,
+        reactor: Reactor,
+        address: str,
+        chance: Callable[[], float] = random.random,
+    ) -> None:
+        self.counts: dict[str, CallCounts] = {}
+        self._reactor = reactor
+        self._address = address
+        self._chance = chance
+        self._lanes: dict[str, _Lane] = {}
+
+    def get(
+        self,
+        kind: str,
+        name: str,
+        purpose: str,
+        on_result: Callable[[Found | Missing | Unavailable], None],
+        *,
+        timeout: float = CALL_TIMEOUT,
+    ) -> None:
+        """Read one object."""
+
+        def answered(answer: HttpAnswer | Unavailable) -> None:
+            match answer:
+                case Unavailable():
+                    on_result(answer)
+                case HttpAnswer(status=404):
+                    on_result(Missing(kind=kind, name=name))
+                case HttpAnswer():
+                    on_result(_found(orjson.loads(answer.body)))
+
+        path = f"/objects/{kind}/{name}"
+        self._call("GET", path, purpose, b"", timeout, answered)
+
+    def put(
+        self,
+        kind: str,
+        name: str,
+        if_version: int,
+        value: Any,
+        purpose: str,
+        on_result: Callable[
+            [Stored | Conflict | Rejected | Unavailable], None
+        ],
+        *,
+        timeout: float = CALL_TIMEOUT,
+    ) -> None:
+        """Store a value if the object is at `if_version` (0: create).
+
+        After `Unavailable(maybe_applied=True)` only reading the object back
+        tells what became of the update.
+        """
+
+        def answered(answer: HttpAnswer | Unavailable) -> None:
+            match answer:
+                case Unavailable():
+                    on_result(answer)
+                case HttpAnswer(status=200):
+                    body = orjson.loads(answer.body)
+                    on_result(Stored(version=body["version"]))
+                case HttpAnswer(status=404 | 409):
+                    body = orjson.loads(answer.body)
+                    on_result(
+                        Conflict(version=body["version"], value=body["value"])
+                    )
+                case HttpAnswer():
+                    on_result(Rejected(status=answer.status))
+
+        path = f"/objects/{kind}/{name}"
+        body = orjson.dumps({"if_version": if_version, "value": value})
+        self._call("PUT", path, purpose, body, timeout, answered)
+
+    def list(
+        self,
+        kind: str,
+        purpose: str,
+        on_result: Callable[[Changes | Unavailable], None],
+        *,
+        timeout: float = LIST_TIMEOUT,
+    ) -> None:
+        """Read all objects of a kind."""
+        path = f"/objects/{kind}"
+        answered = _changes_to(on_result)
+        self._call("GET", path, purpose, b"", timeout, answered)
+
+    def watch(
+        self,
+        kind: str,
+        after: int,
+        wait_ms: int,
+        purpose: str,
+        on_result: Callable[[Changes | Unavailable], None],
+    ) -> None:
+        """Wait for objects that changed after a revision.
+
+        The call waits on a connection of its own, so that it holds up no
+        other call of its purpose.
+        """
+        path = f"/watch/{kind}?after={after}&wait_ms={wait_ms}"
+        timeout = wait_ms / 1000 + WATCH_MARGIN
+        lane = f"{purpose}/watch/{kind}"
+        answered = _changes_to(on_result)
+        self._call("GET", path, lane, b"", timeout, answered)
+
+    def vms(
+        self,
+        on_result: Callable[[VmsFound | Unavailable], None],
+        *,
+        purpose: str = "vms",
+        timeout: float = CALL_TIMEOUT,
+    ) -> None:
+        """Read the list of VMs."""
+
+        def answered(answer: HttpAnswer | Unavailable) -> None:
+            match answer:
+                case Unavailable():
+                    on_result(answer)
+                case HttpAnswer():
+                    body = orjson.loads(answer.body)
+                    vms = tuple(body["vms"])
+                    on_result(VmsFound(revision=body["revision"], vms=vms))
+
+        self._call("GET", "/vms", purpose, b"", timeout, answered)
+
+    def close(self) -> None:
+        """Close all connections; calls under way end as unavailable."""
+        for lane in self._lanes.values():
+            lane.client.close()
+
+    def _call(
+        self,
+        method: str,
+        path: str,
+        purpose: str,
+        body: bytes,
+        timeout: float,
+        on_answer: OnAnswer,
+    ) -> None:
+        lane = self._lane(purpose)
+        counts = self._counts(purpose)
+        held = self._held_for(lane)
+        if held > 0:
+            counts.held += 1
+            refusal = Unavailable(
+                maybe_applied=False, retry_after=held, reason="backoff"
+            )
+            # Answered in a later turn, like every other call.
+            self._reactor.call_later(0, lambda: on_answer(refusal))
+            return
+        counts.calls += 1
+        lane.waiting += 1
+
+        def answered(answer: HttpAnswer | HttpLost) -> None:
+            lane.waiting -= 1
+            on_answer(self._judge(lane, counts, method, answer))
+
+        header = f"X-Purpose: {_counted_as(purpose)}\r\n"
+        lane.client.request(method, path, body, timeout, answered, header)
+
+    def _held_for(self, lane: _Lane) -> float:
+        """Return the seconds for which no call of a lane is sent."""
+        left = lane.backoff.until - self._reactor.now()
+        if left > 0:
+            return left
+        return FIRST_BACKOFF if lane.waiting >= MAX_WAITING else 0.0
+
+    def _judge(
+        self,
+        lane: _Lane,
+        counts: CallCounts,
+        method: str,
+        answer: HttpAnswer | HttpLost,
+    ) -> HttpAnswer | Unavailable:
+        """Tell an answer from a failure, and count failures."""
+        match answer:
+            case HttpLost():
+                maybe_applied = answer.sent and method != "GET"
+                reason = answer.reason
+            case HttpAnswer(status=429):
+                maybe_applied = False
+                reason = "rate"
+            case HttpAnswer() if answer.status >= SERVER_ERRORS:
+                maybe_applied = method != "GET"
+                reason = f"status {answer.status}"
+            case HttpAnswer():
+                lane.backoff.succeeded()
+                return answer
+        counts.failed += 1
+        wait = lane.backoff.failed(self._reactor.now(), self._chance())
+        return Unavailable(
+            maybe_applied=maybe_applied, retry_after=wait, reason=reason
+        )
+
+    def _lane(self, purpose: str) -> _Lane:
+        lane = self._lanes.get(purpose)
+        if lane is None:
+            leases = _counted_as(purpose) == "lease"
+            lane = _Lane(
+                client=HttpClient(
+                    reactor=self._reactor, address=self._address
+                ),
+                backoff=Backoff(
+                    limit=MAX_LEASE_BACKOFF if leases else MAX_BACKOFF
+                ),
+            )
+            self._lanes[purpose] = lane
+        return lane
+
+    def _counts(self, purpose: str) -> CallCounts:
+        return self.counts.setdefault(_counted_as(purpose), CallCounts())
+
+
+def _counted_as(purpose: str) -> str:
+    return purpose.partition("/")[0]
+
+
+def _found(body: dict[str, Any]) -> Found:
+    return Found(
+        kind=body["kind"],
+        name=body["name"],
+        version=body["version"],
+        value=body["value"],
+    )
+
+
+def _changes_to(
+    on_result: Callable[[Changes | Unavailable], None],
+) -> OnAnswer:
+    def answered(answer: HttpAnswer | Unavailable) -> None:
+        match answer:
+            case Unavailable():
+                on_result(answer)
+            case HttpAnswer():
+                body = orjson.loads(answer.body)
+                objects = tuple(_found(item) for item in body["objects"])
+                on_result(Changes(objects=objects, revision=body["revision"]))
+
+    return answered
