--- /dev/null
+++ b/bamboospring/http_codec.py
@@ -0,0 +1,557 @@
+"""HTTP/1.1 over streams: a server and a client, one exchange at a time.
+
+Parsing is the library's (httptools); this module adds the limits, the
+timeouts and the rule that a connection in doubt is closed.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections import deque
+from dataclasses import dataclass
+from dataclasses import field
+from http import HTTPStatus
+
+import httptools
+
+from bamboospring.reactor import Listener
+from bamboospring.reactor import Reactor
+from bamboospring.reactor import Stream
+from bamboospring.reactor import Timer
+
+__all__ = [
+    "HttpAnswer",
+    "HttpClient",
+    "HttpConnection",
+    "HttpLost",
+    "HttpServer",
+    "Request",
+    "Response",
+]
+
+MAX_HEAD = 16 * 1024
+MAX_BODY = 1024 * 1024
+MAX_HEADERS = 64
+# A caller that sends its request a byte at a time holds memory; after this
+# many seconds with an unfinished request the connection is closed.
+REQUEST_TIMEOUT = 10.0
+CONNECT_TIMEOUT = 1.0
+MAX_PIPELINED = 16
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Request:
+    """A whole request; header names are in lower case."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Response:
+    """What to answer. `close` ends the connection after this answer."""
+
+    status: int = 200
+    body: bytes = b""
+    content_type: str = "application/json"
+    headers: dict[str, str] = field(default_factory=dict)
+    close: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HttpAnswer:
+    """The whole answer to a request of ours."""
+
+    status: int
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HttpLost:
+    """No whole answer came. `sent` is false if surely nothing was sent."""
+
+    sent: bool
+    reason: str
+
+
+Handler = Callable[[Request, Callable[[Response], None]], None]
+OnAnswer = Callable[[HttpAnswer | HttpLost], None]
+
+
+def encode_response(response: Response, close: bool) -> bytes:
+    """Return the bytes of a response with its length stated."""
+    status = HTTPStatus(response.status)
+    lines = [f"HTTP/1.1 {status.value} {status.phrase}"]
+    if response.body or response.status != HTTPStatus.NO_CONTENT:
+        lines.append(f"Content-Type: {response.content_type}")
+    lines.append(f"Content-Length: {len(response.body)}")
+    lines.extend(
+        f"{name}: {value}" for name, value in response.headers.items()
+    )
+    if close:
+        lines.append("Connection: close")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + response.body
+
+
+class HttpServer:
+    """Listen for HTTP connections and hand whole requests to a handler.
+
+    The handler gets a `respond` callable that it calls exactly once, then or
+    later. Requests on one connection are handled in order, one at a time.
+    With `draining` set every answer closes its connection.
+    """
+
+    def __init__(
+        self, *, reactor: Reactor, address: str, handler: Handler
+    ) -> None:
+        self.reactor = reactor
+        self.handler = handler
+        self.draining = False
+        self.connections: set[_ServerConnection] = set()
+        self.listener: Listener = reactor.listen(address, self._accepted)
+
+    @property
+    def address(self) -> str:
+        """Return the address listened on, with the port really in use."""
+        return self.listener.address
+
+    @property
+    def busy(self) -> int:
+        """Return how many connections have a request under way."""
+        return sum(conn.busy for conn in self.connections)
+
+    def drain(self) -> None:
+        """Take no new connections, close idle ones, end others when done."""
+        self.draining = True
+        self.listener.close()
+        for conn in list(self.connections):
+            conn.close_if_idle()
+
+    def _accepted(self, stream: Stream) -> None:
+        self.connections.add(_ServerConnection(server=self, stream=stream))
+
+
+class _ServerConnection:
+    """One connection of a caller: parses, hands on, answers in order."""
+
+    __slots__ = (
+        "_body",
+        "_body_size",
+        "_head_size",
+        "_in_head",
+        "_headers",
+        "_parser",
+        "_queue",
+        "_server",
+        "_stream",
+        "_timer",
+        "_url",
+        "busy",
+        "_keep",
+    )
+
+    def __init__(self, *, server: HttpServer, stream: Stream) -> None:
+        self._server = server
+        self._stream = stream
+        self._parser: httptools.HttpRequestParser | None = None
+        self._queue: deque[tuple[Request, bool]] | None = None
+        self._timer: Timer | None = None
+        self._headers: dict[str, str] = {}
+        self._url = b""
+        self._body: list[bytes] = []
+        self._body_size = 0
+        self._head_size = 0
+        self._in_head = False
+        self._keep = True
+        self.busy = False
+        stream.on_data = self._data
+        stream.on_close = self._closed
+
+    def close_if_idle(self) -> None:
+        """Close unless a request is being handled or read."""
+        if not self.busy and self._timer is None:
+            self._stream.close()
+
+    # What the parser calls.
+
+    def on_message_begin(self) -> None:
+        self._in_head = True
+        self._headers = {}
+        self._url = b""
+        self._body = []
+        self._body_size = 0
+
+    def on_url(self, url: bytes) -> None:
+        self._url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if len(self._headers) >= MAX_HEADERS:
+            raise _TooLarge()
+        key = name.decode("latin-1").lower()
+        if key == "host" and key in self._headers:
+            raise _Malformed()
+        self._headers[key] = value.decode("latin-1")
+
+    def on_body(self, data: bytes) -> None:
+        self._body_size += len(data)
+        if self._body_size > MAX_BODY:
+            raise _TooLarge()
+        self._body.append(data)
+
+    def on_headers_complete(self) -> None:
+        self._in_head = False
+        length = self._headers.get("content-length", "")
+        if length.isdigit() and int(length) > MAX_BODY:
+            raise _TooLarge()
+
+    def on_message_complete(self) -> None:
+        parser = self._parser
+        assert parser is not None
+        self._stop_timer()
+        req = Request(
+            method=parser.get_method().decode("latin-1"),
+            path=self._url.decode("latin-1"),
+            headers=self._headers,
+            body=b"".join(self._body),
+        )
+        self._body = []
+        if self._queue is None:
+            self._queue = deque()
+        self._queue.append((req, parser.should_keep_alive()))
+
+    # What the stream calls.
+
+    def _data(self, data: bytes) -> None:
+        if self._parser is None:
+            self._parser = httptools.HttpRequestParser(self)
+        waiting = len(self._queue) if self._queue else 0
+        self._head_size += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse(HTTPStatus.BAD_REQUEST)
+            return
+        except httptools.HttpParserError as exc:
+            self._refuse(_status_of(exc))
+            return
+        now_waiting = len(self._queue) if self._queue else 0
+        if now_waiting > waiting:
+            self._head_size = 0
+        elif self._in_head and self._head_size > MAX_HEAD:
+            self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+            return
+        elif self._timer is None:
+            self._timer = self._server.reactor.call_later(
+                REQUEST_TIMEOUT, self._too_slow
+            )
+        if now_waiting > MAX_PIPELINED:
+            self._stream.pause()
+        self._next()
+
+    def _next(self) -> None:
+        if self.busy or not self._queue or self._stream.closed:
+            return
+        req, self._keep = self._queue.popleft()
+        self.busy = True
+        self._server.handler(req, self._respond)
+
+    def _respond(self, response: Response) -> None:
+        if not self.busy:
+            raise RuntimeError("a request was answered twice")
+        self.busy = False
+        close = response.close or not self._keep or self._server.draining
+        self._stream.send(encode_response(response, close))
+        if close:
+            self._stream.close()
+            return
+        if self._queue:
+            self._stream.resume()
+            # A later turn: a long pipeline must not nest its calls.
+            self._server.reactor.call_later(0, self._next)
+
+    def _refuse(self, status: HTTPStatus) -> None:
+        """Answer a request that can't be read, and close.
+
+        What follows the broken bytes could be anything, also a second
+        request put there by somebody else, so nothing more is read.
+        """
+        self._stop_timer()
+        self._queue = None
+        if self.busy:
+            # The answer under way is still sent, then the stream closes.
+            self._keep = False
+            self._stream.pause()
+            return
+        body = b'{"outcome": "not_run", "reason": "bad_request"}'
+        response = Response(status=status, body=body, close=True)
+        self._stream.send(encode_response(response, True))
+        self._stream.close()
+
+    def _too_slow(self) -> None:
+        self._timer = None
+        self._refuse(HTTPStatus.REQUEST_TIMEOUT)
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _closed(self) -> None:
+        self._stop_timer()
+        self._parser = None
+        self._server.connections.discard(self)
+
+
+class _TooLarge(Exception):
+    """A part of the request is over its limit."""
+
+
+class _Malformed(Exception):
+    """The request is well formed to the parser but not to us."""
+
+
+def _status_of(exc: BaseException) -> HTTPStatus:
+    if isinstance(exc.__context__, _TooLarge):
+        return HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+    return HTTPStatus.BAD_REQUEST
+
+
+class HttpConnection:
+    """One client connection; after any doubt it is closed for good."""
+
+    __slots__ = (
+        "_address",
+        "_body",
+        "_on_answer",
+        "_parser",
+        "_reactor",
+        "_stream",
+        "_timer",
+        "on_close",
+    )
+
+    def __init__(self, *, reactor: Reactor, address: str) -> None:
+        self._reactor = reactor
+        self._address = address
+        self._stream: Stream | None = None
+        self._parser: httptools.HttpResponseParser | None = None
+        self._body: list[bytes] = []
+        self._on_answer: OnAnswer | None = None
+        self._timer: Timer | None = None
+        self.on_close: Callable[[], None] | None = None
+
+    @property
+    def usable(self) -> bool:
+        """Tell whether the connection is open with no exchange under way."""
+        stream = self._stream
+        return (
+            stream is not None
+            and not stream.closed
+            and self._on_answer is None
+        )
+
+    @property
+    def open(self) -> bool:
+        """Tell whether the connection is open."""
+        return self._stream is not None and not self._stream.closed
+
+    def connect(self, timeout: float, on_open: Callable[[bool], None]) -> None:
+        """Open the connection; calls back with False if it can't be had."""
+
+        def opened(stream: Stream | None) -> None:
+            if stream is not None:
+                self._stream = stream
+                stream.on_data = self._data
+                stream.on_close = self._closed
+            on_open(stream is not None)
+
+        self._reactor.connect(self._address, timeout, opened)
+
+    def request(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        timeout: float,
+        on_answer: OnAnswer,
+        headers: str = "",
+    ) -> None:
+        """Send one request on the open connection.
+
+        `headers` holds further header lines, each ended by CRLF. After
+        `timeout` seconds without a whole answer the connection is closed: a
+        late answer must never be taken for the answer to the next request.
+        """
+        if not self.usable:
+            on_answer(HttpLost(sent=False, reason="closed"))
+            return
+        assert self._stream is not None
+        self._on_answer = on_answer
+        self._parser = httptools.HttpResponseParser(self)
+        self._timer = self._reactor.call_later(timeout, self._timed_out)
+        head = (
+            f"{method} {path} HTTP/1.1\r\nHost: {self._address}\r\n{headers}"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        self._stream.send(head.encode("latin-1") + body)
+
+    def close(self) -> None:
+        """Close the connection; an exchange under way is lost."""
+        if self._stream is not None:
+            self._stream.abort()
+
+    # What the parser calls.
+
+    def on_body(self, data: bytes) -> None:
+        self._body.append(data)
+
+    def on_message_complete(self) -> None:
+        parser, self._parser = self._parser, None
+        if parser is None:
+            return
+        status = parser.get_status_code()
+        if not parser.should_keep_alive():
+            self._finish(HttpAnswer(status=status, body=self._take_body()))
+            self.close()
+            return
+        self._finish(HttpAnswer(status=status, body=self._take_body()))
+
+    # What the stream calls.
+
+    def _data(self, data: bytes) -> None:
+        if self._parser is None:
+            # Bytes that no request asked for: whose answer they are can't
+            # be known, so the connection is not used again.
+            self.close()
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError:
+            self._lose("protocol")
+
+    def _closed(self) -> None:
+        self._lose("closed")
+        if self.on_close is not None:
+            self.on_close()
+
+    def _timed_out(self) -> None:
+        self._timer = None
+        self._lose("timeout")
+
+    def _lose(self, reason: str) -> None:
+        self._parser = None
+        stream = self._stream
+        self._finish(HttpLost(sent=True, reason=reason))
+        if stream is not None:
+            stream.abort()
+
+    def _take_body(self) -> bytes:
+        body = b"".join(self._body)
+        self._body = []
+        return body
+
+    def _finish(self, answer: HttpAnswer | HttpLost) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        on_answer, self._on_answer = self._on_answer, None
+        if isinstance(answer, HttpLost):
+            self._body = []
+        if on_answer is not None:
+            on_answer(answer)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Call:
+    """A request that waits for the client's connection."""
+
+    method: str
+    path: str
+    body: bytes
+    deadline: float
+    on_answer: OnAnswer
+    headers: str
+
+
+class HttpClient:
+    """A client that connects when needed and sends requests one by one."""
+
+    def __init__(self, *, reactor: Reactor, address: str) -> None:
+        self._reactor = reactor
+        self._address = address
+        self._conn: HttpConnection | None = None
+        self._calls: deque[_Call] = deque()
+        self._active = False
+
+    def request(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        timeout: float,
+        on_answer: OnAnswer,
+        headers: str = "",
+    ) -> None:
+        """Send a request after those before it; see HttpConnection."""
+        call = _Call(
+            method=method,
+            path=path,
+            body=body,
+            deadline=self._reactor.now() + timeout,
+            on_answer=on_answer,
+            headers=headers,
+        )
+        self._calls.append(call)
+        self._next()
+
+    def close(self) -> None:
+        """Close the connection and give up what waits."""
+        calls, self._calls = self._calls, deque()
+        if self._conn is not None:
+            self._conn.close()
+        for call in calls:
+            call.on_answer(HttpLost(sent=False, reason="closed"))
+
+    def _next(self) -> None:
+        if self._active or not self._calls:
+            return
+        self._active = True
+        call = self._calls.popleft()
+        if self._conn is not None and self._conn.usable:
+            self._send(call)
+            return
+        self._conn = HttpConnection(
+            reactor=self._reactor, address=self._address
+        )
+        left = call.deadline - self._reactor.now()
+        timeout = min(CONNECT_TIMEOUT, max(0.0, left))
+        self._conn.connect(timeout, lambda ok: self._opened(call, ok))
+
+    def _opened(self, call: _Call, ok: bool) -> None:
+        if ok:
+            self._send(call)
+            return
+        self._conn = None
+        self._done(call, HttpLost(sent=False, reason="connect"))
+
+    def _send(self, call: _Call) -> None:
+        assert self._conn is not None
+        left = call.deadline - self._reactor.now()
+        if left <= 0:
+            self._done(call, HttpLost(sent=False, reason="timeout"))
+            return
+        self._conn.request(
+            call.method,
+            call.path,
+            call.body,
+            left,
+            lambda answer: self._done(call, answer),
+            call.headers,
+        )
+
+    def _done(self, call: _Call, answer: HttpAnswer | HttpLost) -> None:
+        self._active = False
+        call.on_answer(answer)
+        self._next()
