--- /dev/null
+++ b/bamboospring/testing/estate.py
@@ -0,0 +1,58 @@
+"""The estates that tests, the demo and the bench bring up, as plain data."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+__all__ = ["CARPATICA", "Estate", "MALABAR", "SMALL"]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Estate:
+    """Sizes and places of one estate.
+
+    `slots` and `connections` hold for each target, `connect_ms` is what a
+    new statement connection costs, `schema` is SQL run at every target
+    before the first start.
+    """
+
+    name: str
+    groups: tuple[str, ...]
+    zones: tuple[str, ...]
+    members: int = 3
+    vms: int = 9
+    slots: int = 3
+    connections: int = 20
+    connect_ms: int = 10
+    statement_ms: int = 0
+    apply_lag_ms: int = 0
+    receive_lag_ms: int = 0
+    sites: tuple[str, ...] = ("old", "new")
+    region: str = "region-1"
+    schema: str = ""
+
+    def zone(self, number: int) -> str:
+        """Return the availability zone of the numbered VM or member."""
+        return self.zones[number % len(self.zones)]
+
+
+CARPATICA = Estate(
+    name="carpatica",
+    groups=("baze-comutare-1", "baze-comutare-2", "baze-comutare-3"),
+    zones=("hala-pipera", "hala-militari", "hala-berceni", "hala-otopeni"),
+)
+
+MALABAR = Estate(
+    name="malabar",
+    groups=("loc-core-1", "loc-core-2", "loc-core-3"),
+    zones=("kochi", "tvm", "kozhikode"),
+    slots=2,
+    connections=35,
+)
+
+SMALL = Estate(
+    name="small",
+    groups=("ledger",),
+    zones=("zone-a", "zone-b", "zone-c"),
+    vms=3,
+)
--- /dev/null
+++ b/bamboospring/testing/fleet.py
@@ -0,0 +1,658 @@
+"""Start and stop a whole estate of real processes.
+
+The platform stand-in, optionally a fault proxy, the target stand-ins and the
+VMs that run `bamboospring serve` are all children of this process and are
+ended by their own ids when the fleet closes, also on an error.
+
+Example::
+
+    with Fleet(estate=CARPATICA, links=True) as fleet:
+        fleet.freeze(fleet.primary("baze-comutare-1"))
+        answer = Caller(entries=fleet.entries()).write(...)
+"""
+
+from __future__ import annotations
+
+import atexit
+from collections.abc import Callable
+from collections.abc import Iterable
+from dataclasses import dataclass
+import http.client
+import json
+import os
+import pathlib
+import shutil
+import socket
+import sys
+import tempfile
+import time
+from types import TracebackType
+from typing import Any
+
+from bamboospring.testing.estate import Estate
+from bamboospring.testing.process import ManagedProcess
+from bamboospring.testing.process import StartFailed
+
+__all__ = ["Fleet", "FleetTarget", "FleetVm", "call_json", "wait_until"]
+
+START_SECONDS = 20.0
+READY_SECONDS = 30.0
+CONTROL_TIMEOUT = 5.0
+PLATFORM = "platform"
+FAULT_PROXY = "fault-proxy"
+OPERATOR_TOKEN = "operator-secret-for-tests"
+TOKEN_KEYS = [{"id": "k1", "secret": "secret-of-the-test-fleet-0001"}]
+
+
+class CallFailed(RuntimeError):
+    """A control call to a stand-in was answered with an error."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FleetTarget:
+    """One target stand-in. `address` is what the VMs are told."""
+
+    name: str
+    group: str
+    zone: str
+    site: str
+    listen: str
+    address: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FleetVm:
+    """One VM. `entry` and `peers` are what callers and peers are told."""
+
+    name: str
+    zone: str
+    callers_listen: str
+    peers_listen: str
+    operators_listen: str
+    entry: str
+    peers: str
+    platform: str
+
+
+def call_json(
+    address: str,
+    method: str,
+    path: str,
+    body: Any = None,
+    *,
+    timeout: float = CONTROL_TIMEOUT,
+    headers: dict[str, str] | None = None,
+) -> Any:
+    """Make one HTTP/JSON call and return the decoded answer.
+
+    Raises `CallFailed` on an error status and `OSError` when the other side
+    can't be reached within `timeout` seconds.
+    """
+    host, port = address.rsplit(":", 1)
+    conn = http.client.HTTPConnection(host, int(port), timeout=timeout)
+    try:
+        text = None if body is None else json.dumps(body)
+        conn.request(method, path, text, headers or {})
+        resp = conn.getresponse()
+        data = resp.read()
+    except http.client.HTTPException as exc:
+        raise OSError(f"{method} {path} at {address}: {exc!r}") from exc
+    finally:
+        conn.close()
+    if resp.status >= 400:
+        raise CallFailed(f"{method} {path}: {resp.status} {data[:500]!r}")
+    return json.loads(data) if data else None
+
+
+def wait_until(check: Callable[[], Any], *, seconds: float, what: str) -> Any:
+    """Poll until `check` returns something true, and return that.
+
+    Errors of calls count as "not yet". Raises `StartFailed` after `seconds`
+    with the last error.
+    """
+    end = time.monotonic() + seconds
+    last: Exception | None = None
+    while time.monotonic() < end:
+        try:
+            found = check()
+        except (OSError, CallFailed, KeyError, ValueError) as exc:
+            found, last = None, exc
+        if found:
+            return found
+        time.sleep(0.05)
+    raise StartFailed(f"gave up after {seconds} s: {what} (last: {last!r})")
+
+
+class Fleet:
+    """A running estate. Use it as a context manager.
+
+    With `links` every target, peer, entry and VM's way to the platform is
+    behind a link of the fault proxy: `target:<name>`, `peers:<vm>`,
+    `entry:<vm>` and `platform:<vm>`. With `bootstrap` the fleet makes the
+    first member of each group primary of term 1 itself; without it the
+    stewards have to. `settings` is merged into each VM's settings file.
+    """
+
+    def __init__(
+        self,
+        *,
+        estate: Estate,
+        links: bool = False,
+        bootstrap: bool = True,
+        vms: int | None = None,
+        settings: dict[str, Any] | None = None,
+        rows: dict[str, dict[str, Any]] | None = None,
+        vm_list_lag_ms: int = 0,
+    ) -> None:
+        self.estate = estate
+        self.links = links
+        self.bootstrap = bootstrap
+        self.settings = settings or {}
+        self.rows = rows or {}
+        self.vm_list_lag_ms = vm_list_lag_ms
+        self.directory = pathlib.Path(tempfile.mkdtemp(prefix="bs-fleet-"))
+        self.targets: dict[str, FleetTarget] = {}
+        self.vms: dict[str, FleetVm] = {}
+        self._vm_count = estate.vms if vms is None else vms
+        self._processes: dict[str, ManagedProcess] = {}
+        self._held_ports: list[socket.socket] = []
+        self._platform_address = ""
+        self._proxy_address = ""
+        self._closed = False
+        atexit.register(self.close)
+
+    def __enter__(self) -> Fleet:
+        try:
+            self.start()
+        except BaseException:
+            self.close()
+            raise
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        exc: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self.close()
+
+    # -- bringing it up and down
+
+    def start(self) -> None:
+        """Bring everything up and wait until each VM takes callers."""
+        self._choose_addresses()
+        self._start_platform()
+        self._start_fault_proxy()
+        self._start_targets()
+        if self.bootstrap:
+            self._promote_first_members()
+        self._write_groups()
+        self._write_rows()
+        self.publish_vms()
+        for name in self.vms:
+            self._start_vm(name)
+        for name in self.vms:
+            self.wait_vm(name)
+
+    def close(self) -> None:
+        """End all processes of this fleet and remove its directory."""
+        if self._closed:
+            return
+        self._closed = True
+        for sock in self._held_ports:
+            sock.close()
+        processes = list(self._processes.values())
+        for process in processes:
+            process.thaw()
+            process.terminate()
+        for process in processes:
+            process.stop()
+        shutil.rmtree(self.directory, ignore_errors=True)
+        atexit.unregister(self.close)
+
+    def wait_vm(self, name: str, seconds: float = READY_SECONDS) -> None:
+        """Wait until a VM accepts callers' connections."""
+        address = self.vms[name].callers_listen
+        process = self._processes[name]
+
+        def listening() -> bool:
+            if not process.running:
+                raise StartFailed(f"{name} ended:\n{process.tail()}")
+            return _accepts(address)
+
+        wait_until(listening, seconds=seconds, what=f"{name} to listen")
+
+    def wait_serving(
+        self,
+        groups: Iterable[str] | None = None,
+        *,
+        seconds: float = READY_SECONDS,
+        entries: Iterable[str] | None = None,
+    ) -> None:
+        """Wait until a read of each group is done through each entry."""
+        wanted = tuple(self.estate.groups if groups is None else groups)
+        for entry in self.entries() if entries is None else entries:
+            for group in wanted:
+                wait_until(
+                    lambda e=entry, g=group: _serves(e, g),  # type: ignore
+                    seconds=seconds,
+                    what=f"{group} through {entry}",
+                )
+
+    # -- faults
+
+    def kill(self, name: str) -> None:
+        """End a process at once (SIGKILL)."""
+        self._processes[name].kill()
+
+    def freeze(self, name: str) -> None:
+        """Stop a process without ending it (SIGSTOP)."""
+        self._processes[name].freeze()
+
+    def thaw(self, name: str) -> None:
+        """Let a frozen process go on."""
+        self._processes[name].thaw()
+
+    def terminate(self, name: str) -> None:
+        """Ask a process to shut down (SIGTERM); does not wait."""
+        self._processes[name].terminate()
+
+    def restart(self, name: str) -> None:
+        """Kill a process if it runs and start it again where it was."""
+        process = self._processes[name]
+        process.kill()
+        process.start()
+        if name in self.vms:
+            self.wait_vm(name)
+        else:
+            process.wait_listening(START_SECONDS)
+
+    def link(
+        self,
+        name: str,
+        mode: str,
+        *,
+        direction: str = "both",
+        delay_ms: int = 0,
+    ) -> None:
+        """Set the mode of a link of the fault proxy (see PROTOCOLS)."""
+        body = {"mode": mode, "direction": direction, "delay_ms": delay_ms}
+        call_json(self._proxy_address, "POST", f"/links/{name}", body)
+
+    def set_platform_faults(self, **faults: Any) -> None:
+        """Set the platform stand-in's faults (see PROTOCOLS)."""
+        call_json(self._platform_address, "POST", "/faults", faults)
+
+    def set_target(self, name: str, **settings: Any) -> None:
+        """Set knobs of a target stand-in, for example `apply_lag_ms`."""
+        address = self.targets[name].listen
+        call_json(address, "POST", "/settings", settings)
+
+    # -- looking at it
+
+    def process(self, name: str) -> ManagedProcess:
+        """Return the process of a VM, target or stand-in."""
+        return self._processes[name]
+
+    def entries(self) -> list[str]:
+        """Return the addresses that callers use, one for each VM."""
+        return [vm.entry for vm in self.vms.values()]
+
+    def members(self, group: str) -> list[FleetTarget]:
+        """Return the targets of a group, in order."""
+        return [t for t in self.targets.values() if t.group == group]
+
+    def probe(self, name: str) -> dict[str, Any]:
+        """Ask a target directly for its term, role and positions."""
+        return call_json(self.targets[name].listen, "GET", "/probe")
+
+    def primary(self, group: str) -> str:
+        """Return the name of the group's primary, as the platform has it."""
+        return str(self.object("group", group)["value"]["primary"])
+
+    def replicas(self, group: str) -> list[str]:
+        """Return the names of the group's other members."""
+        primary = self.primary(group)
+        return [t.name for t in self.members(group) if t.name != primary]
+
+    def counters(self, name: str) -> dict[str, Any]:
+        """Return the counters of a target, or of `platform`."""
+        if name == PLATFORM:
+            address = self._platform_address
+        else:
+            address = self.targets[name].listen
+        return call_json(address, "GET", "/counters")
+
+    def object(self, kind: str, name: str) -> dict[str, Any]:
+        """Return an object of the platform with its version."""
+        path = f"/objects/{kind}/{name}"
+        return call_json(self._platform_address, "GET", path)
+
+    def put_object(self, kind: str, name: str, value: Any) -> int:
+        """Overwrite an object of the platform; return its new version."""
+        try:
+            version = self.object(kind, name)["version"]
+        except CallFailed:
+            version = 0
+        body = {"if_version": version, "value": value}
+        path = f"/objects/{kind}/{name}"
+        found = call_json(self._platform_address, "PUT", path, body)
+        return int(found["version"])
+
+    def query(
+        self, target: str, sql: str, params: Iterable[Any] = ()
+    ) -> list[list[Any]]:
+        """Run a read directly at a target, past the proxy."""
+        address = self.targets[target].listen
+        host, port = address.rsplit(":", 1)
+        conn = http.client.HTTPConnection(host, int(port), timeout=10)
+        try:
+            _exchange(conn, "/connect", {"id": 1, "holder": "checker"})
+            body = {
+                "id": 2,
+                "term": 0,
+                "kind": "read",
+                "sql": sql,
+                "params": list(params),
+                "tx": None,
+                "key": None,
+                "caller": "checker",
+                "min_index": 0,
+                "deadline_ms": 5000,
+            }
+            answer = _exchange(conn, "/execute", body)
+        finally:
+            conn.close()
+        if answer["outcome"] != "ok":
+            raise CallFailed(f"{target}: {answer}")
+        return list(answer["rows"])
+
+    def tail(self, lines: int = 15) -> str:
+        """Return the last lines of each process, for a failed test."""
+        parts = []
+        for name, process in self._processes.items():
+            text = process.tail(lines)
+            parts.append(f"--- {name} (exit {process.exit_code})\n{text}")
+        return "\n".join(parts)
+
+    def publish_vms(self, leaving: Iterable[str] = ()) -> None:
+        """Write the list of VMs, some of them as leaving."""
+        gone = set(leaving)
+        vms = [
+            {
+                "name": vm.name,
+                "address": vm.peers,
+                "availability_zone": vm.zone,
+                "region": self.estate.region,
+                "state": "leaving" if vm.name in gone else "live",
+            }
+            for vm in self.vms.values()
+        ]
+        call_json(self._platform_address, "PUT", "/vms", {"vms": vms})
+
+    # -- steps of the start
+
+    def _choose_addresses(self) -> None:
+        for name, number in self._target_names():
+            group = name.rsplit("-m", 1)[0]
+            listen = self._free_address()
+            self.targets[name] = FleetTarget(
+                name=name,
+                group=group,
+                zone=self.estate.zone(number),
+                site=self._site(number),
+                listen=listen,
+                address=self._free_address() if self.links else listen,
+            )
+        self._platform_address = self._free_address()
+        self._proxy_address = self._free_address()
+        for number in range(self._vm_count):
+            vm = self._choose_vm(number)
+            self.vms[vm.name] = vm
+
+    def _target_names(self) -> Iterable[tuple[str, int]]:
+        for group in self.estate.groups:
+            for number in range(self.estate.members):
+                yield f"{group}-m{number + 1}", number
+
+    def _site(self, number: int) -> str:
+        return self.estate.sites[number % len(self.estate.sites)]
+
+    def _choose_vm(self, number: int) -> FleetVm:
+        callers = self._free_address()
+        peers = self._free_address()
+        linked = self.links
+        return FleetVm(
+            name=f"vm-{number + 1}",
+            zone=self.estate.zone(number),
+            callers_listen=callers,
+            peers_listen=peers,
+            operators_listen=self._free_address(),
+            entry=self._free_address() if linked else callers,
+            peers=self._free_address() if linked else peers,
+            platform=(
+                self._free_address() if linked else self._platform_address
+            ),
+        )
+
+    def _free_address(self) -> str:
+        # The socket stays bound (not listening) until the start of the
+        # process that takes the port: two fleets never choose the same one.
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(("127.0.0.1", 0))
+        self._held_ports.append(sock)
+        return f"127.0.0.1:{sock.getsockname()[1]}"
+
+    def _release_ports(self, *addresses: str) -> None:
+        ports = {int(address.rsplit(":", 1)[1]) for address in addresses}
+        kept = []
+        for sock in self._held_ports:
+            if sock.getsockname()[1] in ports:
+                sock.close()
+            else:
+                kept.append(sock)
+        self._held_ports = kept
+
+    def _spawn(self, name: str, module: str, *args: str) -> ManagedProcess:
+        env = dict(os.environ)
+        root = str(pathlib.Path(__file__).resolve().parents[2])
+        env["PYTHONPATH"] = root
+        env["PYTHONUNBUFFERED"] = "1"
+        process = ManagedProcess(
+            name=name,
+            argv=[sys.executable, "-m", module, *args],
+            log_path=self.directory / f"{name}.log",
+            env=env,
+        )
+        self._processes[name] = process
+        process.start()
+        return process
+
+    def _start_platform(self) -> None:
+        self._release_ports(self._platform_address)
+        process = self._spawn(
+            PLATFORM,
+            "bamboospring.testing.platform",
+            "--listen",
+            self._platform_address,
+            "--vm-list-lag-ms",
+            str(self.vm_list_lag_ms),
+        )
+        process.wait_listening(START_SECONDS)
+
+    def _start_fault_proxy(self) -> None:
+        if not self.links:
+            return
+        links = self._planned_links()
+        self._release_ports(self._proxy_address, *[a for _, a, _ in links])
+        process = self._spawn(
+            FAULT_PROXY,
+            "bamboospring.testing.fault_proxy",
+            "--listen",
+            self._proxy_address,
+        )
+        process.wait_listening(START_SECONDS)
+        for name, listen, upstream in links:
+            body = {"name": name, "listen": listen, "upstream": upstream}
+            call_json(self._proxy_address, "POST", "/links", body)
+
+    def _planned_links(self) -> list[tuple[str, str, str]]:
+        links = [
+            (f"target:{t.name}", t.address, t.listen)
+            for t in self.targets.values()
+        ]
+        for vm in self.vms.values():
+            links.append((f"entry:{vm.name}", vm.entry, vm.callers_listen))
+            links.append((f"peers:{vm.name}", vm.peers, vm.peers_listen))
+            links.append(
+                (f"platform:{vm.name}", vm.platform, self._platform_address)
+            )
+        return links
+
+    def _start_targets(self) -> None:
+        schema = self.directory / "schema.sql"
+        schema.write_text(self.estate.schema, encoding="utf-8")
+        for target in self.targets.values():
+            self._start_target(target, schema)
+        for name in self.targets:
+            self._processes[name].wait_listening(START_SECONDS)
+
+    def _start_target(self, target: FleetTarget, schema: pathlib.Path) -> None:
+        estate = self.estate
+        data = self.directory / target.name
+        data.mkdir()
+        self._release_ports(target.listen)
+        options = {
+            "--name": target.name,
+            "--listen": target.listen,
+            "--directory": str(data),
+            "--group": target.group,
+            "--availability-zone": target.zone,
+            "--site": target.site,
+            "--slots": str(estate.slots),
+            "--connections": str(estate.connections),
+            "--connect-ms": str(estate.connect_ms),
+            "--statement-ms": str(estate.statement_ms),
+            "--apply-lag-ms": str(estate.apply_lag_ms),
+            "--receive-lag-ms": str(estate.receive_lag_ms),
+            "--schema": str(schema),
+        }
+        args = [text for pair in options.items() for text in pair]
+        self._spawn(target.name, "bamboospring.testing.target", *args)
+
+    def _promote_first_members(self) -> None:
+        for group in self.estate.groups:
+            first, *others = self.members(group)
+            for target in (first, *others):
+                call_json(target.listen, "POST", "/fence", {"term": 1})
+            call_json(first.listen, "POST", "/promote", {"term": 1})
+            order = {"term": 1, "primary": first.address}
+            for target in others:
+                call_json(target.listen, "POST", "/follow", order)
+
+    def _write_groups(self) -> None:
+        for group in self.estate.groups:
+            members = self.members(group)
+            value: dict[str, Any] = {
+                "targets": [self._target_value(t) for t in members],
+                "term": 0,
+                "primary": "",
+                "starts": [],
+            }
+            if self.bootstrap:
+                start = self.probe(members[0].name)["start"]
+                value["term"] = 1
+                value["primary"] = members[0].name
+                value["starts"] = [{"term": 1, "index": start}]
+            self.put_object("group", group, value)
+
+    def _target_value(self, target: FleetTarget) -> dict[str, Any]:
+        return {
+            "name": target.name,
+            "address": target.address,
+            "availability_zone": target.zone,
+            "site": target.site,
+            "slots": self.estate.slots,
+            "connections": self.estate.connections,
+        }
+
+    def _write_rows(self) -> None:
+        # Imported here: only tables with rows need the hash.
+        if not self.rows:
+            return
+        from xxhash import xxh64_intdigest
+
+        shards: dict[int, dict[str, Any]] = {}
+        for group, row in self.rows.items():
+            shard = xxh64_intdigest(group.encode()) % 16
+            shards.setdefault(shard, {})[group] = {"group": group, **row}
+        for shard, rows in shards.items():
+            self.put_object("table", str(shard), {"rows": rows})
+
+    def _start_vm(self, name: str) -> None:
+        vm = self.vms[name]
+        path = self.directory / f"{name}.json"
+        path.write_text(json.dumps(self._settings_of(vm), indent=1))
+        self._release_ports(
+            vm.callers_listen, vm.peers_listen, vm.operators_listen
+        )
+        self._spawn(name, "bamboospring", "serve", "--settings", str(path))
+
+    def _settings_of(self, vm: FleetVm) -> dict[str, Any]:
+        base: dict[str, Any] = {
+            "vm": vm.name,
+            "availability_zone": vm.zone,
+            "region": self.estate.region,
+            "callers": {"listen": vm.callers_listen},
+            "peers": {"listen": vm.peers_listen},
+            "operators": {
+                "listen": vm.operators_listen,
+                "token": OPERATOR_TOKEN,
+            },
+            "platform": {"address": vm.platform},
+            "token_keys": TOKEN_KEYS,
+        }
+        return _merged(base, self.settings)
+
+
+def _merged(base: dict[str, Any], extra: dict[str, Any]) -> dict[str, Any]:
+    """Return `base` with `extra` laid over it, section by section."""
+    result = dict(base)
+    for key, value in extra.items():
+        old = result.get(key)
+        if isinstance(old, dict) and isinstance(value, dict):
+            result[key] = _merged(old, value)
+        else:
+            result[key] = value
+    return result
+
+
+def _accepts(address: str) -> bool:
+    host, port = address.rsplit(":", 1)
+    with socket.create_connection((host, int(port)), timeout=1.0):
+        return True
+
+
+def _serves(entry: str, group: str) -> bool:
+    session = call_json(entry, "POST", "/v1/sessions", {"caller": "ready"})
+    body = {
+        "token": session["token"],
+        "group": group,
+        "kind": "read",
+        "sql": "SELECT 1",
+        "params": [],
+        "deadline_ms": 2000,
+    }
+    answer = call_json(entry, "POST", "/v1/statements", body)
+    return bool(answer["outcome"] == "done")
+
+
+def _exchange(
+    conn: http.client.HTTPConnection, path: str, body: dict[str, Any]
+) -> dict[str, Any]:
+    conn.request("POST", path, json.dumps(body))
+    resp = conn.getresponse()
+    answer: dict[str, Any] = json.loads(resp.read())
+    return answer
