--- /dev/null
+++ b/bamboospring/cli.py
@@ -0,0 +1,80 @@
+"""The command line: one program for serving and for operating.
+
+Exit codes: 0 done; 1 the answer is no (a check failed, an objective is
+missed); 2 the command was misused or its input is malformed; 3 something that
+the command needs cannot be reached.
+
+Every command imports what it needs when it runs, so that a serving process
+carries nothing of reports, plots or the command line itself.
+"""
+
+from __future__ import annotations
+
+from enum import IntEnum
+from importlib import import_module
+import sys
+from typing import NoReturn
+from typing import TYPE_CHECKING
+
+from bamboospring import __version__
+from bamboospring.errors import BamboospringError
+
+if TYPE_CHECKING:
+    import typer
+
+__all__ = ["ExitCode", "main"]
+
+
+class ExitCode(IntEnum):
+    """What the command's exit status means."""
+
+    DONE = 0
+    NO = 1
+    MISUSED = 2
+    UNREACHABLE = 3
+
+
+def main() -> NoReturn:
+    """Run the command that the process's arguments name."""
+    match sys.argv[1:]:
+        # Typer and what it imports cost a serving process about 5 MB for
+        # all its life, so the one command that lives long goes past it.
+        case ["serve", "--settings", path]:
+            sys.exit(serve(path))
+        case _:
+            _run_typer()
+
+
+def serve(path: str) -> int:
+    """Serve with the settings in a file until told to stop."""
+    from bamboospring import logs
+    from bamboospring import settings
+
+    try:
+        cfg = settings.load(path)
+    except BamboospringError as exc:
+        return _complain(exc)
+    logs.configure(level=cfg.logs.level, vm=cfg.vm)
+
+    import_module("bamboospring.server").run(cfg)
+    return ExitCode.DONE
+
+
+def _complain(exc: BamboospringError) -> ExitCode:
+    print(f"bamboospring: {exc}", file=sys.stderr)
+    for other in getattr(exc, "others", ()):
+        print(f"bamboospring: {other}", file=sys.stderr)
+    return ExitCode.MISUSED
+
+
+def _run_typer() -> NoReturn:
+    from bamboospring import commands
+
+    app: typer.Typer = commands.app()
+    app(prog_name="bamboospring")
+    raise AssertionError("typer always exits")
+
+
+def version_text() -> str:
+    """Return the version as `bamboospring version` prints it."""
+    return f"bamboospring {__version__}"
--- /dev/null
+++ b/bamboospring/json_source.py
@@ -0,0 +1,142 @@
+"""Read JSON with comments and keep where each key stands.
+
+The grammar is that of the json5 library. Its parser is subclassed only to
+note the offset of each key, so that a fault found later, such as a value out
+of bounds, can be shown with its line and column.
+
+    data = parse('{"lease": {"renew_ms": 0}}', name="vm.json")
+    position(data, ("lease", "renew_ms"))  # Position(line=1, column=12)
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any
+
+from json5 import lib
+from json5.parser import Parser
+
+from bamboospring.errors import SourceError
+
+__all__ = ["Key", "Position", "parse", "position"]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Position:
+    """A place in a text; lines and columns count from 1."""
+
+    line: int = 1
+    column: int = 1
+
+
+class Key(str):
+    """A key of an object that knows where it stands in the text."""
+
+    position: Position
+
+    @classmethod
+    def at(cls, text: str, where: Position) -> "Key":
+        """Return the key `text` that stands at `where`."""
+        key = cls(text)
+        key.position = where
+        return key
+
+
+class _KeyParser(Parser):  # type: ignore[misc]
+    """The json5 parser, noting the position of each key."""
+
+    def _member_(self) -> None:
+        start = self.pos
+        super()._member_()
+        if self.failed:
+            return
+        name, value = self.val
+        self.val = [Key.at(name, _position_of(self.msg, start)), value]
+
+
+def parse(text: str, *, name: str) -> Any:
+    """Return the data in `text`; `name` stands for the file in errors.
+
+    Raise `SourceError` with line and column if the text is malformed or an
+    object has a key twice: the second one would silently win.
+    """
+    if not text.strip():
+        raise SourceError("the text is empty", name=name)
+    parser = _KeyParser(text, name)
+    tree, err, offset = parser.parse(
+        global_vars={"_strict": True, "_consume_trailing": True}
+    )
+    if err:
+        where = _position_of(text, offset)
+        found = "end of text" if offset >= len(text) else repr(text[offset])
+        raise SourceError(
+            f"unexpected {found}",
+            name=name,
+            line=where.line,
+            column=where.column,
+        )
+    return lib._convert(
+        tree,
+        object_hook=None,
+        parse_float=None,
+        parse_int=None,
+        parse_constant=None,
+        object_pairs_hook=lambda pairs: _unique(pairs, name),
+        allow_duplicate_keys=True,
+    )
+
+
+def position(data: Any, path: Sequence[str | int]) -> Position:
+    """Return where the deepest known key on `path` stands in the text.
+
+    A path leads through keys and list indexes. If its end does not exist, as
+    for a missing key, the position is that of the nearest key above it.
+    """
+    found = Position()
+    node = data
+    for step in path:
+        if isinstance(node, dict):
+            key = next((each for each in node if each == step), None)
+            if key is None:
+                break
+            if isinstance(key, Key):
+                found = key.position
+            node = node[key]
+        elif isinstance(node, list) and isinstance(step, int):
+            if step >= len(node):
+                break
+            node = node[step]
+            found = _first_key(node, found)
+        else:
+            break
+    return found
+
+
+def _first_key(node: Any, default: Position) -> Position:
+    if not isinstance(node, dict):
+        return default
+    first = next(iter(node), None)
+    return first.position if isinstance(first, Key) else default
+
+
+def _position_of(text: str, offset: int) -> Position:
+    line = text.count("\n", 0, offset) + 1
+    column = offset - text.rfind("\n", 0, offset)
+    return Position(line=line, column=column)
+
+
+def _unique(pairs: Iterable[tuple[str, Any]], name: str) -> dict[str, Any]:
+    found: dict[str, Any] = {}
+    for key, value in pairs:
+        if key in found:
+            where = key.position if isinstance(key, Key) else Position()
+            raise SourceError(
+                f"key {str(key)!r} stands twice in one object",
+                name=name,
+                line=where.line,
+                column=where.column,
+            )
+        found[key] = value
+    return found
--- /dev/null
+++ b/bamboospring/settings.py
@@ -0,0 +1,682 @@
+"""The settings of one process: JSON with comments, checked at the border.
+
+    cfg = load("vm-1.json")
+    cfg.timing.probe_ms
+
+Every duration is in milliseconds and its key ends in `_ms`; every size is in
+bytes and ends in `_bytes`; every share is in percent and ends in `_percent`.
+Addresses are `"ip:port"` texts with IP numbers; port 0 in a `listen` asks
+the operating system for a free one. The reference page docs/SETTINGS.md is
+generated from this module by `bamboospring check --reference`.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+import difflib
+import ipaddress
+from pathlib import Path
+from typing import Annotated
+from typing import Any
+from typing import get_args
+from typing import Literal
+
+from pydantic import AfterValidator
+from pydantic import BaseModel
+from pydantic import ConfigDict
+from pydantic import Field
+from pydantic import model_validator
+from pydantic import ValidationError
+
+from bamboospring.errors import SettingsError
+from bamboospring.errors import SourceError
+from bamboospring import json_source
+
+__all__ = [
+    "Callers",
+    "Lease",
+    "Limits",
+    "Logs",
+    "Objective",
+    "Objectives",
+    "Operators",
+    "Peers",
+    "Platform",
+    "Settings",
+    "Targets",
+    "Timing",
+    "Tls",
+    "TokenKey",
+    "load",
+    "parse",
+    "split_address",
+]
+
+SHORTEST_SECRET = 16
+LARGEST_OBJECT_BYTES = 1_000_000
+NEAR_ENOUGH = 0.6
+
+
+def split_address(text: str) -> tuple[str, int]:
+    """Return the IP number and port of `"127.0.0.1:80"` or `"[::1]:80"`.
+
+    Raise `ValueError` with a plain text if it is neither.
+    """
+    host, colon, port = text.rpartition(":")
+    if not colon:
+        raise ValueError(f"{text!r} is not of the form ip:port")
+    try:
+        ip = ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        raise ValueError(f"{host!r} is not an IP number") from None
+    if not (port.isascii() and port.isdigit() and int(port) < 65536):
+        raise ValueError(f"{port!r} is not a port from 0 to 65535")
+    return str(ip), int(port)
+
+
+def _checked_address(text: str) -> str:
+    split_address(text)
+    return text
+
+
+def _milliseconds(default: int, low: int, high: int, description: str) -> Any:
+    return Field(
+        default=default,
+        ge=low,
+        le=high,
+        description=description,
+        json_schema_extra={"unit": "milliseconds"},
+    )
+
+
+def _count(default: int, low: int, high: int, description: str) -> Any:
+    return Field(
+        default=default,
+        ge=low,
+        le=high,
+        description=description,
+        json_schema_extra={"unit": "count"},
+    )
+
+
+def _size(default: int, low: int, high: int, description: str) -> Any:
+    return Field(
+        default=default,
+        ge=low,
+        le=high,
+        description=description,
+        json_schema_extra={"unit": "bytes"},
+    )
+
+
+def _percent(default: float, low: float, high: float, description: str) -> Any:
+    return Field(
+        default=default,
+        ge=low,
+        le=high,
+        description=description,
+        json_schema_extra={"unit": "percent"},
+    )
+
+
+Address = Annotated[str, AfterValidator(_checked_address)]
+Secret = Annotated[str, Field(min_length=SHORTEST_SECRET, repr=False)]
+
+
+class _Section(BaseModel):
+    """A part of the settings: unknown keys and wrong types are faults."""
+
+    model_config = ConfigDict(
+        extra="forbid", strict=True, frozen=True, str_strip_whitespace=False
+    )
+
+
+class Tls(_Section):
+    """Files with keys for TLS, in PEM form.
+
+    They are read again on SIGHUP: connections that exist go on, new ones use
+    the new key.
+    """
+
+    certificate: str = Field(
+        min_length=1, description="Path of the certificate chain to show."
+    )
+    private_key: str = Field(
+        min_length=1,
+        description="Path of the private key; it has no password.",
+    )
+    authority: str = Field(
+        default="",
+        description="Path of the certificates that the other side's must be "
+        "signed by. Empty: the other side shows none. Required for peers.",
+    )
+
+
+class _Listener(_Section):
+    """An address of our own, under TLS unless plain text is asked for."""
+
+    listen: Address = Field(description="Address to listen on, `ip:port`.")
+    tls: Tls | None = Field(
+        default=None, description="Keys; null for plain text."
+    )
+    plain_text: bool = Field(
+        default=False,
+        description="Allow plain text on an address that other machines can "
+        "reach. A loopback address does not need it.",
+    )
+
+    @model_validator(mode="after")
+    def _says_plain_text(self) -> "_Listener":
+        _check_plain_text(self.listen, self.tls, self.plain_text)
+        return self
+
+
+class Callers(_Listener):
+    """Where callers connect."""
+
+
+class Peers(_Listener):
+    """Where the system's other VMs connect; callers never do."""
+
+    @model_validator(mode="after")
+    def _authenticates(self) -> "Peers":
+        if self.tls is not None and not self.tls.authority:
+            raise ValueError(
+                "tls between processes needs authority: without it any "
+                "program could pass for one of the system's own"
+            )
+        return self
+
+
+class Operators(_Listener):
+    """Where operators and the metrics' scraper connect."""
+
+    token: Secret = Field(
+        description="Bearer token that every request must show, except "
+        "`/healthz` and `/readyz`. Read again on SIGHUP."
+    )
+
+
+class Platform(_Section):
+    """The platform's object API."""
+
+    address: Address = Field(description="Address of the API, `ip:port`.")
+    tls: Tls | None = Field(
+        default=None,
+        description="Keys for TLS to the API; null for plain text.",
+    )
+    plain_text: bool = Field(
+        default=False,
+        description="Allow plain text to an address on another machine.",
+    )
+
+    @model_validator(mode="after")
+    def _says_plain_text(self) -> "Platform":
+        _check_plain_text(self.address, self.tls, self.plain_text)
+        return self
+
+
+class Targets(_Section):
+    """Connections to the targets, whose addresses the platform gives."""
+
+    tls: Tls | None = Field(
+        default=None,
+        description="Keys for TLS to the targets; null for plain text.",
+    )
+
+
+class TokenKey(_Section):
+    """A key that signs session tokens."""
+
+    id: str = Field(
+        min_length=1,
+        max_length=16,
+        pattern=r"^[A-Za-z0-9_-]+$",
+        description="Short name of the key; it is part of each token.",
+    )
+    secret: Secret = Field(
+        description="The key itself, at least 16 characters, the same on "
+        "all VMs."
+    )
+
+
+class Limits(_Section):
+    """Bounds on what one process takes on."""
+
+    caller_connections: int = _count(
+        12_000, 1, 100_000, "Connections from callers open at once."
+    )
+    caller_in_flight: int = _count(
+        64, 1, 10_000, "Statements of one caller in flight at this process."
+    )
+    in_flight: int = _count(
+        4_096, 1, 100_000, "Statements of all callers in flight."
+    )
+    queue_length: int = _count(
+        256, 1, 100_000, "Statements that wait for a slot, for each group."
+    )
+    transactions_per_caller: int = _count(
+        16, 1, 10_000, "Transactions of one caller open at once."
+    )
+    body_bytes: int = _size(
+        1_048_576, 1_024, 16_777_216, "Largest body of a request."
+    )
+    header_bytes: int = _size(
+        16_384, 1_024, 1_048_576, "Largest head of a request."
+    )
+    statement_bytes: int = _size(
+        65_536, 64, 1_048_576, "Longest SQL text of a statement."
+    )
+    parameters: int = _count(
+        1_000, 0, 32_766, "Most parameters of one statement."
+    )
+    answer_bytes: int = _size(
+        4_194_304, 1_024, 67_108_864, "Largest answer of a target."
+    )
+    holders: int = _count(
+        3, 1, 6, "VMs that hold connections to the targets of one group."
+    )
+    retry_percent: float = _percent(
+        10.0, 0.0, 100.0, "Retries allowed, as a share of first tries."
+    )
+
+
+class Timing(_Section):
+    """How long things may take, and how often they are done."""
+
+    deadline_ms: int = _milliseconds(
+        5_000, 1, 600_000, "Deadline of a statement that states none."
+    )
+    longest_deadline_ms: int = _milliseconds(
+        60_000, 1, 600_000, "Longest deadline that a caller may state."
+    )
+    request_timeout_ms: int = _milliseconds(
+        10_000,
+        100,
+        600_000,
+        "Longest time from the first byte of a "
+        "caller's request to its last.",
+    )
+    idle_timeout_ms: int = _milliseconds(
+        900_000,
+        1_000,
+        86_400_000,
+        "Idle time after which a caller's " "connection is closed.",
+    )
+    transaction_idle_ms: int = _milliseconds(
+        30_000,
+        100,
+        3_600_000,
+        "Idle time after which an open transaction " "is rolled back.",
+    )
+    connect_timeout_ms: int = _milliseconds(
+        1_000, 10, 60_000, "Longest time to open a connection."
+    )
+    connect_interval_ms: int = _milliseconds(
+        20,
+        0,
+        10_000,
+        "Shortest time between two new connections to one "
+        "target, so that many lost at once are not replaced at once.",
+    )
+    target_heartbeat_ms: int = _milliseconds(
+        1_000,
+        50,
+        60_000,
+        "Idle time after which a pooled connection to a " "target is tried.",
+    )
+    target_heartbeat_timeout_ms: int = _milliseconds(
+        1_000,
+        50,
+        60_000,
+        "Time without an answer after which a pooled "
+        "connection is taken for dead.",
+    )
+    probe_ms: int = _milliseconds(
+        200, 10, 60_000, "Interval of a holder's probes of a target."
+    )
+    probe_timeout_ms: int = _milliseconds(
+        400, 10, 60_000, "Longest time for a probe."
+    )
+    suspect_ms: int = _milliseconds(
+        800,
+        20,
+        60_000,
+        "Silence of a primary after which a holder suspects " "it.",
+    )
+    peer_heartbeat_ms: int = _milliseconds(
+        500, 10, 60_000, "Interval of heartbeats to the peers in use."
+    )
+    peer_timeout_ms: int = _milliseconds(
+        1_500,
+        20,
+        60_000,
+        "Silence of a peer after which its connection is " "taken for dead.",
+    )
+    vm_list_ms: int = _milliseconds(
+        2_000,
+        50,
+        600_000,
+        "Interval at which the platform's list of VMs " "is read.",
+    )
+    platform_timeout_ms: int = _milliseconds(
+        2_000, 10, 60_000, "Longest time for a call to the platform."
+    )
+    watch_ms: int = _milliseconds(
+        20_000, 100, 600_000, "Longest time that a watch waits for a change."
+    )
+    backoff_ms: int = _milliseconds(
+        100,
+        1,
+        60_000,
+        "First pause after a failed call to the platform; "
+        "it doubles with each failure.",
+    )
+    longest_backoff_ms: int = _milliseconds(
+        5_000, 1, 600_000, "Longest pause after failed calls."
+    )
+    repair_ms: int = _milliseconds(
+        2_000,
+        50,
+        600_000,
+        "Interval at which versions of the table are " "compared with a peer.",
+    )
+    replica_wait_ms: int = _milliseconds(
+        20,
+        0,
+        10_000,
+        "Longest wait for a replica to reach a session's "
+        "position before the primary is taken.",
+    )
+    slow_start_ms: int = _milliseconds(
+        500,
+        0,
+        60_000,
+        "Time over which a new primary is brought to full " "load.",
+    )
+    breaker_ms: int = _milliseconds(
+        500, 10, 60_000, "Pause before a failing target is tried again."
+    )
+    drain_ms: int = _milliseconds(
+        30_000,
+        0,
+        600_000,
+        "Longest time that a shutdown waits for work in " "flight.",
+    )
+
+    @model_validator(mode="after")
+    def _pairs(self) -> "Timing":
+        _ordered(self, "deadline_ms", "longest_deadline_ms")
+        _ordered(self, "backoff_ms", "longest_backoff_ms")
+        _ordered(self, "probe_ms", "suspect_ms")
+        _ordered(self, "peer_heartbeat_ms", "peer_timeout_ms")
+        return self
+
+
+class Lease(_Section):
+    """The leases under which changes of primary are led."""
+
+    duration_ms: int = _milliseconds(
+        3_000, 100, 600_000, "Life of a lease without renewal."
+    )
+    renew_ms: int = _milliseconds(1_000, 10, 600_000, "Interval of renewals.")
+    margin_ms: int = _milliseconds(
+        500,
+        10,
+        600_000,
+        "Time before the end of a lease at which its " "holder stops acting.",
+    )
+
+    @model_validator(mode="after")
+    def _pairs(self) -> "Lease":
+        if self.renew_ms + self.margin_ms >= self.duration_ms:
+            raise ValueError(
+                f"renew_ms ({self.renew_ms}) and margin_ms "
+                f"({self.margin_ms}) together must be less than duration_ms "
+                f"({self.duration_ms}), or the lease lapses before it is "
+                "renewed"
+            )
+        return self
+
+
+class Logs(_Section):
+    """What is logged to standard error."""
+
+    level: Literal["debug", "info", "warning", "error"] = Field(
+        default="info",
+        description="Lowest level that is written. Read again on " "SIGHUP.",
+    )
+
+
+class Objective(_Section):
+    """What a group's callers are promised."""
+
+    availability_percent: float = _percent(
+        99.9,
+        50.0,
+        99.9999,
+        "Share of statements that get an answer other "
+        "than overloaded, not run or unknown.",
+    )
+    latency_ms: int = _milliseconds(
+        100, 1, 600_000, "Time within which a statement is to be answered."
+    )
+    latency_percent: float = _percent(
+        99.0, 50.0, 99.9999, "Share of statements that keep latency_ms."
+    )
+    failover_gap_ms: int = _milliseconds(
+        19_000,
+        1,
+        3_600_000,
+        "Longest time without writes when a primary " "fails.",
+    )
+    replica_share_percent: float = _percent(
+        50.0, 0.0, 100.0, "Share of reads that replicas are to serve."
+    )
+
+
+class Objectives(_Section):
+    """The objectives that `bamboospring report` measures against."""
+
+    window_days: int = Field(
+        default=30,
+        ge=1,
+        le=366,
+        description="Time over which an error budget is counted.",
+        json_schema_extra={"unit": "days"},
+    )
+    default: Objective = Field(
+        default_factory=lambda: Objective(),
+        description="Objectives of groups that have none of their own.",
+    )
+    groups: dict[str, Objective] = Field(
+        default_factory=dict,
+        description="Objectives by name of group; a key that is not given "
+        "has its own default, not that of `default`.",
+    )
+
+
+class Settings(_Section):
+    """The settings of one VM's process."""
+
+    vm: str = Field(
+        min_length=1,
+        max_length=64,
+        pattern=r"^[A-Za-z0-9._-]+$",
+        description="Name of this VM, as in the platform's list.",
+    )
+    availability_zone: str = Field(
+        min_length=1,
+        max_length=64,
+        description="Name of the availability zone of this VM.",
+    )
+    region: str = Field(
+        default="", max_length=64, description="Name of the region of this VM."
+    )
+    callers: Callers = Field(description="Callers' listener.")
+    peers: Peers = Field(description="Listener for the system's other VMs.")
+    operators: Operators = Field(description="Operators' listener.")
+    platform: Platform = Field(description="The platform's object API.")
+    targets: Targets = Field(
+        default_factory=lambda: Targets(),
+        description="Connections to the targets.",
+    )
+    token_keys: list[TokenKey] = Field(
+        min_length=1,
+        max_length=8,
+        description="Keys of session tokens: the first signs, all are "
+        "accepted. Read again on SIGHUP.",
+    )
+    limits: Limits = Field(
+        default_factory=lambda: Limits(), description="Bounds on work."
+    )
+    timing: Timing = Field(
+        default_factory=lambda: Timing(), description="Durations."
+    )
+    lease: Lease = Field(
+        default_factory=lambda: Lease(), description="Leases."
+    )
+    logs: Logs = Field(default_factory=lambda: Logs(), description="Logs.")
+    objectives: Objectives = Field(
+        default_factory=lambda: Objectives(),
+        description="Service-level objectives.",
+    )
+
+    @model_validator(mode="after")
+    def _pairs(self) -> "Settings":
+        ids = [key.id for key in self.token_keys]
+        if len(set(ids)) < len(ids):
+            raise ValueError("two token_keys have the same id")
+        listens = [
+            each.listen
+            for each in (self.callers, self.peers, self.operators)
+            if not each.listen.endswith(":0")
+        ]
+        if len(set(listens)) < len(listens):
+            raise ValueError("two listeners have the same address")
+        return self
+
+
+def load(path: str | Path) -> Settings:
+    """Return the settings in a file; raise `SettingsError` if unusable."""
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as exc:
+        raise SettingsError(f"cannot be read: {exc}", name=str(path)) from exc
+    return parse(text, name=str(path))
+
+
+def parse(text: str, *, name: str = "settings") -> Settings:
+    """Return the settings in a text; `name` stands for it in errors."""
+    try:
+        data = json_source.parse(text, name=name)
+    except SourceError as exc:
+        raise SettingsError(
+            exc.message, name=name, line=exc.line, column=exc.column
+        ) from exc
+    try:
+        return Settings.model_validate(data)
+    except ValidationError as exc:
+        raise _first(_faults(exc, data, name)) from exc
+
+
+def _check_plain_text(address: str, tls: Tls | None, plain: bool) -> None:
+    if tls is not None and plain:
+        raise ValueError("tls and plain_text exclude each other")
+    if tls is not None or plain:
+        return
+    host, _ = split_address(address)
+    if not ipaddress.ip_address(host).is_loopback:
+        raise ValueError(
+            f"{address} is on the network: set tls, or plain_text to true"
+        )
+
+
+def _ordered(section: BaseModel, low: str, high: str) -> None:
+    least = getattr(section, low)
+    most = getattr(section, high)
+    if least > most:
+        raise ValueError(f"{low} ({least}) is more than {high} ({most})")
+
+
+def _first(faults: Sequence[SettingsError]) -> SettingsError:
+    first, *others = sorted(faults, key=lambda each: (each.line, each.column))
+    first.others = tuple(others)
+    return first
+
+
+def _faults(exc: ValidationError, data: Any, name: str) -> list[SettingsError]:
+    faults = []
+    for error in exc.errors(include_url=False):
+        path = error["loc"]
+        where = json_source.position(data, path)
+        faults.append(
+            SettingsError(
+                _message(path, error),
+                name=name,
+                line=where.line,
+                column=where.column,
+            )
+        )
+    return faults
+
+
+def _message(path: Sequence[str | int], error: Any) -> str:
+    dotted = ".".join(str(step) for step in path)
+    match error["type"]:
+        case "extra_forbidden":
+            return f"unknown key {dotted}{_suggestion(path)}"
+        case "missing":
+            return f"{dotted} is missing"
+        case "value_error":
+            text = str(error["ctx"]["error"])
+            return f"{dotted}: {text}" if dotted else text
+        case "int_type" | "float_type" | "int_from_float":
+            unit = _unit(str(path[-1]))
+            return f"{dotted} must be a number{unit}, not {error['input']!r}"
+        case _:
+            text = error["msg"]
+            return f"{dotted}: {text[:1].lower()}{text[1:]}"
+
+
+def _unit(key: str) -> str:
+    if key.endswith("_ms"):
+        return " of milliseconds without a unit"
+    if key.endswith("_bytes"):
+        return " of bytes without a unit"
+    if key.endswith("_percent"):
+        return " of percent without a unit"
+    return ""
+
+
+def _suggestion(path: Sequence[str | int]) -> str:
+    known = _known_keys(path[:-1])
+    near = difflib.get_close_matches(
+        str(path[-1]), known, n=1, cutoff=NEAR_ENOUGH
+    )
+    if not near:
+        return ""
+    unit = _unit(near[0]).replace(" of", ", in").replace(" without a unit", "")
+    return f"; is {near[0]}{unit} meant?"
+
+
+def _known_keys(path: Sequence[str | int]) -> list[str]:
+    model: type[BaseModel] = Settings
+    for step in path:
+        field = model.model_fields.get(str(step))
+        if field is None:
+            continue
+        inner = _model_in(field.annotation)
+        if inner is not None:
+            model = inner
+    return list(model.model_fields)
+
+
+def _model_in(annotation: Any) -> type[BaseModel] | None:
+    if isinstance(annotation, type) and issubclass(annotation, BaseModel):
+        return annotation
+    for part in get_args(annotation):
+        found = _model_in(part)
+        if found is not None:
+            return found
+    return None
