--- a/bamboospring/testing/fleet.py
+++ b/bamboospring/testing/fleet.py
@@ -37,6 +37,7 @@
 
 START_SECONDS = 20.0
 READY_SECONDS = 30.0
+STOP_SECONDS = 5.0
 CONTROL_TIMEOUT = 5.0
 PLATFORM = "platform"
 FAULT_PROXY = "fault-proxy"
@@ -206,8 +207,9 @@
         for process in processes:
             process.thaw()
             process.terminate()
+        end = time.monotonic() + STOP_SECONDS
         for process in processes:
-            process.stop()
+            process.stop(max(0.0, end - time.monotonic()))
         shutil.rmtree(self.directory, ignore_errors=True)
         atexit.unregister(self.close)
 
@@ -458,7 +460,8 @@
     def _spawn(self, name: str, module: str, *args: str) -> ManagedProcess:
         env = dict(os.environ)
         root = str(pathlib.Path(__file__).resolve().parents[2])
-        env["PYTHONPATH"] = root
+        path = [root, env.get("PYTHONPATH", "")]
+        env["PYTHONPATH"] = os.pathsep.join(part for part in path if part)
         env["PYTHONUNBUFFERED"] = "1"
         process = ManagedProcess(
             name=name,
--- a/bamboospring/testing/process.py
+++ b/bamboospring/testing/process.py
@@ -122,8 +122,8 @@
         self._signal(signal.SIGCONT)
         self._frozen = False
 
-    def stop(self) -> None:
-        """End the child in any state: politely first, then by SIGKILL."""
+    def stop(self, seconds: float = STOP_SECONDS) -> None:
+        """End the child in any state: SIGTERM, then SIGKILL after a wait."""
         if self._child is None or not self.running:
             return
         if self._frozen:
@@ -131,7 +131,7 @@
             return
         self.terminate()
         try:
-            self._child.wait(STOP_SECONDS)
+            self._child.wait(seconds)
         except subprocess.TimeoutExpired:
             self.kill()
 
