--- a/bamboospring/platform_client.py
+++ b/bamboospring/platform_client.py
@@ -16,6 +16,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from http import HTTPStatus
 import random
 from typing import Any
 
@@ -216,7 +217,7 @@
             match answer:
                 case Unavailable():
                     on_result(answer)
-                case HttpAnswer(status=404):
+                case HttpAnswer(status=HTTPStatus.NOT_FOUND):
                     on_result(Missing(kind=kind, name=name))
                 case HttpAnswer():
                     on_result(_found(orjson.loads(answer.body)))
@@ -247,10 +248,12 @@
             match answer:
                 case Unavailable():
                     on_result(answer)
-                case HttpAnswer(status=200):
+                case HttpAnswer(status=HTTPStatus.OK):
                     body = orjson.loads(answer.body)
                     on_result(Stored(version=body["version"]))
-                case HttpAnswer(status=404 | 409):
+                case HttpAnswer(
+                    status=HTTPStatus.NOT_FOUND | HTTPStatus.CONFLICT
+                ):
                     body = orjson.loads(answer.body)
                     on_result(
                         Conflict(version=body["version"], value=body["value"])
@@ -368,7 +371,7 @@
             case HttpLost():
                 maybe_applied = answer.sent and method != "GET"
                 reason = answer.reason
-            case HttpAnswer(status=429):
+            case HttpAnswer(status=HTTPStatus.TOO_MANY_REQUESTS):
                 maybe_applied = False
                 reason = "rate"
             case HttpAnswer() if answer.status >= SERVER_ERRORS:
