--- a/bamboospring/rendezvous.py
+++ b/bamboospring/rendezvous.py
@@ -11,9 +11,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from collections.abc import Iterable
-from collections.abc import Sequence
 
 from xxhash import xxh64_intdigest
 
@@ -25,10 +23,12 @@
     "HOLDERS_PER_GROUP",
     "Placement",
     "SHARDS",
-    "WATCHERS_PER_SHARD",
+    "WATCHERS",
+    "NEIGHBOURS",
     "bucket_of",
     "choose_candidates",
     "choose_holders",
+    "choose_neighbours",
     "choose_watchers",
     "rank",
     "shard_of",
@@ -38,7 +38,10 @@
 SHARDS = 16
 HOLDERS_PER_GROUP = 3
 CANDIDATES_PER_BUCKET = 3
-WATCHERS_PER_SHARD = 3
+NEIGHBOURS = 4
+# Watching VMs cost the platform a waiting call each, whatever the size of the
+# fleet; six, in as many zones, outlast the loss of any region.
+WATCHERS = 6
 
 
 def bucket_of(group: str) -> int:
@@ -56,7 +59,12 @@
 
     The order of any two VMs depends on nothing but the key and their names.
     """
-    return sorted(vms, key=lambda vm: _weight(key, vm.name), reverse=True)
+    seed = _hash(key)
+    return sorted(
+        vms,
+        key=lambda vm: xxh64_intdigest(vm.name.encode(), seed),
+        reverse=True,
+    )
 
 
 def choose_holders(key: str, vms: Iterable[Vm], count: int) -> tuple[Vm, ...]:
@@ -66,10 +74,35 @@
     that is told to leave altogether still serves.
     """
     ranked = _ranked_live(key, vms)
-    chosen = ranked[:1]
-    while len(chosen) < min(count, len(ranked)):
-        chosen.append(_next_spread(ranked, chosen))
-    return tuple(chosen)
+    spread = _Spread(regions={vm.region for vm in ranked})
+    for _ in range(min(count, len(ranked))):
+        spread.choose_from(ranked)
+    return tuple(spread.chosen)
+
+
+def choose_neighbours(me: str, vms: Iterable[Vm]) -> tuple[Vm, ...]:
+    """Return the few VMs with which a VM compares versions.
+
+    Two are of its own zone, one of another zone and one of another region,
+    as far as there are such. Since others choose us too, a VM has about
+    eight links. So many random links keep the fleet connected, in few hops,
+    when a tenth of it or a whole zone is gone.
+    """
+    ranked = [vm for vm in rank(f"neighbours/{me}", vms) if vm.name != me]
+    own = next((vm for vm in vms if vm.name == me), None)
+    if own is None:
+        return tuple(ranked[:NEIGHBOURS])
+    near = [vm for vm in ranked if _place(vm) == _place(own)][:2]
+    beside = [
+        vm
+        for vm in ranked
+        if vm.region == own.region and _place(vm) != _place(own)
+    ][:1]
+    far = [vm for vm in ranked if vm.region != own.region][:1]
+    chosen = near + beside + far
+    names = {vm.name for vm in chosen}
+    rest = [vm for vm in ranked if vm.name not in names]
+    return tuple(chosen + rest[: NEIGHBOURS - len(chosen)])
 
 
 def choose_candidates(bucket: int, vms: Iterable[Vm]) -> tuple[Vm, ...]:
@@ -77,9 +110,9 @@
     return choose_holders(f"bucket/{bucket}", vms, CANDIDATES_PER_BUCKET)
 
 
-def choose_watchers(shard: int, vms: Iterable[Vm]) -> tuple[Vm, ...]:
-    """Return the VMs that watch a table shard at the platform."""
-    return choose_holders(f"shard/{shard}", vms, WATCHERS_PER_SHARD)
+def choose_watchers(vms: Iterable[Vm]) -> tuple[Vm, ...]:
+    """Return the VMs that watch the platform on behalf of all."""
+    return choose_holders("watchers", vms, WATCHERS)
 
 
 class Placement:
@@ -116,9 +149,9 @@
         """Return the VMs that may lead a lease bucket."""
         return self._get(f"bucket/{bucket}", CANDIDATES_PER_BUCKET)
 
-    def watchers(self, shard: int) -> tuple[Vm, ...]:
-        """Return the VMs that watch a table shard at the platform."""
-        return self._get(f"shard/{shard}", WATCHERS_PER_SHARD)
+    def watchers(self) -> tuple[Vm, ...]:
+        """Return the VMs that watch the platform on behalf of all."""
+        return self._get("watchers", WATCHERS)
 
     def _get(self, key: str, count: int) -> tuple[Vm, ...]:
         found = self._known.get((key, count))
@@ -132,30 +165,43 @@
     return xxh64_intdigest(text.encode())
 
 
-def _weight(key: str, vm: str) -> tuple[int, str]:
-    return _hash(f"{key}\0{vm}"), vm
-
-
 def _ranked_live(key: str, vms: Iterable[Vm]) -> list[Vm]:
     known = list(vms)
     live = [vm for vm in known if vm.liveness is Liveness.LIVE]
     return rank(key, live or known)
 
 
-def _next_spread(ranked: Sequence[Vm], chosen: Sequence[Vm]) -> Vm:
-    """Return the best VM of the places that the chosen ones use least."""
-    left = [vm for vm in ranked if vm not in chosen]
-    in_region = _counter(chosen, lambda vm: vm.region)
-    in_zone = _counter(chosen, _zone)
-    return min(left, key=lambda vm: (in_region(vm), in_zone(vm)))
-
-
-def _zone(vm: Vm) -> str:
-    return f"{vm.region}/{vm.availability_zone}"
-
-
-def _counter(
-    chosen: Sequence[Vm], place: Callable[[Vm], str]
-) -> Callable[[Vm], int]:
-    places = [place(vm) for vm in chosen]
-    return lambda vm: places.count(place(vm))
+def _place(vm: Vm) -> tuple[str, str]:
+    return vm.region, vm.availability_zone
+
+
+class _Spread:
+    """VMs chosen so far, and how many of them each place has."""
+
+    def __init__(self, *, regions: set[str]) -> None:
+        self.chosen: list[Vm] = []
+        self._in_region = dict.fromkeys(regions, 0)
+        self._in_zone: dict[tuple[str, str], int] = {}
+
+    def choose_from(self, ranked: Iterable[Vm]) -> None:
+        """Add the best VM of the places that are used least."""
+        fewest = min(self._in_region.values())
+        best: Vm | None = None
+        best_use = (len(self.chosen) + 1, 0)
+        for vm in ranked:
+            use = self._use(vm)
+            if use < best_use and vm not in self.chosen:
+                best, best_use = vm, use
+            if best_use == (fewest, 0):
+                break
+        if best is not None:
+            self._add(best)
+
+    def _use(self, vm: Vm) -> tuple[int, int]:
+        return self._in_region[vm.region], self._in_zone.get(_place(vm), 0)
+
+    def _add(self, vm: Vm) -> None:
+        self.chosen.append(vm)
+        self._in_region[vm.region] += 1
+        place = _place(vm)
+        self._in_zone[place] = self._in_zone.get(place, 0) + 1
