--- /dev/null
+++ b/bamboospring/commit.py
@@ -0,0 +1,54 @@
+"""When a write may be acknowledged: a majority holds it at its term.
+
+A primary that was cut off still commits on its own. Passing its answer on
+would acknowledge a write that the next primary does not have. A new term
+first stops a majority of the targets, so an entry held by a majority at the
+term that wrote it is in the log of every later primary.
+"""
+
+from __future__ import annotations
+
+from bamboospring.blackboard import Group
+from bamboospring.blackboard import Role
+from bamboospring.statements import Position
+
+__all__ = ["count_holding", "held_by_majority", "majority_of", "map_position"]
+
+
+def majority_of(count: int) -> int:
+    """Return how many of `count` targets make a majority."""
+    return count // 2 + 1
+
+
+def count_holding(group: Group, position: Position) -> int:
+    """Count the targets known to hold a position of its own term.
+
+    A target that reports another term does not count, whatever its index:
+    its log may differ at that index.
+    """
+    roles = (Role.PRIMARY, Role.REPLICA)
+    return sum(
+        state.term == position.term
+        and state.received >= position.index
+        and state.role in roles
+        for state in group.states.values()
+    )
+
+
+def held_by_majority(group: Group, position: Position) -> bool:
+    """Tell whether a majority of the group's targets holds a position."""
+    needed = majority_of(len(group.record.targets))
+    return count_holding(group, position) >= needed
+
+
+def map_position(group: Group, position: Position) -> Position:
+    """Return what a session's position asks for at the group's term.
+
+    Entries of an older term beyond the start of the next one were never
+    acknowledged, so the start of the next term stands for all of them.
+    """
+    for start in group.record.starts:
+        if start.term > position.term:
+            index = min(position.index, start.index)
+            return Position(term=group.record.term, index=index)
+    return position
--- a/bamboospring/peers.py
+++ b/bamboospring/peers.py
@@ -21,7 +21,7 @@
 from bamboospring.reactor import Stream
 from bamboospring.reactor import Timer
 
-__all__ = ["PeerLost", "Peers", "envelope", "schema"]
+__all__ = ["PeerLost", "Peers", "Reply", "envelope", "schema"]
 
 capnp.remove_import_hook()
 schema = capnp.load(str(Path(__file__).with_name("wire.capnp")))
--- /dev/null
+++ b/bamboospring/requests.py
@@ -0,0 +1,66 @@
+"""What callers send, as models checked at the border."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import Literal
+
+from pydantic import BaseModel
+from pydantic import ConfigDict
+from pydantic import Field
+
+__all__ = ["SessionRequest", "StatementRequest", "TransactionRequest"]
+
+MAX_NAME = 200
+MAX_TOKEN = 16_384
+MAX_SQL = 65_536
+MAX_PARAMS = 1_000
+MAX_DEADLINE_MS = 60_000
+DEFAULT_DEADLINE_MS = 2_000
+MAX_STALENESS_MS = 86_400_000
+
+Scalar = str | int | float | bool | None
+
+
+class _Model(BaseModel):
+    model_config = ConfigDict(extra="forbid", strict=True)
+
+
+class SessionRequest(_Model):
+    """Open a session."""
+
+    caller: str = Field(min_length=1, max_length=MAX_NAME)
+
+
+class _Work(_Model):
+    token: str = Field(max_length=MAX_TOKEN)
+    group: str = Field(min_length=1, max_length=MAX_NAME)
+    params: list[Scalar] = Field(default=[], max_length=MAX_PARAMS)
+    key: str | None = Field(default=None, min_length=1, max_length=MAX_NAME)
+    deadline_ms: int = Field(
+        default=DEFAULT_DEADLINE_MS, ge=1, le=MAX_DEADLINE_MS
+    )
+
+
+class StatementRequest(_Work):
+    """One statement in a transaction of its own."""
+
+    kind: Literal["read", "write"]
+    sql: str = Field(min_length=1, max_length=MAX_SQL)
+    staleness_ms: int | None = Field(default=None, ge=0, le=MAX_STALENESS_MS)
+
+
+class TransactionRequest(_Work):
+    """A step of a transaction over several requests."""
+
+    step: Literal["begin", "statement", "commit", "rollback"]
+    transaction: str | None = Field(default=None, max_length=MAX_NAME)
+    kind: Literal["read", "write"] = "write"
+    sql: str | None = Field(default=None, max_length=MAX_SQL)
+
+    def model_post_init(self, _context: Any) -> None:
+        """Check what belongs together."""
+        if self.step == "statement" and not self.sql:
+            raise ValueError("a statement needs sql")
+        if self.step != "begin" and not self.transaction:
+            raise ValueError(f"{self.step} needs the transaction's handle")
--- /dev/null
+++ b/bamboospring/server.py
@@ -0,0 +1,82 @@
+"""`bamboospring serve`: wire the components of one VM's process together."""
+
+from __future__ import annotations
+
+from circuits import Component
+
+from bamboospring.blackboard import Blackboard
+from bamboospring.blackboard import Vm
+from bamboospring.entry import Entry
+from bamboospring.facts import Facts
+from bamboospring.holder import Holder
+from bamboospring import logs
+from bamboospring.peers import Peers
+from bamboospring.pool import Pools
+from bamboospring.reactor import Reactor
+from bamboospring.rendezvous import Placement
+from bamboospring.settings import Settings
+from bamboospring.statement_server import StatementServer
+from bamboospring.tokens import TokenCodec
+from bamboospring.watcher import Watcher
+
+__all__ = ["Server", "run"]
+
+
+class Server(Component):
+    """All that one process is made of."""
+
+    def __init__(self, cfg: Settings) -> None:
+        super().__init__()
+        self.cfg = cfg
+        self.reactor = Reactor().register(self)
+        self.board = Blackboard(
+            me=Vm(
+                name=cfg.vm,
+                address=cfg.peers.listen,
+                availability_zone=cfg.availability_zone,
+                region=cfg.region,
+            )
+        )
+        self.placement = Placement()
+        self.peers = Peers(
+            reactor=self.reactor, vm=cfg.vm, listen=cfg.peers.listen
+        )
+        self.pools = Pools(reactor=self.reactor, vm=cfg.vm)
+        self.watcher = Watcher(
+            reactor=self.reactor, board=self.board, placement=self.placement
+        ).register(self)
+        self.holder = Holder(
+            reactor=self.reactor,
+            board=self.board,
+            placement=self.placement,
+            pools=self.pools,
+            watcher=self.watcher,
+        ).register(self)
+        StatementServer(
+            reactor=self.reactor, peers=self.peers, holder=self.holder
+        )
+        self.entry = Entry(
+            reactor=self.reactor,
+            board=self.board,
+            placement=self.placement,
+            peers=self.peers,
+            holder=self.holder,
+            codec=TokenCodec(
+                {key.id: key.secret.encode() for key in cfg.token_keys}
+            ),
+            listen=cfg.callers.listen,
+        ).register(self)
+        Facts(
+            reactor=self.reactor,
+            board=self.board,
+            placement=self.placement,
+            platform=cfg.platform.address,
+        ).register(self)
+
+
+def run(cfg: Settings) -> None:
+    """Serve until told to stop."""
+    logs.configure(level=cfg.logs.level, vm=cfg.vm)
+    server = Server(cfg)
+    logs.log_event("listening", callers=server.entry.server.address)
+    server.run()
--- /dev/null
+++ b/bamboospring/target_api.py
@@ -0,0 +1,123 @@
+"""What is sent to a target and what it answers, as typed values."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+import orjson
+
+from bamboospring.blackboard import Role
+from bamboospring.statements import Statement
+from bamboospring.statements import Step
+
+__all__ = [
+    "Probe",
+    "TargetAnswer",
+    "decode_answer",
+    "decode_probe",
+    "encode_execute",
+]
+
+STEP_NAMES: dict[Step, str | None] = {
+    Step.AUTOCOMMIT: None,
+    Step.BEGIN: "begin",
+    Step.STATEMENT: "statement",
+    Step.COMMIT: "commit",
+    Step.ROLLBACK: "rollback",
+}
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Probe:
+    """What a target says of itself."""
+
+    target: str
+    term: int
+    role: Role
+    received: int
+    applied: int
+    last_term: int
+    start: int
+    leaving: bool
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TargetAnswer:
+    """A target's answer to one statement."""
+
+    id: int
+    term: int
+    role: Role
+    received: int
+    applied: int
+    index: int
+    outcome: str
+    reason: str
+    message: str
+    columns: tuple[str, ...]
+    rows: tuple[tuple[Any, ...], ...]
+    rowcount: int
+    replayed: bool
+    leaving: bool
+
+
+def encode_execute(
+    stmt: Statement, *, number: int, term: int, min_index: int, left: float
+) -> bytes:
+    """Return the JSON body of `POST /execute`; `left` is in seconds."""
+    body = {
+        "id": number,
+        "term": term,
+        "kind": "write" if stmt.write else "read",
+        "sql": stmt.sql or None,
+        "params": orjson.Fragment(stmt.params or b"[]"),
+        "tx": STEP_NAMES[stmt.step],
+        "key": stmt.key or None,
+        "caller": stmt.caller,
+        "min_index": min_index,
+        "deadline_ms": max(1, int(left * 1000)),
+    }
+    return orjson.dumps(body)
+
+
+def decode_answer(body: bytes) -> TargetAnswer | None:
+    """Read a target's answer; None if it is not one."""
+    try:
+        raw = orjson.loads(body)
+        return TargetAnswer(
+            id=raw["id"],
+            term=raw["term"],
+            role=Role(raw["role"]),
+            received=raw["received"],
+            applied=raw["applied"],
+            index=raw["index"],
+            outcome=raw["outcome"],
+            reason=raw.get("reason") or "",
+            message=raw.get("message") or "",
+            columns=tuple(raw.get("columns") or ()),
+            rows=tuple(tuple(row) for row in raw.get("rows") or ()),
+            rowcount=raw.get("rowcount") or 0,
+            replayed=bool(raw.get("replayed")),
+            leaving=bool(raw.get("leaving")),
+        )
+    except (ValueError, KeyError, TypeError):
+        return None
+
+
+def decode_probe(body: bytes) -> Probe | None:
+    """Read a target's account of itself; None if it is not one."""
+    try:
+        raw = orjson.loads(body)
+        return Probe(
+            target=raw["target"],
+            term=raw["term"],
+            role=Role(raw["role"]),
+            received=raw["received"],
+            applied=raw["applied"],
+            last_term=raw["last_term"],
+            start=raw["start"],
+            leaving=bool(raw.get("leaving")),
+        )
+    except (ValueError, KeyError, TypeError):
+        return None
