Add the database member stand-in

Cause: every proof of the proxy needs group members with terms, log positions, slots and connections; nothing outside can be used. Test: features/target_stand_in.feature.

--- /dev/null
+++ b/features/steps/target_steps.py
@@ -0,0 +1,313 @@
+"""Steps for the database member stand-in, over its own protocol."""
+
+from __future__ import annotations
+
+from concurrent.futures import ThreadPoolExecutor
+import http.client
+import json
+import os
+from pathlib import Path
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+
+SCHEMA = "CREATE TABLE moves (id INTEGER PRIMARY KEY, note TEXT);"
+
+
+class Member:
+    """One target process that can be killed and started again."""
+
+    def __init__(self, name: str, root: Path) -> None:
+        self.name = name
+        self.root = root
+        self.listen = "127.0.0.1:0"
+        self.process: subprocess.Popen[str] | None = None
+
+    def start(self, *options: str) -> None:
+        """Start the process and wait until it listens."""
+        schema = self.root / "schema.sql"
+        schema.write_text(SCHEMA)
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "bamboospring.testing.target"]
+            + ["--name", self.name, "--listen", self.listen]
+            + ["--directory", str(self.root / self.name)]
+            + ["--schema", str(schema), "--connect-ms", "0", *options],
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        assert self.process.stdout is not None
+        self.listen = self.process.stdout.readline().split()[1]
+
+    def kill(self) -> None:
+        """End the process with SIGKILL."""
+        if self.process is not None:
+            os.kill(self.process.pid, signal.SIGKILL)
+            self.process.wait()
+            self.process = None
+
+    def open(self) -> http.client.HTTPConnection:
+        """Open a connection."""
+        return http.client.HTTPConnection(self.listen, timeout=5)
+
+    def call(self, method: str, path: str, body: Any = None) -> Any:
+        """Make one exchange on a control connection."""
+        conn = self.open()
+        try:
+            return exchange(conn, method, path, body)
+        finally:
+            conn.close()
+
+    def connect(self) -> http.client.HTTPConnection:
+        """Open a statement connection."""
+        conn = self.open()
+        exchange(conn, "POST", "/connect", {"id": 0, "holder": "test"})
+        return conn
+
+    def write(self, term: int, sql: str, **fields: Any) -> Any:
+        """Run one autocommit write on a connection of its own."""
+        conn = self.connect()
+        try:
+            return execute(conn, term=term, kind="write", sql=sql, **fields)
+        finally:
+            conn.close()
+
+    def rows(self) -> list[list[Any]]:
+        """Return the ids of all rows as this member shows them."""
+        conn = self.connect()
+        try:
+            sql = "SELECT id FROM moves ORDER BY id"
+            return execute(conn, kind="read", sql=sql)["rows"]
+        finally:
+            conn.close()
+
+
+def exchange(
+    conn: http.client.HTTPConnection, method: str, path: str, body: Any
+) -> Any:
+    """Return the decoded body; the status goes into field `status`."""
+    conn.request(method, path, json.dumps(body) if body else None)
+    answer = conn.getresponse()
+    found = json.loads(answer.read())
+    found["status"] = answer.status
+    return found
+
+
+def execute(conn: http.client.HTTPConnection, **fields: Any) -> Any:
+    """Send one statement."""
+    return exchange(conn, "POST", "/execute", {"id": 1, **fields})
+
+
+def wait_until(check: Any, seconds: float = 10) -> None:
+    """Wait until a check holds."""
+    end = time.monotonic() + seconds
+    while not check():
+        assert time.monotonic() < end, "condition did not come true"
+        time.sleep(0.01)
+
+
+def insert(row: int) -> str:
+    """Return the statement that adds one row."""
+    return f"INSERT INTO moves VALUES ({row}, 'x')"
+
+
+@given("target members a1, a2 and a3 with a1 as primary at term 1")
+def start_members(context: Any) -> None:
+    root = Path(tempfile.mkdtemp(prefix="bamboospring-target-"))
+    context.members = {n: Member(n, root) for n in ("a1", "a2", "a3")}
+    for member in context.members.values():
+        context.add_cleanup(member.kill)
+        member.start()
+    context.a1 = context.members["a1"]
+    context.a2 = context.members["a2"]
+    make_primary(context, "a1", 1)
+
+
+def make_primary(context: Any, name: str, term: int) -> None:
+    """Fence all members, promote one and let the others follow."""
+    primary = context.members[name]
+    for member in context.members.values():
+        assert member.call("POST", "/fence", {"term": term})["status"] == 200
+    assert primary.call("POST", "/promote", {"term": term})["status"] == 200
+    follow(context, name, term)
+
+
+def follow(context: Any, name: str, term: int) -> None:
+    """Let all others follow a primary."""
+    order = {"term": term, "primary": context.members[name].listen}
+    for member in context.members.values():
+        if member.name != name:
+            assert member.call("POST", "/follow", order)["status"] == 200
+
+
+@when("a1 is killed while target writes are being answered")
+def kill_under_load(context: Any) -> None:
+    context.answered = {}
+
+    def load() -> None:
+        conn = context.a1.connect()
+        for row in range(1, 1_000_000):
+            try:
+                found = execute(conn, term=1, kind="write", sql=insert(row))
+            except (OSError, http.client.HTTPException):
+                return
+            context.answered[row] = found["index"]
+
+    thread = threading.Thread(target=load)
+    thread.start()
+    wait_until(lambda: len(context.answered) > 100)
+    context.a1.kill()
+    thread.join()
+
+
+@when("a1 is started again")
+def start_again(context: Any) -> None:
+    context.a1.start()
+
+
+@when("a1 is killed and started again")
+def kill_and_start(context: Any) -> None:
+    context.a1.kill()
+    context.a1.start()
+
+
+@then("a1 holds every answered target write and is primary at term 1")
+def holds_all(context: Any) -> None:
+    state = context.a1.call("GET", "/probe")
+    assert (state["role"], state["term"]) == ("primary", 1), state
+    assert state["received"] >= max(context.answered.values())
+    ids = [row[0] for row in context.a1.rows()]
+    assert ids == list(range(1, len(ids) + 1))
+    assert len(ids) >= len(context.answered)
+    assert state["received"] == len(ids) + 1
+
+
+@when("a target transaction is open on a1 and a1 is fenced at term 2")
+def fence_open(context: Any) -> None:
+    context.conn = context.a1.connect()
+    for step in ("begin", "statement"):
+        row = 1 if step == "begin" else 2
+        found = execute(
+            context.conn, term=1, kind="write", tx=step, sql=insert(row)
+        )
+        assert found["outcome"] == "ok", found
+    context.a1.call("POST", "/fence", {"term": 2})
+
+
+@then("the target connection is closed and nothing of the transaction stays")
+def nothing_stays(context: Any) -> None:
+    try:
+        found = execute(context.conn, term=1, kind="write", tx="commit")
+    except (OSError, http.client.HTTPException):
+        found = None
+    assert found is None, found
+    assert context.a1.rows() == []
+
+
+@then("a1 refuses target writes of term 1 and a fence at term 1")
+def refuses_old(context: Any) -> None:
+    found = context.a1.write(1, insert(3))
+    assert (found["outcome"], found["reason"]) == ("refused", "term"), found
+    assert context.a1.call("POST", "/fence", {"term": 1})["status"] == 409
+    assert context.a1.call("POST", "/promote", {"term": 1})["status"] == 409
+
+
+@then("a1 is fenced at term 2")
+def is_fenced(context: Any) -> None:
+    state = context.a1.call("GET", "/probe")
+    assert (state["role"], state["term"]) == ("fenced", 2), state
+
+
+@given("3 target writes held by all members")
+def three_held(context: Any) -> None:
+    for row in (1, 2, 3):
+        assert context.a1.write(1, insert(row))["outcome"] == "ok"
+    for member in context.members.values():
+        wait_until(lambda m=member: len(m.rows()) == 3)
+
+
+@when("a2 and a3 are fenced at term 2 and a1 takes 2 target writes more")
+def diverge(context: Any) -> None:
+    for name in ("a2", "a3"):
+        context.members[name].call("POST", "/fence", {"term": 2})
+    for row in (101, 102):
+        assert context.a1.write(1, insert(row))["outcome"] == "ok"
+
+
+@when("a2 is promoted at term 2 and the others follow it")
+def promote_a2(context: Any) -> None:
+    assert context.a2.call("POST", "/promote", {"term": 2})["status"] == 200
+    follow(context, "a2", 2)
+
+
+@when("1 target write goes to a2")
+def write_a2(context: Any) -> None:
+    assert context.a2.write(2, insert(4))["outcome"] == "ok"
+
+
+@then("all target members hold the same 4 rows")
+def same_rows(context: Any) -> None:
+    for member in context.members.values():
+        wait_until(lambda m=member: m.rows() == [[1], [2], [3], [4]])
+        state = member.call("GET", "/probe")
+        assert (state["received"], state["last_term"]) == (6, 2), state
+
+
+@when("10 target connections ask a1 for 25 connections and 3 slots at once")
+def exceed(context: Any) -> None:
+    context.a1.call("POST", "/settings", {"statement_ms": 30})
+    conns = [context.a1.connect() for _ in range(19)]
+    surplus = [context.a1.open() for _ in range(6)]
+    body = {"id": 0, "holder": "test"}
+    for conn in surplus:
+        exchange(conn, "POST", "/connect", body)
+    with ThreadPoolExecutor(10) as pool:
+        list(
+            pool.map(
+                lambda conn: execute(conn, kind="read", sql="SELECT 1"),
+                conns[:10],
+            )
+        )
+    for conn in conns + surplus:
+        conn.close()
+
+
+@then("a1 counts at most 20 connections and 3 slots, and refusals")
+def counted(context: Any) -> None:
+    found = context.a1.call("GET", "/counters")
+    assert found["peak_connections"] == 20, found
+    assert found["refused_connections"] == 5, found
+    assert found["peak_slots"] == 3, found
+    assert found["refused_slots"] > 0, found
+
+
+@when("a target write with key k1 is sent to a1, then again to a promoted a2")
+def key_twice(context: Any) -> None:
+    keyed = {"key": "k1", "caller": "bank"}
+    context.first = context.a1.write(1, insert(1), **keyed)
+    wait_until(lambda: len(context.a2.rows()) == 1)
+    make_primary(context, "a2", 2)
+    context.second = context.a2.write(2, insert(1), **keyed)
+
+
+@then("the second answer is the first one again and one row exists")
+def first_again(context: Any) -> None:
+    assert context.first["outcome"] == "ok", context.first
+    assert not context.first["replayed"]
+    assert context.second["outcome"] == "ok", context.second
+    assert context.second["replayed"]
+    assert context.second["index"] == context.first["index"]
+    assert context.a2.rows() == [[1]]
+
+
+@then("the same key with another statement is refused by a2")
+def key_reused(context: Any) -> None:
+    found = context.a2.write(2, insert(7), key="k1", caller="bank")
+    assert found["reason"] == "key_reused", found
