Add signed session tokens and transaction handles

Cause: a session has to hold at any entry, and no VM keeps anything. Change: the position in each group's log travels with the caller, signed by HMAC under keys that can be rotated; handles name the holder. Only acknowledged writes move a session; the module says why.

--- /dev/null
+++ b/bamboospring/tokens.py
@@ -0,0 +1,209 @@
+"""Session tokens and transaction handles: signed, and good at any entry.
+
+A session token says up to where a caller's session has come in each group's
+log. It is all there is of a session: no VM keeps any, so a caller may take
+it to any entry. The signature is a shortened HMAC-SHA256 under one of the
+fleet's keys; the first key signs, all of them verify, so a key is changed by
+adding the new one everywhere, putting it first, and removing the old one
+when the tokens signed with it are of no more use.
+
+Only acknowledged writes move a session on. If reads did as well, each read
+at the primary would bind the next one to what that primary had just written
+for others, and under replication lag no session would ever find a replica
+that is far enough.
+"""
+
+from __future__ import annotations
+
+import base64
+import binascii
+from collections.abc import Sequence
+from dataclasses import dataclass
+from dataclasses import field
+import hmac
+from typing import Any
+
+import orjson
+
+from bamboospring.statements import Position
+
+__all__ = [
+    "BadToken",
+    "MAX_GROUPS",
+    "Session",
+    "TokenCodec",
+    "TokenKey",
+    "TransactionHandle",
+]
+
+MAX_TOKEN = 16384
+# A session that has written to more groups is refused rather than shortened:
+# a dropped position would be a write that the session no longer sees.
+MAX_GROUPS = 100
+MAX_CALLER = 128
+MAC_BYTES = 16
+# What is signed starts with what it is, so that no handle passes for a
+# token and no token for a handle.
+SESSION = "s1"
+TRANSACTION = "t1"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TokenKey:
+    """A signing key with the id that tokens name it by."""
+
+    id: str
+    secret: bytes
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Session:
+    """A caller's session: its newest acknowledged write in each group."""
+
+    caller: str
+    positions: dict[str, Position] = field(default_factory=dict)
+
+    def position(self, group: str) -> Position:
+        """Return the position in a group; (0, 0) where nothing was written."""
+        return self.positions.get(group, Position())
+
+    def has_room(self, group: str) -> bool:
+        """Tell whether a write in this group could still be noted."""
+        return group in self.positions or len(self.positions) < MAX_GROUPS
+
+    def moved(self, group: str, position: Position) -> Session:
+        """Return the session after a write; it never moves back."""
+        if position <= self.position(group):
+            return self
+        positions = {**self.positions, group: position}
+        return Session(caller=self.caller, positions=positions)
+
+    def merged(self, other: Session) -> Session:
+        """Return a session that has seen what either has seen."""
+        session = self
+        for group, position in other.positions.items():
+            session = session.moved(group, position)
+        return session
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TransactionHandle:
+    """Where an open transaction lives.
+
+    `number` is drawn at random by the holder, so that a holder that was
+    restarted never takes an old handle for one of its own.
+    """
+
+    vm: str
+    group: str
+    caller: str
+    number: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class BadToken:
+    """A text that is not one of our tokens, with what is wrong."""
+
+    message: str
+
+
+class TokenCodec:
+    """Signs and verifies with the fleet's keys; the first one signs."""
+
+    def __init__(self, *, keys: Sequence[TokenKey]) -> None:
+        if not keys:
+            raise ValueError("at least one token key is needed")
+        self._signer = keys[0]
+        self._keys = {key.id: key for key in keys}
+
+    def encode(self, session: Session) -> str:
+        """Return the token of a session."""
+        positions = [
+            [group, position.term, position.index]
+            for group, position in session.positions.items()
+        ]
+        return self._sign([SESSION, session.caller, positions])
+
+    def decode(self, text: str) -> Session | BadToken:
+        """Return the session of a token, or what is wrong with it."""
+        fields = self._verify(text, SESSION)
+        if isinstance(fields, BadToken):
+            return fields
+        caller, positions = fields
+        return Session(
+            caller=caller,
+            positions={
+                group: Position(term=term, index=index)
+                for group, term, index in positions
+            },
+        )
+
+    def encode_transaction(self, handle: TransactionHandle) -> str:
+        """Return the handle as a caller carries it."""
+        return self._sign(
+            [
+                TRANSACTION,
+                handle.vm,
+                handle.group,
+                handle.caller,
+                handle.number,
+            ]
+        )
+
+    def decode_transaction(self, text: str) -> TransactionHandle | BadToken:
+        """Return the handle that a caller brings back."""
+        fields = self._verify(text, TRANSACTION)
+        if isinstance(fields, BadToken):
+            return fields
+        vm, group, caller, number = fields
+        return TransactionHandle(
+            vm=vm, group=group, caller=caller, number=number
+        )
+
+    def _sign(self, fields: list[Any]) -> str:
+        key = self._signer
+        body = orjson.dumps([key.id, *fields])
+        return _to_text(body + _mac(key, body))
+
+    def _verify(self, text: str, kind: str) -> list[Any] | BadToken:
+        if len(text) > MAX_TOKEN:
+            return BadToken(message="too long")
+        try:
+            raw = _to_bytes(text)
+        except (ValueError, binascii.Error):
+            return BadToken(message="not a token")
+        body, mac = raw[:-MAC_BYTES], raw[-MAC_BYTES:]
+        key = self._key_of(body)
+        if key is None:
+            return BadToken(message="signed with a key not known here")
+        # What is inside is trusted only after this line.
+        if not hmac.compare_digest(_mac(key, body), mac):
+            return BadToken(message="wrong signature")
+        fields = orjson.loads(body)
+        if fields[1] != kind:
+            return BadToken(message="not meant for this use")
+        return list(fields[2:])
+
+    def _key_of(self, body: bytes) -> TokenKey | None:
+        try:
+            fields = orjson.loads(body)
+        except orjson.JSONDecodeError:
+            return None
+        if not isinstance(fields, list) or not fields:
+            return None
+        name = fields[0]
+        return self._keys.get(name) if isinstance(name, str) else None
+
+
+def _mac(key: TokenKey, body: bytes) -> bytes:
+    return hmac.digest(key.secret, body, "sha256")[:MAC_BYTES]
+
+
+def _to_text(raw: bytes) -> str:
+    return base64.urlsafe_b64encode(raw).rstrip(b"=").decode()
+
+
+def _to_bytes(text: str) -> bytes:
+    data = text.encode("ascii")
+    pad = b"=" * (-len(data) % 4)
+    return base64.b64decode(data + pad, altchars=b"-_", validate=True)
