--- a/bamboospring/entry.py
+++ b/bamboospring/entry.py
@@ -34,7 +34,7 @@
 from bamboospring.statements import Position
 from bamboospring.statements import Statement
 from bamboospring.statements import Step
-from bamboospring.tokens import merge_position
+from bamboospring.tokens import BadToken
 from bamboospring.tokens import Session
 from bamboospring.tokens import TokenCodec
 from bamboospring.wire import decode_outcome
@@ -139,8 +139,8 @@
         **more: Any,
     ) -> None:
         session = self._codec.decode(req.token)
-        if session is None:
-            respond(_bad_request("the token is not ours", Reason.BAD_TOKEN))
+        if isinstance(session, BadToken):
+            respond(_bad_request(session.message, Reason.BAD_TOKEN))
             return
         stmt = Statement(
             group=req.group,
@@ -148,13 +148,13 @@
             params=orjson.dumps(req.params),
             key=req.key or "",
             deadline=self._reactor.now() + req.deadline_ms / 1000,
-            token=session.positions.get(req.group, Position()),
+            token=session.position(req.group),
             trace=f"{self._board.me.name}-{next(self._traces)}",
             **more,
         )
 
         def done(outcome: Outcome) -> None:
-            respond(self._respond(session, req.group, outcome))
+            respond(self._respond(session, stmt, outcome))
 
         self._forward(stmt, done)
 
@@ -199,13 +199,19 @@
     # Back to the caller.
 
     def _respond(
-        self, session: Session, group: str, outcome: Outcome
+        self, session: Session, stmt: Statement, outcome: Outcome
     ) -> Response:
-        if isinstance(outcome, Done):
+        if isinstance(outcome, Done) and _wrote(stmt):
             position = Position(term=outcome.term, index=outcome.index)
-            session = merge_position(session, group, position)
+            session = session.moved(stmt.group, position)
         token = self._codec.encode(session)
-        return _encode(group, outcome, token)
+        return _encode(stmt.group, outcome, token)
+
+
+def _wrote(stmt: Statement) -> bool:
+    if stmt.step is Step.AUTOCOMMIT:
+        return stmt.write
+    return stmt.step is Step.COMMIT
 
 
 def _lost(stmt: Statement, lost: PeerLost) -> Outcome:
--- a/bamboospring/server.py
+++ b/bamboospring/server.py
@@ -17,6 +17,7 @@
 from bamboospring.settings import Settings
 from bamboospring.statement_server import StatementServer
 from bamboospring.tokens import TokenCodec
+from bamboospring.tokens import TokenKey
 from bamboospring.watcher import Watcher
 
 __all__ = ["Server", "run"]
@@ -62,7 +63,10 @@
             peers=self.peers,
             holder=self.holder,
             codec=TokenCodec(
-                {key.id: key.secret.encode() for key in cfg.token_keys}
+                keys=[
+                    TokenKey(id=key.id, secret=key.secret.encode())
+                    for key in cfg.token_keys
+                ]
             ),
             listen=cfg.callers.listen,
         ).register(self)
