--- /dev/null
+++ b/bamboospring/membership.py
@@ -0,0 +1,104 @@
+"""Which of the VMs that this one talks to can be given work now.
+
+The platform's list says who belongs to the fleet, and all VMs derive the same
+holders from it. But it lags: a VM that died, or has begun to drain, stands in
+it as live for a while. What this VM hears itself, from the few peers that it
+compares versions with and from those that it sends statements to, is kept
+here and only changes the order in which holders are tried. It never changes
+who the holders are, because their shares of a target's limits must add up.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from bamboospring.blackboard import Liveness
+from bamboospring.blackboard import Vm
+
+__all__ = ["Membership", "PeerState", "Reachability"]
+
+FIRST_AVOIDANCE = 1.0
+# A peer that stays away is tried this often: seldom enough to cost callers
+# little, often enough that its return is noticed without a probe of its own.
+MAX_AVOIDANCE = 10.0
+
+
+@dataclass(slots=True, kw_only=True)
+class PeerState:
+    """What was last heard of one VM. Instants are monotonic seconds."""
+
+    heard_at: float = -1e9
+    draining: bool = False
+    losses: int = 0
+    avoid_until: float = -1e9
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Reachability:
+    """How a VM ranks as a receiver of work; lower is better."""
+
+    leaving: bool
+    avoided: bool
+
+    @property
+    def rank(self) -> int:
+        """Return 0 for a VM without fault, more for one to try later."""
+        return 2 * self.leaving + self.avoided
+
+
+class Membership:
+    """What was heard of the VMs that this one is in touch with."""
+
+    def __init__(self) -> None:
+        self._states: dict[str, PeerState] = {}
+
+    def heard(self, vm: str, now: float, *, draining: bool = False) -> None:
+        """Note a sign of life, and whether the VM says that it drains."""
+        state = self._state(vm)
+        state.heard_at = now
+        state.draining = draining
+        state.losses = 0
+        state.avoid_until = -1e9
+
+    def lost(self, vm: str, now: float) -> None:
+        """Note that a VM could not be reached or did not answer."""
+        state = self._state(vm)
+        doublings = min(state.losses, 8)
+        wait = min(MAX_AVOIDANCE, FIRST_AVOIDANCE * 2.0**doublings)
+        state.losses += 1
+        state.avoid_until = now + wait
+
+    def drains(self, vm: str) -> None:
+        """Note that a VM has said that it takes no new work."""
+        self._state(vm).draining = True
+
+    def reachability(self, vm: Vm, now: float) -> Reachability:
+        """Judge a VM from the list and from what was heard."""
+        state = self._states.get(vm.name)
+        leaving = vm.liveness is Liveness.LEAVING
+        if state is None:
+            return Reachability(leaving=leaving, avoided=False)
+        return Reachability(
+            leaving=leaving or state.draining,
+            avoided=state.avoid_until > now,
+        )
+
+    def order(self, vms: Iterable[Vm], now: float) -> list[Vm]:
+        """Return VMs in the order to try them; equals keep their order."""
+        return sorted(vms, key=lambda vm: self.reachability(vm, now).rank)
+
+    def heard_since(self, vm: str, instant: float) -> bool:
+        """Say whether a VM was heard at or after an instant."""
+        state = self._states.get(vm)
+        return state is not None and state.heard_at >= instant
+
+    def keep_only(self, vms: Iterable[str]) -> None:
+        """Forget VMs that the list no longer has."""
+        names = set(vms)
+        for name in list(self._states):
+            if name not in names:
+                del self._states[name]
+
+    def _state(self, vm: str) -> PeerState:
+        return self._states.setdefault(vm, PeerState())
--- a/bamboospring/rendezvous.py
+++ b/bamboospring/rendezvous.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from collections.abc import Iterable
 
 from xxhash import xxh64_intdigest
@@ -80,7 +81,7 @@
     return tuple(spread.chosen)
 
 
-def choose_neighbours(me: str, vms: Iterable[Vm]) -> tuple[Vm, ...]:
+def choose_neighbours(me: str, vms: Collection[Vm]) -> tuple[Vm, ...]:
     """Return the few VMs with which a VM compares versions.
 
     Two are of its own zone, one of another zone and one of another region,
