Spread table, VM list and group records from few watchers through peers

Cause: each process polled three platform lists twice a second, so the platform's load grew with the fleet and each poll carried the whole table. Group records go to holders and lease candidates only; all VMs know the groups' names, so an entry still refuses an unknown one by itself. Versions only rise (spread.py), whoever offers them. A starting VM takes no statements until it has the platform's table or, in an outage, its neighbours' newest.

Touched outside: blackboard (group_names, starting), entry and holder (unknown group against not yet here), settings (peers.seeds), server (wiring).

--- a/bamboospring/blackboard.py
+++ b/bamboospring/blackboard.py
@@ -181,17 +181,28 @@
 
 @dataclass(slots=True, kw_only=True)
 class Blackboard:
-    """The one view of the world that all controllers of a process share."""
+    """The one view of the world that all controllers of a process share.
+
+    `groups` has the records of the groups that this VM holds or may lead;
+    `group_names` has the names of all groups. While `starting`, the facts are
+    not yet as new as an earlier life of this process may have had them.
+    """
 
     me: Vm
     vms: dict[str, Vm] = field(default_factory=dict)
     vms_revision: int = 0
     vms_seen_at: float = -1e9
     groups: dict[str, Group] = field(default_factory=dict)
+    group_names: set[str] = field(default_factory=set)
     table: dict[int, TableShard] = field(default_factory=dict)
     leases: dict[int, Lease] = field(default_factory=dict)
+    starting: bool = False
     draining: bool = False
 
+    def knows_group(self, name: str) -> bool:
+        """Say whether there is a group of this name."""
+        return name in self.groups or name in self.group_names
+
     def row(self, group: str, shard: int) -> TableRow:
         """Return the row in force for a group, or one that sets nothing."""
         found = self.table.get(shard)
--- a/bamboospring/entry.py
+++ b/bamboospring/entry.py
@@ -161,7 +161,7 @@
     # To a holder.
 
     def _forward(self, stmt: Statement, done: OnOutcome) -> None:
-        if stmt.group not in self._board.groups:
+        if not self._board.knows_group(stmt.group):
             done(NotRun(reason=Reason.UNKNOWN_GROUP))
             return
         vm = self._choose_holder(stmt)
--- /dev/null
+++ b/bamboospring/fact_store.py
@@ -0,0 +1,123 @@
+"""Put shared facts in force on the blackboard and tell who must know.
+
+All ways by which facts arrive (the platform, peers, our own updates) end
+here, so the rule that versions only rise stands in one place.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from typing import Any
+
+from circuits import Event
+
+from bamboospring.blackboard import Blackboard
+from bamboospring.blackboard import GroupRecord
+from bamboospring.blackboard import TableShard
+from bamboospring.blackboard import Vm
+from bamboospring.events import group_changed
+from bamboospring.events import table_changed
+from bamboospring.events import vms_changed
+from bamboospring import logs
+from bamboospring.records import decode_shard
+from bamboospring.records import decode_vm
+from bamboospring.rendezvous import Placement
+from bamboospring.rendezvous import SHARDS
+from bamboospring.spread import take_group
+from bamboospring.spread import take_shard
+from bamboospring.spread import take_vms
+
+__all__ = ["FactStore"]
+
+
+class FactStore:
+    """The only writer of table, VMs and group records on the blackboard.
+
+    `on_change` is called after the table or the list of VMs has changed.
+    """
+
+    def __init__(
+        self,
+        *,
+        board: Blackboard,
+        placement: Placement,
+        fire: Callable[[Event], Any],
+        now: Callable[[], float],
+    ) -> None:
+        self.board = board
+        self.placement = placement
+        self.on_change: list[Callable[[], None]] = []
+        self._fire = fire
+        self._now = now
+        self._malformed: dict[int, int] = {}
+
+    def take_shard_value(self, name: str, version: int, value: Any) -> bool:
+        """Take a table shard's object; a malformed one is only logged."""
+        shard = int(name) if name.isdecimal() else -1
+        if not 0 <= shard < SHARDS or value is None:
+            return False
+        decoded = decode_shard(shard, version, value)
+        if decoded is None:
+            self._log_malformed(shard, version)
+            return False
+        return self.take_shard(decoded)
+
+    def take_shard(self, shard: TableShard) -> bool:
+        """Put a table shard in force if it is newer."""
+        if not take_shard(self.board, shard):
+            return False
+        logs.log_event(
+            "table_in_force", shard=shard.shard, version=shard.version
+        )
+        self._fire(table_changed(shard.shard))
+        self._changed()
+        return True
+
+    def take_group(self, record: GroupRecord) -> bool:
+        """Take a group's record if it is newer."""
+        if not take_group(self.board, record):
+            return False
+        logs.log_event(
+            "group_record",
+            group=record.name,
+            version=record.version,
+            term=record.term,
+            primary=record.primary,
+        )
+        self._fire(group_changed(record.name))
+        return True
+
+    def take_vms(self, revision: int, values: Iterable[Any]) -> bool:
+        """Take a list of VMs, given as JSON objects, if it is newer."""
+        if revision <= self.board.vms_revision:
+            # Also an equal list is news: the platform is being read.
+            take_vms(self.board, revision, (), self._now())
+            return False
+        vms = [vm for vm in map(decode_vm, values) if vm is not None]
+        take_vms(self.board, revision, vms, self._now())
+        self._place(vms)
+        logs.log_event("vms", revision=revision, vms=len(vms))
+        self._fire(vms_changed())
+        self._changed()
+        return True
+
+    def _place(self, vms: list[Vm]) -> None:
+        # Sorted, because rendezvous order must not depend on list order.
+        self.placement.set_vms(sorted(vms, key=lambda vm: vm.name))
+
+    def _changed(self) -> None:
+        for callback in self.on_change:
+            callback()
+
+    def _log_malformed(self, shard: int, version: int) -> None:
+        """Log a malformed version once, not at each repair."""
+        if self._malformed.get(shard) == version:
+            return
+        self._malformed[shard] = version
+        logs.log_event(
+            "table_malformed",
+            level=logs.Level.ERROR,
+            shard=shard,
+            version=version,
+        )
--- a/bamboospring/facts.py
+++ b/bamboospring/facts.py
@@ -1,40 +1,42 @@
-"""Read VMs, groups and table from the platform into the blackboard."""
+"""Keep the blackboard's shared facts up to date: VMs, groups and table.
+
+This component wires the ways by which facts arrive and starts them. What may
+be taken is decided in `bamboospring.spread`.
+"""
 
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Sequence
+import random
 from typing import Any
 
 from circuits import BaseComponent
 from circuits import handler
-import orjson
 
 from bamboospring.blackboard import Blackboard
-from bamboospring.blackboard import Group
 from bamboospring.blackboard import GroupRecord
-from bamboospring.blackboard import Liveness
-from bamboospring.blackboard import TableRow
-from bamboospring.blackboard import TableShard
-from bamboospring.blackboard import Target
-from bamboospring.blackboard import TermStart
-from bamboospring.blackboard import Vm
-from bamboospring.events import group_changed
-from bamboospring.events import table_changed
-from bamboospring.events import vms_changed
-from bamboospring.http_codec import HttpAnswer
-from bamboospring.http_codec import HttpClient
-from bamboospring.http_codec import HttpLost
+from bamboospring.fact_store import FactStore
+from bamboospring.group_sync import GroupSync
+from bamboospring import logs
+from bamboospring.membership import Membership
+from bamboospring.peer_sync import PeerSync
+from bamboospring.peers import Peers
+from bamboospring.platform_client import PlatformClient
+from bamboospring.platform_watch import PlatformWatch
 from bamboospring.reactor import Reactor
 from bamboospring.rendezvous import Placement
+from bamboospring.settings import Timing
 
-__all__ = ["Facts", "decode_group", "decode_shard", "decode_vm"]
-
-POLL_INTERVAL = 0.5
-TIMEOUT = 2.0
+__all__ = ["Facts"]
 
 
 class Facts(BaseComponent):
-    """Poll the platform's lists."""
+    """Read, spread and repair shared facts.
+
+    `seeds` are peers' addresses to ask while the platform has not told which
+    VMs there are, as when this VM is restarted during an outage.
+    """
 
     channel = "*"
 
@@ -44,109 +46,142 @@
         reactor: Reactor,
         board: Blackboard,
         placement: Placement,
-        platform: str,
+        peers: Peers,
+        platform: PlatformClient,
+        membership: Membership,
+        timing: Timing,
+        seeds: Sequence[str] = (),
+        chance: Callable[[], float] = random.random,
     ) -> None:
         super().__init__()
         self._reactor = reactor
         self._board = board
-        self._placement = placement
-        self._client = HttpClient(reactor=reactor, address=platform)
+        self._seeds = tuple(seeds)
+        self._interval = timing.repair_ms / 1000
+        self._asked: set[str] = set()
+        self._answered: set[str] = set()
+        self._silent: set[str] = set()
+        self._table_read = False
+        board.starting = True
+        self.store = FactStore(
+            board=board,
+            placement=placement,
+            fire=self.fire,
+            now=reactor.now,
+        )
+        self.groups = GroupSync(
+            reactor=reactor,
+            board=board,
+            placement=placement,
+            peers=peers,
+            platform=platform,
+            store=self.store,
+            chance=chance,
+        )
+        self.sync = PeerSync(
+            reactor=reactor,
+            board=board,
+            peers=peers,
+            store=self.store,
+            membership=membership,
+            interval=self._interval,
+            chance=chance,
+        )
+        self.watch = PlatformWatch(
+            reactor=reactor,
+            board=board,
+            placement=placement,
+            platform=platform,
+            store=self.store,
+            on_groups=self.groups.take_objects,
+            vm_list_interval=timing.vm_list_ms / 1000,
+            wait_ms=timing.watch_ms,
+            chance=chance,
+        )
+
+    @property
+    def ready(self) -> bool:
+        """Say whether what is in force here can be worked with.
+
+        The table must have been read from the platform, or, in an outage,
+        from every neighbour that answers: the newest of several copies is
+        not older than what was in force here before a restart, while a
+        single one may come from a peer that has just been frozen.
+        """
+        return not self._board.starting
+
+    def publish(self, record: GroupRecord) -> None:
+        """Take and spread a group record that this VM has just stored."""
+        self.groups.publish(record)
 
     @handler("started")
     def _on_started(self, *_args: Any) -> None:
-        self._poll("/vms", "vms", self._take_vms)
-        self._poll("/objects/group", "group", self._take_groups)
-        self._poll("/objects/table", "table", self._take_table)
+        self.watch.table.on_listed.append(self._on_table_listed)
+        self.watch.start()
+        self.sync.start()
+        self.groups.start()
+        self._prepare()
+
+    @handler("vms_changed")
+    def _on_vms_changed(self) -> None:
+        self.watch.follow_placement()
+        self.groups.follow_placement()
+        if self._board.starting:
+            self._ask_neighbours()
 
     @handler("group_doubted")
     def _on_group_doubted(self, name: str) -> None:
-        self._get("/objects/group", "group", self._take_groups)
+        self.groups.read(name)
 
-    def _poll(
-        self, path: str, purpose: str, take: Callable[[Any], None]
-    ) -> None:
-        self._get(path, purpose, take)
-        self._reactor.call_later(
-            POLL_INTERVAL, lambda: self._poll(path, purpose, take)
-        )
-
-    def _get(
-        self, path: str, purpose: str, take: Callable[[Any], None]
-    ) -> None:
-        def answered(answer: HttpAnswer | HttpLost) -> None:
-            if isinstance(answer, HttpAnswer) and answer.status == 200:
-                take(orjson.loads(answer.body))
+    # Getting ready.
 
-        headers = f"X-Purpose: {purpose}\r\n"
-        self._client.request("GET", path, b"", TIMEOUT, answered, headers)
-
-    def _take_vms(self, body: Any) -> None:
-        if body["revision"] <= self._board.vms_revision:
+    def _prepare(self) -> None:
+        """Ask again and again until there is enough to begin with."""
+        self._judge_ready()
+        if self.ready:
+            return
+        if not self._board.vms:
+            for address in self._seeds:
+                self.sync.compare_with(address)
+        self._ask_neighbours()
+        self._reactor.call_later(self._interval / 4, self._prepare)
+
+    def _on_table_listed(self, done: bool) -> None:
+        self._table_read = self._table_read or done
+        if not done and self._board.starting:
+            self.watch.table.on_listed.append(self._on_table_listed)
+            self._reactor.call_later(self._interval, self.watch.table.check)
+        self._judge_ready()
+
+    def _ask_neighbours(self) -> None:
+        for vm in self.sync.neighbours():
+            if vm.name not in self._asked | self._answered:
+                self._asked.add(vm.name)
+                self._ask_neighbour(vm.name, vm.address)
+
+    def _ask_neighbour(self, name: str, address: str) -> None:
+        def done(answered: bool) -> None:
+            self._asked.discard(name)
+            (self._answered if answered else self._silent).add(name)
+            self._judge_ready()
+
+        self.sync.compare_with(address, name, done)
+
+    def _judge_ready(self) -> None:
+        if self.ready or not self._board.vms:
             return
-        vms = [decode_vm(raw) for raw in body["vms"]]
-        self._board.vms_revision = body["revision"]
-        self._board.vms_seen_at = self._reactor.now()
-        self._board.vms = {vm.name: vm for vm in vms}
-        self._placement.set_vms(vms)
-        self.fire(vms_changed())
-
-    def _take_groups(self, body: Any) -> None:
-        for raw in body["objects"]:
-            record = decode_group(raw)
-            group = self._board.groups.get(record.name)
-            if group is None:
-                self._board.groups[record.name] = Group(record=record)
-            elif record.version > group.record.version:
-                group.record = record
-            else:
-                continue
-            self.fire(group_changed(record.name))
-
-    def _take_table(self, body: Any) -> None:
-        for raw in body["objects"]:
-            shard = decode_shard(raw)
-            known = self._board.table.get(shard.shard)
-            if known is None or shard.version > known.version:
-                self._board.table[shard.shard] = shard
-                self.fire(table_changed(shard.shard))
-
-
-def decode_vm(raw: Any) -> Vm:
-    """Read a VM as the platform lists it."""
-    return Vm(
-        name=raw["name"],
-        address=raw["address"],
-        availability_zone=raw["availability_zone"],
-        region=raw.get("region", ""),
-        liveness=Liveness(raw.get("state", "live")),
-    )
-
-
-def decode_group(raw: Any) -> GroupRecord:
-    """Read a group's object."""
-    value = raw["value"]
-    return GroupRecord(
-        name=raw["name"],
-        targets=tuple(Target(**item) for item in value["targets"]),
-        term=value.get("term", 0),
-        primary=value.get("primary") or "",
-        starts=tuple(TermStart(**item) for item in value.get("starts", [])),
-        version=raw["version"],
-    )
-
-
-def decode_shard(raw: Any) -> TableShard:
-    """Read a shard of the table."""
-    rows = {
-        name: TableRow(
-            **{
-                "group": name,
-                **row,
-                "leaving_targets": tuple(row.get("leaving_targets", ())),
-            }
+        if not (self._table_read or self._has_copies()):
+            return
+        self._board.starting = False
+        logs.log_event(
+            "facts_ready",
+            table_from="platform" if self._table_read else "peers",
+            vms=len(self._board.vms),
         )
-        for name, row in raw["value"].get("rows", {}).items()
-    }
-    return TableShard(
-        shard=int(raw["name"]), version=raw["version"], rows=rows
-    )
+
+    def _has_copies(self) -> bool:
+        """Say whether each neighbour was asked and what is new is here."""
+        names = {vm.name for vm in self.sync.neighbours()}
+        tried = self._answered | self._silent
+        answered = names & self._answered
+        return bool(answered) and names <= tried and self.sync.idle
--- a/bamboospring/holder.py
+++ b/bamboospring/holder.py
@@ -103,8 +103,8 @@
     def run(self, stmt: Statement, done: OnOutcome) -> None:
         """Run a statement and call back once with what became of it."""
         group = self._board.groups.get(stmt.group)
-        if group is None:
-            done(NotRun(reason=Reason.UNKNOWN_GROUP))
+        if group is None or self._board.starting:
+            done(self._without_record(stmt.group))
             return
         match stmt.step:
             case Step.AUTOCOMMIT if not stmt.write:
@@ -114,6 +114,14 @@
             case _:
                 self._in_transaction(stmt, done)
 
+    def _without_record(self, group: str) -> NotRun:
+        """Refuse while the group's record is unknown or still to come."""
+        if self._board.starting or self._board.knows_group(group):
+            return NotRun(
+                reason=Reason.NOT_HOLDER, retry_after_ms=RETRY_SOON_MS
+            )
+        return NotRun(reason=Reason.UNKNOWN_GROUP)
+
     def _holds(self, group: str) -> bool:
         holders = self._placement.holders(group)
         return any(vm.name == self._board.me.name for vm in holders)
--- /dev/null
+++ b/bamboospring/peer_sync.py
@@ -0,0 +1,291 @@
+"""Spread the table and the list of VMs from peer to peer.
+
+Each VM compares versions with a few neighbours: at once when it has taken a
+newer fact (an announcement), and every few seconds in any case (the repair).
+Whoever learns of a higher version asks for it. An edit so crosses the fleet
+in a few hops, each VM receives it about once, and a lost message costs one
+repair interval, not the edit.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+import random
+from typing import Any
+
+import orjson
+
+from bamboospring.blackboard import Blackboard
+from bamboospring.blackboard import Vm
+from bamboospring.fact_store import FactStore
+from bamboospring.membership import Membership
+from bamboospring.peers import envelope
+from bamboospring.peers import PeerLost
+from bamboospring.peers import Peers
+from bamboospring.peers import Reply
+from bamboospring.reactor import Reactor
+from bamboospring.reactor import Timer
+from bamboospring.records import encode_shard
+from bamboospring.records import encode_vm
+from bamboospring.rendezvous import choose_neighbours
+from bamboospring.spread import lacking
+from bamboospring.spread import Versions
+from bamboospring.spread import versions_of
+
+__all__ = ["PeerSync"]
+
+ASK_TIMEOUT = 1.0
+# Several shards are often edited together; one announcement then tells all.
+ANNOUNCE_DELAY = 0.01
+# A VM that compares versions with us is told of news too, until it has been
+# quiet for this many intervals.
+FORGET_AFTER = 3
+VMS = "vms"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Offer:
+    """A version of a fact that some VM has."""
+
+    address: str
+    version: int
+
+
+@dataclass(slots=True, kw_only=True)
+class _Fetch:
+    """A fact being asked for, and who else has offered it."""
+
+    offers: dict[str, _Offer] = field(default_factory=dict)
+
+
+class PeerSync:
+    """Compare versions with neighbours and fetch what they have newer."""
+
+    def __init__(
+        self,
+        *,
+        reactor: Reactor,
+        board: Blackboard,
+        peers: Peers,
+        store: FactStore,
+        membership: Membership,
+        interval: float,
+        chance: Callable[[], float] = random.random,
+    ) -> None:
+        self._reactor = reactor
+        self._board = board
+        self._peers = peers
+        self._store = store
+        self._membership = membership
+        self._interval = interval
+        self._chance = chance
+        self._neighbours: tuple[Vm, ...] = ()
+        self._neighbours_of = -1
+        self._callers: dict[str, float] = {}
+        self._fetches: dict[int | str, _Fetch] = {}
+        self._announcing: Timer | None = None
+        store.on_change.append(self.announce)
+        peers.handle("heartbeat", self._on_heartbeat)
+        peers.handle("tableWant", self._on_table_want)
+        peers.handle("vmList", self._on_vm_list)
+
+    @property
+    def idle(self) -> bool:
+        """Say whether nothing newer is being fetched."""
+        return not self._fetches
+
+    def start(self) -> None:
+        """Compare now, then at each interval."""
+        self.compare()
+        wait = self._interval * (0.75 + self._chance() / 2)
+        self._reactor.call_later(wait, self._tick)
+
+    def compare(self) -> None:
+        """Ask each neighbour for its versions."""
+        for vm in self.neighbours():
+            self.compare_with(vm.address, vm.name)
+
+    def compare_with(
+        self,
+        address: str,
+        name: str = "",
+        on_done: Callable[[bool], None] | None = None,
+    ) -> None:
+        """Ask one address for its versions; say whether it answered."""
+
+        def answered(answer: Any) -> None:
+            if isinstance(answer, PeerLost):
+                self._lost(name)
+            else:
+                self._heard(answer.heartbeatAck, address)
+            if on_done is not None:
+                on_done(not isinstance(answer, PeerLost))
+
+        self._peers.ask(address, self._heartbeat(), ASK_TIMEOUT, answered)
+
+    def announce(self) -> None:
+        """Tell neighbours soon that there is something new here."""
+        if self._announcing is None:
+            self._announcing = self._reactor.call_later(
+                ANNOUNCE_DELAY, self._announce_now
+            )
+
+    def neighbours(self) -> tuple[Vm, ...]:
+        """Return the VMs that this one compares versions with."""
+        if self._neighbours_of != self._board.vms_revision:
+            vms = list(self._board.vms.values())
+            self._neighbours = choose_neighbours(self._board.me.name, vms)
+            self._neighbours_of = self._board.vms_revision
+            self._membership.keep_only(self._board.vms)
+        return self._neighbours
+
+    def _tick(self) -> None:
+        self._forget_quiet()
+        self.start()
+
+    def _announce_now(self) -> None:
+        self._announcing = None
+        vms = {vm.name: vm.address for vm in self.neighbours()}
+        for name in self._callers:
+            vm = self._board.vms.get(name)
+            if vm is not None:
+                vms[name] = vm.address
+        for address in vms.values():
+            self._peers.send(address, self._heartbeat())
+
+    def _forget_quiet(self) -> None:
+        oldest = self._reactor.now() - FORGET_AFTER * self._interval
+        for name, heard_at in list(self._callers.items()):
+            if heard_at < oldest:
+                del self._callers[name]
+
+    # Messages.
+
+    def _heartbeat(self) -> Any:
+        message = envelope()
+        self._fill(message.init("heartbeat"))
+        return message
+
+    def _fill(self, out: Any) -> None:
+        versions = versions_of(self._board)
+        out.vm = self._board.me.name
+        out.vmsRevision = versions.vms_revision
+        out.shards = list(versions.shards)
+        out.draining = self._board.draining
+
+    def _on_heartbeat(self, message: Any, reply: Reply) -> None:
+        heartbeat = message.heartbeat
+        name = heartbeat.vm
+        vm = self._board.vms.get(name)
+        if vm is not None and name != self._board.me.name:
+            self._callers[name] = self._reactor.now()
+            self._heard(heartbeat, vm.address)
+        if message.id != 0:
+            answer = envelope()
+            self._fill(answer.init("heartbeatAck"))
+            reply(answer)
+
+    def _heard(self, heartbeat: Any, address: str) -> None:
+        name = heartbeat.vm
+        now = self._reactor.now()
+        self._membership.heard(name, now, draining=heartbeat.draining)
+        theirs = Versions(
+            vms_revision=heartbeat.vmsRevision,
+            shards=tuple(heartbeat.shards),
+        )
+        newer = lacking(versions_of(self._board), theirs)
+        if newer.vms:
+            offer = _Offer(address=address, version=theirs.vms_revision)
+            self._fetch(VMS, name, offer)
+        for shard in newer.shards:
+            offer = _Offer(address=address, version=theirs.shards[shard])
+            self._fetch(shard, name, offer)
+
+    def _lost(self, name: str) -> None:
+        if name:
+            self._membership.lost(name, self._reactor.now())
+
+    # Fetching.
+
+    def _fetch(self, what: int | str, name: str, offer: _Offer) -> None:
+        """Ask for a fact, one VM at a time; others who have it wait."""
+        running = self._fetches.get(what)
+        if running is not None:
+            running.offers[name] = offer
+            return
+        self._fetches[what] = _Fetch()
+        self._ask_for(what, offer.address)
+
+    def _ask_for(self, what: int | str, address: str) -> None:
+        def answered(answer: Any) -> None:
+            if not isinstance(answer, PeerLost):
+                self._take(answer)
+            self._fetch_next(what)
+
+        message = self._want(what)
+        self._peers.ask(address, message, ASK_TIMEOUT, answered)
+
+    def _fetch_next(self, what: int | str) -> None:
+        """Turn to another offer if it is still newer than what we have.
+
+        The VM asked first may have gone, or have had an older version.
+        """
+        fetch = self._fetches.pop(what)
+        mine = self._version(what)
+        while fetch.offers:
+            name = next(iter(fetch.offers))
+            offer = fetch.offers.pop(name)
+            if offer.version > mine:
+                self._fetches[what] = fetch
+                self._ask_for(what, offer.address)
+                return
+
+    def _version(self, what: int | str) -> int:
+        versions = versions_of(self._board)
+        if isinstance(what, int):
+            return versions.shards[what]
+        return versions.vms_revision
+
+    def _want(self, what: int | str) -> Any:
+        message = envelope()
+        if isinstance(what, int):
+            want = message.init("tableWant")
+            want.shard = what
+            want.version = self._version(what)
+        else:
+            message.init("vmList").revision = self._version(what)
+        return message
+
+    def _take(self, answer: Any) -> None:
+        match answer.which():
+            case "tableDelta" if answer.tableDelta.rows:
+                delta = answer.tableDelta
+                value = orjson.loads(delta.rows)
+                self._store.take_shard_value(
+                    str(delta.shard), delta.version, value
+                )
+            case "vmList" if answer.vmList.vms:
+                vms = orjson.loads(answer.vmList.vms)
+                self._store.take_vms(answer.vmList.revision, vms)
+
+    def _on_table_want(self, message: Any, reply: Reply) -> None:
+        want = message.tableWant
+        answer = envelope()
+        delta = answer.init("tableDelta")
+        delta.shard = want.shard
+        shard = self._board.table.get(want.shard)
+        if shard is not None and shard.version > want.version:
+            delta.version = shard.version
+            delta.rows = orjson.dumps(encode_shard(shard))
+        reply(answer)
+
+    def _on_vm_list(self, message: Any, reply: Reply) -> None:
+        answer = envelope()
+        out = answer.init("vmList")
+        if self._board.vms_revision > message.vmList.revision:
+            out.revision = self._board.vms_revision
+            vms = [encode_vm(vm) for vm in self._board.vms.values()]
+            out.vms = orjson.dumps(vms)
+        reply(answer)
--- a/bamboospring/server.py
+++ b/bamboospring/server.py
@@ -10,7 +10,9 @@
 from bamboospring.facts import Facts
 from bamboospring.holder import Holder
 from bamboospring import logs
+from bamboospring.membership import Membership
 from bamboospring.peers import Peers
+from bamboospring.platform_client import PlatformClient
 from bamboospring.pool import Pools
 from bamboospring.reactor import Reactor
 from bamboospring.rendezvous import Placement
@@ -42,6 +44,10 @@
         self.peers = Peers(
             reactor=self.reactor, vm=cfg.vm, listen=cfg.peers.listen
         )
+        self.platform = PlatformClient(
+            reactor=self.reactor, address=cfg.platform.address
+        )
+        self.membership = Membership()
         self.pools = Pools(reactor=self.reactor, vm=cfg.vm)
         self.watcher = Watcher(
             reactor=self.reactor, board=self.board, placement=self.placement
@@ -70,11 +76,15 @@
             ),
             listen=cfg.callers.listen,
         ).register(self)
-        Facts(
+        self.facts = Facts(
             reactor=self.reactor,
             board=self.board,
             placement=self.placement,
-            platform=cfg.platform.address,
+            peers=self.peers,
+            platform=self.platform,
+            membership=self.membership,
+            timing=cfg.timing,
+            seeds=cfg.peers.seeds,
         ).register(self)
 
 
--- a/bamboospring/settings.py
+++ b/bamboospring/settings.py
@@ -178,6 +178,13 @@
 class Peers(_Listener):
     """Where the system's other VMs connect; callers never do."""
 
+    seeds: list[Address] = Field(
+        default_factory=list,
+        max_length=16,
+        description="Peers' addresses to ask which VMs there are when the "
+        "platform does not answer at the start.",
+    )
+
     @model_validator(mode="after")
     def _authenticates(self) -> "Peers":
         if self.tls is not None and not self.tls.authority:
--- a/bamboospring/wire.capnp
+++ b/bamboospring/wire.capnp
@@ -79,8 +79,8 @@
 }
 
 struct GroupFact {
-  record @0 :Data;            # JSON of the platform's group object
-  version @1 :UInt64;
+  record @0 :Data;            # JSON: a question, its answer, or news; group_sync
+  version @1 :UInt64;         # unused
 }
 
 struct TableDelta {
