--- a/bamboospring/table_html.py
+++ b/bamboospring/table_html.py
@@ -50,14 +50,14 @@
   return cells;
 }
 function describe(report) {
-  const lines = [report.verdict + (report.message ? ": " + report.message : "")];
+  const lines = [report.verdict + " " + report.message];
   for (const error of report.errors || []) {
     lines.push(error.group + ", " + error.column + ": " + error.message);
   }
   for (const conflict of report.conflicts || []) {
     lines.push(conflict.group + " is now at version " + conflict.current);
     for (const change of conflict.changes) {
-      lines.push("  " + change.at + " " + change.author + " " + change.comment);
+      lines.push("  " + [change.at, change.author, change.comment].join(" "));
     }
     lines.push("  now: " + JSON.stringify(conflict.row));
   }
