--- a/bamboospring/commands.py
+++ b/bamboospring/commands.py
@@ -70,6 +70,9 @@
     seconds: Annotated[
         float, typer.Option(help="How long callers work.", min=1)
     ] = 10.0,
+    callers: Annotated[
+        int, typer.Option(help="How many work at once.", min=1, max=200)
+    ] = 24,
     as_json: Json = False,
 ) -> None:
     """Start a fleet on this machine, run real work through it, report.
@@ -79,7 +82,10 @@
     left running. Ends with 0 if every answer was right and the books balance.
     """
     run = import_module("bamboospring.demo").run
-    raise typer.Exit(run(scenario=scenario, seconds=seconds, as_json=as_json))
+    code = run(
+        scenario=scenario, seconds=seconds, callers=callers, as_json=as_json
+    )
+    raise typer.Exit(code)
 
 
 def check(
--- a/bamboospring/demo.py
+++ b/bamboospring/demo.py
@@ -24,8 +24,9 @@
 from bamboospring.testing.job_runner import JobRunner
 from bamboospring.testing.job_runner import Tally
 
-__all__ = ["Finding", "check_books", "run_demo", "run_jobs"]
+__all__ = ["Finding", "check_books", "run", "run_jobs"]
 
+USAGE_ERROR = 2
 FINISH_SECONDS = 15.0
 CATCH_UP_SECONDS = 15.0
 KEYS_IN_ONE_QUERY = 400
@@ -46,7 +47,7 @@
         return self.wanted == self.found
 
 
-def run_demo(
+def run(
     *,
     scenario: str = "carpatica",
     seconds: float = 10.0,
@@ -57,7 +58,11 @@
 
     `seconds` is for how long new jobs are started; begun ones are finished.
     """
-    chosen = SCENARIOS[scenario]
+    chosen = SCENARIOS.get(scenario)
+    if chosen is None:
+        known = ", ".join(SCENARIOS)
+        print(f"no scenario {scenario!r}; there are: {known}")
+        return USAGE_ERROR
     _say(as_json, f"starting {_sizes(chosen)}")
     with Fleet(estate=chosen.estate) as fleet:
         fleet.wait_serving()
