--- a/bamboospring/entry.py
+++ b/bamboospring/entry.py
@@ -154,7 +154,7 @@
         )
 
         def done(outcome: Outcome) -> None:
-            respond(self._respond(session, req.group, outcome))
+            respond(self._respond(session, stmt, outcome))
 
         self._forward(stmt, done)
 
@@ -199,13 +199,19 @@
     # Back to the caller.
 
     def _respond(
-        self, session: Session, group: str, outcome: Outcome
+        self, session: Session, stmt: Statement, outcome: Outcome
     ) -> Response:
-        if isinstance(outcome, Done):
+        if isinstance(outcome, Done) and _wrote(stmt):
             position = Position(term=outcome.term, index=outcome.index)
-            session = session.moved(group, position)
+            session = session.moved(stmt.group, position)
         token = self._codec.encode(session)
-        return _encode(group, outcome, token)
+        return _encode(stmt.group, outcome, token)
+
+
+def _wrote(stmt: Statement) -> bool:
+    if stmt.step is Step.AUTOCOMMIT:
+        return stmt.write
+    return stmt.step is Step.COMMIT
 
 
 def _lost(stmt: Statement, lost: PeerLost) -> Outcome:
--- a/bamboospring/tokens.py
+++ b/bamboospring/tokens.py
@@ -17,7 +17,7 @@
 
 import base64
 import binascii
-from collections.abc import Mapping
+from collections.abc import Sequence
 from dataclasses import dataclass
 from dataclasses import field
 import hmac
@@ -32,6 +32,7 @@
     "MAX_GROUPS",
     "Session",
     "TokenCodec",
+    "TokenKey",
     "TransactionHandle",
 ]
 
@@ -47,6 +48,14 @@
 TRANSACTION = "t1"
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TokenKey:
+    """A signing key with the id that tokens name it by."""
+
+    id: str
+    secret: bytes
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Session:
     """A caller's session: its newest acknowledged write in each group."""
@@ -101,11 +110,11 @@
 class TokenCodec:
     """Signs and verifies with the fleet's keys; the first one signs."""
 
-    def __init__(self, keys: Mapping[str, bytes]) -> None:
+    def __init__(self, *, keys: Sequence[TokenKey]) -> None:
         if not keys:
             raise ValueError("at least one token key is needed")
-        self._keys = dict(keys)
-        self._signer = next(iter(self._keys))
+        self._signer = keys[0]
+        self._keys = {key.id: key for key in keys}
 
     def encode(self, session: Session) -> str:
         """Return the token of a session."""
@@ -152,8 +161,9 @@
         )
 
     def _sign(self, fields: list[Any]) -> str:
-        body = orjson.dumps([self._signer, *fields])
-        return _to_text(body + _mac(self._keys[self._signer], body))
+        key = self._signer
+        body = orjson.dumps([key.id, *fields])
+        return _to_text(body + _mac(key, body))
 
     def _verify(self, text: str, kind: str) -> list[Any] | BadToken:
         if len(text) > MAX_TOKEN:
@@ -163,18 +173,18 @@
         except (ValueError, binascii.Error):
             return BadToken(message="not a token")
         body, mac = raw[:-MAC_BYTES], raw[-MAC_BYTES:]
-        secret = self._secret_of(body)
-        if secret is None:
+        key = self._key_of(body)
+        if key is None:
             return BadToken(message="signed with a key not known here")
         # What is inside is trusted only after this line.
-        if not hmac.compare_digest(_mac(secret, body), mac):
+        if not hmac.compare_digest(_mac(key, body), mac):
             return BadToken(message="wrong signature")
         fields = orjson.loads(body)
         if fields[1] != kind:
             return BadToken(message="not meant for this use")
         return list(fields[2:])
 
-    def _secret_of(self, body: bytes) -> bytes | None:
+    def _key_of(self, body: bytes) -> TokenKey | None:
         try:
             fields = orjson.loads(body)
         except orjson.JSONDecodeError:
@@ -185,8 +195,8 @@
         return self._keys.get(name) if isinstance(name, str) else None
 
 
-def _mac(secret: bytes, body: bytes) -> bytes:
-    return hmac.digest(secret, body, "sha256")[:MAC_BYTES]
+def _mac(key: TokenKey, body: bytes) -> bytes:
+    return hmac.digest(key.secret, body, "sha256")[:MAC_BYTES]
 
 
 def _to_text(raw: bytes) -> str:
