--- /dev/null
+++ b/bamboospring/forwarding.py
@@ -0,0 +1,233 @@
+"""Take a statement from the entry to a holder of its group.
+
+An entry only picks a holder. It tries another one where the first surely ran
+nothing, and for reads also where the answer was lost.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import itertools
+from typing import Any
+
+from bamboospring.blackboard import Blackboard
+from bamboospring.blackboard import Liveness
+from bamboospring.blackboard import Vm
+from bamboospring.holder import Holder
+from bamboospring.outcomes import NotRun
+from bamboospring.outcomes import Outcome
+from bamboospring.outcomes import Reason
+from bamboospring.outcomes import Unknown
+from bamboospring.peers import PeerLost
+from bamboospring.peers import Peers
+from bamboospring.reactor import Reactor
+from bamboospring.rendezvous import Placement
+from bamboospring.statements import Statement
+from bamboospring.statements import Step
+from bamboospring.tokens import BadToken
+from bamboospring.tokens import TokenCodec
+from bamboospring.wire import decode_outcome
+from bamboospring.wire import encode_statement
+
+__all__ = ["Forwarder", "order_holders"]
+
+RETRY_SOON_MS = 100
+# The holder's own final answer comes at the deadline; the entry gives it this
+# much longer, in seconds, to arrive.
+ANSWER_GRACE = 0.2
+# A holder that has just been lost is asked last for this many seconds: the
+# platform's list names the dead for a while.
+DOUBT_SECONDS = 2.0
+MAX_TRIES = 3
+# Said by a holder that took nothing on. Another one may.
+ELSEWHERE = frozenset(
+    {
+        Reason.DRAINING,
+        Reason.NOT_HOLDER,
+        Reason.UNKNOWN_GROUP,
+    }
+)
+
+OnOutcome = Callable[[Outcome], None]
+
+
+def order_holders(
+    holders: tuple[Vm, ...],
+    *,
+    me: str,
+    doubted: frozenset[str],
+    turn: int,
+) -> list[Vm]:
+    """Return the holders in the order in which to ask them.
+
+    This VM first if it is one, since that saves the way; the others take
+    turns. Leaving and doubted ones come last, not never: the list may be
+    old and the doubt wrong.
+    """
+    count = len(holders)
+    turned = [holders[(turn + i) % count] for i in range(count)]
+    return sorted(
+        turned,
+        key=lambda vm: (
+            vm.name in doubted,
+            vm.liveness is not Liveness.LIVE,
+            vm.name != me,
+        ),
+    )
+
+
+class Forwarder:
+    """Forwards statements and tells what became of them."""
+
+    def __init__(
+        self,
+        *,
+        reactor: Reactor,
+        board: Blackboard,
+        placement: Placement,
+        peers: Peers,
+        holder: Holder,
+        codec: TokenCodec,
+        may_retry: Callable[[], bool],
+    ) -> None:
+        self._reactor = reactor
+        self._board = board
+        self._placement = placement
+        self._peers = peers
+        self._holder = holder
+        self._codec = codec
+        self._may_retry = may_retry
+        self._turn = itertools.count()
+        self._doubted: dict[str, float] = {}
+
+    def forward(self, stmt: Statement, done: OnOutcome) -> None:
+        """Have a statement run and call back once."""
+        if stmt.step in (Step.STATEMENT, Step.COMMIT, Step.ROLLBACK):
+            self._forward_step(stmt, done)
+            return
+        holders = self._placement.holders(stmt.group)
+        order = order_holders(
+            holders,
+            me=self._board.me.name,
+            doubted=self._in_doubt(),
+            turn=next(self._turn),
+        )
+        self._try(stmt, order[:MAX_TRIES], done)
+
+    # New work: any holder will do.
+
+    def _try(
+        self, stmt: Statement, holders: list[Vm], done: OnOutcome
+    ) -> None:
+        if not holders:
+            done(_no_holder())
+            return
+        first, *others = holders
+
+        def answered(answer: Outcome | PeerLost) -> None:
+            if isinstance(answer, PeerLost):
+                self._doubt(first)
+                outcome = _lost(stmt, answer)
+                again = not answer.sent or _harmless(stmt)
+            else:
+                outcome = answer
+                again = (
+                    isinstance(answer, NotRun) and answer.reason in ELSEWHERE
+                )
+            left = stmt.deadline - self._reactor.now()
+            if again and others and left > 0 and self._may_retry():
+                self._try(stmt, others, done)
+            else:
+                done(outcome)
+
+        self._ask(first, stmt, answered)
+
+    # A step of a transaction: only the one that has it.
+
+    def _forward_step(self, stmt: Statement, done: OnOutcome) -> None:
+        handle = self._codec.decode_transaction(stmt.transaction)
+        if isinstance(handle, BadToken):
+            done(NotRun(reason=Reason.NO_TRANSACTION, message=handle.message))
+            return
+        vm = self._board.vms.get(handle.vm)
+        if vm is None:
+            done(_lost(stmt, PeerLost(sent=False)))
+            return
+
+        def answered(answer: Outcome | PeerLost) -> None:
+            if isinstance(answer, PeerLost):
+                done(_lost(stmt, answer))
+            else:
+                done(answer)
+
+        self._ask(vm, stmt, answered)
+
+    def _ask(
+        self,
+        vm: Vm,
+        stmt: Statement,
+        on_answer: Callable[[Outcome | PeerLost], None],
+    ) -> None:
+        if vm.name == self._board.me.name:
+            self._holder.run(stmt, on_answer)
+            return
+        now = self._reactor.now()
+
+        def answered(answer: Any) -> None:
+            if not isinstance(answer, PeerLost):
+                answer = decode_outcome(answer)
+            on_answer(answer)
+
+        timeout = max(0.0, stmt.deadline - now) + ANSWER_GRACE
+        self._peers.ask(
+            vm.address, encode_statement(stmt, now), timeout, answered
+        )
+
+    def _doubt(self, vm: Vm) -> None:
+        self._doubted[vm.name] = self._reactor.now() + DOUBT_SECONDS
+
+    def _in_doubt(self) -> frozenset[str]:
+        if not self._doubted:
+            return frozenset()
+        now = self._reactor.now()
+        self._doubted = {
+            name: until for name, until in self._doubted.items() if until > now
+        }
+        return frozenset(self._doubted)
+
+
+def _harmless(stmt: Statement) -> bool:
+    """Tell whether running a statement twice is as good as once.
+
+    A BEGIN whose answer was lost leaves a transaction whose handle nobody
+    has: it can only be rolled back.
+    """
+    return stmt.step is Step.BEGIN or not stmt.write
+
+
+def _no_holder() -> NotRun:
+    return NotRun(reason=Reason.NO_HOLDER, retry_after_ms=RETRY_SOON_MS)
+
+
+def _lost(stmt: Statement, lost: PeerLost) -> Outcome:
+    """Say what is known when the holder's answer did not come."""
+    match stmt.step:
+        case Step.STATEMENT | Step.ROLLBACK:
+            # The caller still has the old handle. With that one nothing of
+            # the transaction can be committed any more.
+            return NotRun(
+                reason=Reason.TRANSACTION_LOST, retry_after_ms=RETRY_SOON_MS
+            )
+        case Step.COMMIT:
+            # Also when this try was not sent: an earlier one, sent through
+            # an entry that has died since, may have committed.
+            return Unknown(
+                reason=Reason.TRANSACTION_LOST, retry_after_ms=RETRY_SOON_MS
+            )
+        case Step.BEGIN:
+            return NotRun(
+                reason=Reason.HOLDER_LOST, retry_after_ms=RETRY_SOON_MS
+            )
+    if lost.sent:
+        return Unknown(reason=Reason.HOLDER_LOST, retry_after_ms=RETRY_SOON_MS)
+    return NotRun(reason=Reason.HOLDER_LOST, retry_after_ms=RETRY_SOON_MS)
--- /dev/null
+++ b/bamboospring/responses.py
@@ -0,0 +1,117 @@
+"""What callers get back: outcomes as HTTP responses with JSON bodies."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import orjson
+from pydantic import ValidationError
+
+from bamboospring.http_codec import Response
+from bamboospring.outcomes import Done
+from bamboospring.outcomes import Failed
+from bamboospring.outcomes import NotRun
+from bamboospring.outcomes import Outcome
+from bamboospring.outcomes import Overloaded
+from bamboospring.outcomes import Reason
+from bamboospring.outcomes import Unknown
+
+__all__ = ["bad_request", "encode_outcome", "explain"]
+
+OK = 200
+BAD_REQUEST = 400
+UNPROCESSABLE = 422
+UNAVAILABLE = 503
+TIMED_OUT = 504
+MAX_EXPLAINED = 10
+
+# Refusals that another try of the same request can't help.
+CALLERS_FAULTS = frozenset(
+    {
+        Reason.BAD_REQUEST,
+        Reason.BAD_TOKEN,
+        Reason.KEY_REUSED,
+        Reason.NO_TRANSACTION,
+        Reason.UNKNOWN_GROUP,
+    }
+)
+
+
+def encode_outcome(group: str, outcome: Outcome, token: str) -> Response:
+    """Return the response for a statement's outcome."""
+    status, kind = _status(outcome)
+    body: dict[str, Any] = {
+        "outcome": kind,
+        "group": group,
+        "token": token,
+    }
+    if isinstance(outcome, Done):
+        body |= _result(outcome)
+    else:
+        body["reason"] = outcome.reason.value
+        body["message"] = outcome.message
+    headers: dict[str, str] = {}
+    if isinstance(outcome, NotRun | Overloaded | Unknown):
+        body["retry_after_ms"] = outcome.retry_after_ms
+        if status != BAD_REQUEST:
+            # The header counts whole seconds, rounded up.
+            seconds = -(-outcome.retry_after_ms // 1000)
+            headers["Retry-After"] = str(seconds)
+    return Response(status=status, body=orjson.dumps(body), headers=headers)
+
+
+def bad_request(
+    message: str,
+    reason: Reason = Reason.BAD_REQUEST,
+    status: int = BAD_REQUEST,
+) -> Response:
+    """Return the response to a request that can't be understood."""
+    body = {
+        "outcome": "not_run",
+        "reason": reason.value,
+        "message": message,
+        "retry_after_ms": 0,
+    }
+    return Response(status=status, body=orjson.dumps(body))
+
+
+def explain(exc: ValidationError) -> str:
+    """Say what is wrong where, without repeating what was sent."""
+    parts = []
+    errors = exc.errors(include_url=False, include_input=False)
+    for error in errors[:MAX_EXPLAINED]:
+        place = ".".join(str(part) for part in error["loc"])
+        parts.append(f"{place}: {error['msg']}" if place else error["msg"])
+    if len(errors) > MAX_EXPLAINED:
+        parts.append(f"and {len(errors) - MAX_EXPLAINED} more")
+    return "; ".join(parts)
+
+
+def _status(outcome: Outcome) -> tuple[int, str]:
+    match outcome:
+        case Done():
+            return OK, "done"
+        case Failed():
+            return UNPROCESSABLE, "failed"
+        case NotRun(reason=reason) if reason in CALLERS_FAULTS:
+            return BAD_REQUEST, "not_run"
+        case NotRun():
+            return UNAVAILABLE, "not_run"
+        case Overloaded():
+            return UNAVAILABLE, "overloaded"
+        case Unknown():
+            return TIMED_OUT, "unknown"
+
+
+def _result(outcome: Done) -> dict[str, Any]:
+    return {
+        "term": outcome.term,
+        "index": outcome.index,
+        "target": outcome.target,
+        "columns": outcome.columns,
+        "rows": outcome.rows,
+        "rowcount": outcome.rowcount,
+        "replayed": outcome.replayed,
+        "at_replica": outcome.at_replica,
+        "transaction": outcome.transaction or None,
+    }
--- a/bamboospring/server.py
+++ b/bamboospring/server.py
@@ -46,12 +46,19 @@
         self.watcher = Watcher(
             reactor=self.reactor, board=self.board, placement=self.placement
         ).register(self)
+        codec = TokenCodec(
+            keys=[
+                TokenKey(id=key.id, secret=key.secret.encode())
+                for key in cfg.token_keys
+            ]
+        )
         self.holder = Holder(
             reactor=self.reactor,
             board=self.board,
             placement=self.placement,
             pools=self.pools,
             watcher=self.watcher,
+            codec=codec,
         ).register(self)
         StatementServer(
             reactor=self.reactor, peers=self.peers, holder=self.holder
@@ -62,12 +69,7 @@
             placement=self.placement,
             peers=self.peers,
             holder=self.holder,
-            codec=TokenCodec(
-                keys=[
-                    TokenKey(id=key.id, secret=key.secret.encode())
-                    for key in cfg.token_keys
-                ]
-            ),
+            codec=codec,
             listen=cfg.callers.listen,
         ).register(self)
         Facts(
--- a/bamboospring/target_api.py
+++ b/bamboospring/target_api.py
@@ -47,6 +47,7 @@
     """A target's answer to one statement."""
 
     id: int
+    target: str
     term: int
     role: Role
     received: int
@@ -87,6 +88,7 @@
         raw = orjson.loads(body)
         return TargetAnswer(
             id=raw["id"],
+            target=raw["target"],
             term=raw["term"],
             role=Role(raw["role"]),
             received=raw["received"],
--- a/bamboospring/testing/job_runner.py
+++ b/bamboospring/testing/job_runner.py
@@ -125,8 +125,8 @@
                 self._caller.statement(job.group, handle, sql.text, sql.params)
             )
             if not answer.done:
-                self._caller.rollback(job.group, handle)
                 return answer
+            handle = answer.transaction
         return self._count_write(
             self._caller.commit(job.group, handle, key=step.key)
         )
--- a/bamboospring/tokens.py
+++ b/bamboospring/tokens.py
@@ -88,16 +88,18 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class TransactionHandle:
-    """Where an open transaction lives.
+    """Where an open transaction lives, and how far it has come.
 
     `number` is drawn at random by the holder, so that a holder that was
-    restarted never takes an old handle for one of its own.
+    restarted never takes an old handle for one of its own. `step` counts the
+    answers given: whoever comes with an older one has missed an answer.
     """
 
     vm: str
     group: str
     caller: str
     number: int
+    step: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -147,6 +149,7 @@
                 handle.group,
                 handle.caller,
                 handle.number,
+                handle.step,
             ]
         )
 
@@ -155,9 +158,9 @@
         fields = self._verify(text, TRANSACTION)
         if isinstance(fields, BadToken):
             return fields
-        vm, group, caller, number = fields
+        vm, group, caller, number, step = fields
         return TransactionHandle(
-            vm=vm, group=group, caller=caller, number=number
+            vm=vm, group=group, caller=caller, number=number, step=step
         )
 
     def _sign(self, fields: list[Any]) -> str:
