Check the member's file in the states that a kill could leave

The kill scenario passed with the log entry committed after the data: one kill seldom hits the window. The file is now also read 500 times while it is written.

--- a/features/steps/target_steps.py
+++ b/features/steps/target_steps.py
@@ -8,6 +8,7 @@
 import os
 from pathlib import Path
 import signal
+import sqlite3
 import subprocess
 import sys
 import tempfile
@@ -163,10 +164,27 @@
     thread = threading.Thread(target=load)
     thread.start()
     wait_until(lambda: len(context.answered) > 100)
+    check_file_while_written(context.a1.root / "a1" / "target.sqlite")
     context.a1.kill()
     thread.join()
 
 
+def check_file_while_written(path: Path) -> None:
+    """Check many of the states that a kill could leave behind.
+
+    One kill hits the short time between two commits too seldom, so the file
+    is read as another process would find it after a kill.
+    """
+    conn = sqlite3.connect(path, timeout=5)
+    for _ in range(500):
+        indexes, rows = conn.execute(
+            "SELECT (SELECT MAX(idx) FROM target_log), "
+            "(SELECT COUNT(*) FROM moves)"
+        ).fetchone()
+        assert indexes == rows + 1, (indexes, rows)
+    conn.close()
+
+
 @when("a1 is started again")
 def start_again(context: Any) -> None:
     context.a1.start()
