--- /dev/null
+++ b/bamboospring/lease.py
@@ -0,0 +1,243 @@
+"""Who leads a bucket of groups: leases kept in the platform's objects.
+
+A lease is an object that names its holder and changes version with each
+renewal. No clocks are compared. The holder counts the life of its lease from
+before the renewal was sent; anybody else counts from when the answer that
+showed the version came in, which is later. So another VM can take the lease
+only after the holder has stopped, whatever their clocks say, as long as they
+run at nearly the same rate; the margin is for that difference.
+
+A holder that was paused may wake after its lease has lapsed. It asks
+`holds(now)` before each order; what was already sent is stopped by the terms
+that targets refuse.
+
+    keeper = LeaseKeeper(bucket=3, vm="vm-1", nonce="a7f0", timing=timing)
+    action = keeper.step(now, rank=0)
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from bamboospring.blackboard import Lease
+
+__all__ = [
+    "LeaseAction",
+    "LeaseKeeper",
+    "LeaseTiming",
+    "LeaseValue",
+    "ReadLease",
+    "SeenLease",
+    "WriteLease",
+]
+
+NEVER = -1e9
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LeaseTiming:
+    """Seconds. `stagger` is the head start of each better candidate."""
+
+    duration: float = 3.0
+    renew: float = 1.0
+    margin: float = 0.5
+    stagger: float = 0.3
+    retry: float = 0.2
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LeaseValue:
+    """What the object says; an empty `vm` means that it was given up."""
+
+    vm: str
+    nonce: str
+    duration: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SeenLease:
+    """The object as the platform showed it; version 0: there is none."""
+
+    version: int
+    value: LeaseValue
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReadLease:
+    """Read the lease's object."""
+
+    bucket: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WriteLease:
+    """Store the value if the object still has version `if_version`."""
+
+    bucket: int
+    if_version: int
+    value: LeaseValue
+
+
+LeaseAction = ReadLease | WriteLease
+
+
+class LeaseKeeper:
+    """One VM's part in the lease of one bucket.
+
+    The adapter carries out the action that `step` returns and reports back
+    by exactly one of `read`, `stored`, `conflicted` or `unanswered`, with
+    the time at which the call was sent. `nonce` is new with each process, so
+    that a restarted VM doesn't take its predecessor's lease for its own.
+    """
+
+    def __init__(
+        self, *, bucket: int, vm: str, nonce: str, timing: LeaseTiming
+    ) -> None:
+        self.bucket = bucket
+        self.valid_until = NEVER
+        self._vm = vm
+        self._nonce = nonce
+        self._timing = timing
+        self._seen = SeenLease(version=-1, value=_empty())
+        self._seen_at = NEVER
+        self._next_at = NEVER
+        self._busy = False
+        self._unsure: dict[str, float] = {}
+        self._count = 0
+
+    def holds(self, now: float) -> bool:
+        """Tell whether this VM may act as the holder at this instant."""
+        return now < self.valid_until - self._timing.margin
+
+    def as_lease(self) -> Lease:
+        """Return what the blackboard shows."""
+        return Lease(
+            bucket=self.bucket,
+            vm=self._seen.value.vm,
+            version=max(self._seen.version, 0),
+            duration=self._seen.value.duration,
+            seen_at=self._seen_at,
+            valid_until=self.valid_until,
+        )
+
+    def step(self, now: float, rank: int | None) -> LeaseAction | None:
+        """Return the call to make now, if any.
+
+        `rank` is this VM's place among the candidates; None if it is none,
+        or is leaving.
+        """
+        if self._busy or now < self._next_at:
+            return None
+        if self._unsure or self._seen.version < 0:
+            if rank is None and not self._unsure:
+                return None
+            return self._read_now()
+        if self._is_mine():
+            return self._step_mine(now, rank)
+        return self._step_other(now, rank)
+
+    def _step_mine(self, now: float, rank: int | None) -> LeaseAction:
+        if rank is None:
+            # Stopped before the message goes out: the next holder may act
+            # the moment the platform has it.
+            self.valid_until = NEVER
+            return self._write("")
+        return self._write(self._vm)
+
+    def _step_other(self, now: float, rank: int | None) -> LeaseAction | None:
+        self.valid_until = NEVER
+        if rank is None:
+            return None
+        if now >= self._free_at() + rank * self._timing.stagger:
+            return self._write(self._vm)
+        return self._read_now()
+
+    def _free_at(self) -> float:
+        """Return when the lease may be taken, if its version stays."""
+        if not self._seen.value.vm:
+            return self._seen_at
+        return self._seen_at + self._seen.value.duration
+
+    def _read_now(self) -> LeaseAction:
+        self._busy = True
+        return ReadLease(bucket=self.bucket)
+
+    def _write(self, vm: str) -> LeaseAction:
+        self._busy = True
+        self._count += 1
+        return WriteLease(
+            bucket=self.bucket,
+            if_version=self._seen.version,
+            value=LeaseValue(
+                vm=vm,
+                nonce=f"{self._nonce}/{self._count}",
+                duration=self._timing.duration,
+            ),
+        )
+
+    # What became of the call.
+
+    def read(self, sent_at: float, now: float, seen: SeenLease) -> None:
+        """Take in the object as it was read."""
+        self._busy = False
+        self._take(now, seen)
+
+    def stored(
+        self, sent_at: float, now: float, action: WriteLease, version: int
+    ) -> None:
+        """Take in that our update was done."""
+        self._busy = False
+        self._unsure[action.value.nonce] = sent_at
+        self._take(now, SeenLease(version=version, value=action.value))
+
+    def conflicted(self, sent_at: float, now: float, seen: SeenLease) -> None:
+        """Take in that the object was at another version.
+
+        It may be our own earlier update whose answer was lost.
+        """
+        self._busy = False
+        self._take(now, seen)
+
+    def unanswered(
+        self, sent_at: float, now: float, action: LeaseAction
+    ) -> None:
+        """Take in that nothing is known of the call.
+
+        An update may have been done, or be done yet, so the object is read
+        before anything else is concluded from it.
+        """
+        self._busy = False
+        self._next_at = now + self._timing.retry
+        if isinstance(action, WriteLease):
+            self._unsure[action.value.nonce] = sent_at
+
+    def _take(self, now: float, seen: SeenLease) -> None:
+        if seen.version != self._seen.version:
+            self._seen = seen
+            self._seen_at = now
+        sent_at = self._unsure.get(seen.value.nonce)
+        self._unsure.clear()
+        if seen.value.vm != self._vm or not self._is_mine():
+            self.valid_until = NEVER
+            self._next_at = self._next_look(now)
+            return
+        if sent_at is not None:
+            self.valid_until = sent_at + seen.value.duration
+            self._next_at = sent_at + self._timing.renew
+
+    def _next_look(self, now: float) -> float:
+        """Look again at the next interval, or when the lease gets free."""
+        free_at = self._free_at()
+        timing = self._timing
+        look = now + timing.renew
+        return min(look, free_at) if free_at > now else now + timing.retry
+
+    def _is_mine(self) -> bool:
+        value = self._seen.value
+        return value.vm == self._vm and value.nonce.startswith(
+            self._nonce + "/"
+        )
+
+
+def _empty() -> LeaseValue:
+    return LeaseValue(vm="", nonce="", duration=0.0)
--- a/bamboospring/target_api.py
+++ b/bamboospring/target_api.py
@@ -40,6 +40,7 @@
     last_term: int
     start: int
     leaving: bool
+    primary: str = ""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -118,6 +119,7 @@
             last_term=raw["last_term"],
             start=raw["start"],
             leaving=bool(raw.get("leaving")),
+            primary=raw.get("primary") or "",
         )
     except (ValueError, KeyError, TypeError):
         return None
--- a/bamboospring/testing/target_engine.py
+++ b/bamboospring/testing/target_engine.py
@@ -85,7 +85,7 @@
     """One statement connection."""
 
     holder: str
-    abort: Callable[[], None]
+    close: Callable[[], None]
     transaction: Transaction | None = None
 
 
@@ -161,6 +161,8 @@
         self.counters: Counter[str] = Counter()
         self.busy_slots = 0
         self._watchers: set[asyncio.Future[None]] = set()
+        self._pauser = Session(holder="", close=lambda: None)
+        self._pause_end: asyncio.TimerHandle | None = None
 
     # Notices of change.
 
@@ -208,7 +210,8 @@
         self._end_transactions()
         store.set_role(term=term, role=Role.FENCED, primary_address="")
         self.counters["fenced"] += 1
-        self._abort_sessions()
+        self._close_sessions()
+        self._end_pause()
         self.changed()
         return True
 
@@ -233,7 +236,8 @@
             return False
         if store.role == Role.PRIMARY:
             self._end_transactions()
-            self._abort_sessions()
+            self._close_sessions()
+            self._end_pause()
         store.set_role(
             term=term, role=Role.REPLICA, primary_address=primary_address
         )
@@ -244,9 +248,49 @@
         for session in list(self.sessions):
             self.roll_back(session)
 
-    def _abort_sessions(self) -> None:
+    def _close_sessions(self) -> None:
         for session in list(self.sessions):
-            session.abort()
+            session.close()
+
+    async def pause(self, term: int, wait: float, duration: float) -> bool:
+        """Hold new writes back once those under way have ended.
+
+        The writes wait for the write lock as they do behind any other, and
+        go on when the pause ends by itself after `duration` seconds. False
+        if this isn't the term's primary or the wait was too short.
+        """
+        if not self._is_primary_at(term):
+            return False
+        if self.lock.owner is not self._pauser:
+            if not await self.lock.take(self._pauser, wait):
+                return False
+        if not self._is_primary_at(term):
+            self.lock.release(self._pauser)
+            return False
+        self._cancel_pause_end()
+        loop = asyncio.get_running_loop()
+        self._pause_end = loop.call_later(duration, self._end_pause)
+        self.counters["paused"] += 1
+        return True
+
+    def resume(self, term: int) -> bool:
+        """End a pause."""
+        if not self._is_primary_at(term):
+            return False
+        self._end_pause()
+        return True
+
+    def _is_primary_at(self, term: int) -> bool:
+        return self.store.role is Role.PRIMARY and self.store.term == term
+
+    def _end_pause(self) -> None:
+        self._cancel_pause_end()
+        self.lock.release(self._pauser)
+
+    def _cancel_pause_end(self) -> None:
+        if self._pause_end is not None:
+            self._pause_end.cancel()
+            self._pause_end = None
 
     # Statement connections.
 
@@ -306,6 +350,7 @@
             ):
                 held = False
                 raise Refused("lock_timeout")
+            self._check(session, stmt)
             self._take_slot()
         except Refused as exc:
             if held:
--- a/bamboospring/testing/target_server.py
+++ b/bamboospring/testing/target_server.py
@@ -83,6 +83,7 @@
         self._body: list[bytes] = []
         self._task: asyncio.Task[None] | None = None
         self._queued: list[tuple[str, str, bytes]] = []
+        self._closing = False
 
     # asyncio.Protocol
 
@@ -111,6 +112,16 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def _close(self) -> None:
+        """Close now, or once the statement that waits has its answer.
+
+        A write that waits for the lock when a fence comes did not run; its
+        refusal says so, where a closed connection would leave it unknown.
+        """
+        self._closing = True
+        if self._task is None and self.transport is not None:
+            self.transport.close()
+
     # httptools
 
     def on_message_begin(self) -> None:
@@ -154,7 +165,9 @@
             answer = 400, {"reason": "bad_request", "message": str(exc)}
         self._task = None
         self._send(*answer)
-        if self._queued and self.transport is not None:
+        if self._closing:
+            self._close()
+        elif self._queued and self.transport is not None:
             self._start(*self._queued.pop(0))
 
     def _send(self, status: int, body: dict[str, Any]) -> None:
@@ -193,7 +206,12 @@
                 return 200, dict(self.engine.counters)
             case "POST", "/settings":
                 return self._settings(parse_object(body))
-            case "POST", ("/fence" | "/promote" | "/follow") as path:
+            case "POST", "/pause":
+                return self._pause(parse_object(body))
+            case (
+                "POST",
+                ("/fence" | "/promote" | "/follow" | "/resume") as path,
+            ):
                 return self._order(path, parse_object(body))
             case _:
                 return 404, {"reason": "not_found"}
@@ -216,7 +234,7 @@
         if self.session is not None:
             raise BadRequest("connected before")
         session = Session(
-            holder=str(data.get("holder", "")), abort=self._abort
+            holder=str(data.get("holder", "")), close=self._close
         )
         if not self.engine.open_session(session):
             return 503, {"id": data.get("id"), "reason": "connections"}
@@ -281,6 +299,8 @@
                 done = self.engine.fence(term)
             case "/promote":
                 done = self.engine.promote(term)
+            case "/resume":
+                done = self.engine.resume(term)
             case _:
                 address = data.get("primary")
                 if not isinstance(address, str):
@@ -288,6 +308,16 @@
                 done = self.engine.follow(term, address)
         return (200 if done else 409), self.engine.probe()
 
+    async def _pause(self, data: dict[str, Any]) -> Answer:
+        try:
+            term = int(data["term"])
+            wait = int(data["wait_ms"]) / 1000
+            duration = int(data["for_ms"]) / 1000
+        except (KeyError, TypeError, ValueError) as exc:
+            raise BadRequest(repr(exc)) from exc
+        done = await self.engine.pause(term, wait, duration)
+        return (200 if done else 409), self.engine.probe()
+
     def _settings(self, data: dict[str, Any]) -> Answer:
         knobs = self.engine.knobs
         for name, value in data.items():
--- a/features/steps/target_steps.py
+++ b/features/steps/target_steps.py
@@ -278,6 +278,36 @@
         assert (state["received"], state["last_term"]) == (6, 2), state
 
 
+@when("a1 is paused and a target write waits there")
+def pause_and_write(context: Any) -> None:
+    order = {"term": 1, "wait_ms": 1000, "for_ms": 5000}
+    assert context.a1.call("POST", "/pause", order)["status"] == 200
+    row = len(context.a1.rows()) + 1
+    pool = ThreadPoolExecutor(1)
+    context.add_cleanup(pool.shutdown)
+    context.waiting = pool.submit(context.a1.write, 1, insert(row))
+    time.sleep(0.2)
+    assert not context.waiting.done()
+
+
+@then("the waiting target write goes on after a resume")
+def goes_on(context: Any) -> None:
+    assert context.a1.call("POST", "/resume", {"term": 1})["status"] == 200
+    assert context.waiting.result(5)["outcome"] == "ok"
+
+
+@when("a1 is fenced at term 2 under the waiting target write")
+def fence_waiting(context: Any) -> None:
+    assert context.a1.call("POST", "/fence", {"term": 2})["status"] == 200
+
+
+@then("the waiting target write is refused for its term and did not run")
+def refused_waiting(context: Any) -> None:
+    found = context.waiting.result(5)
+    assert (found["outcome"], found["reason"]) == ("refused", "term"), found
+    assert context.a1.rows() == [[1]]
+
+
 @when("10 target connections ask a1 for 25 connections and 3 slots at once")
 def exceed(context: Any) -> None:
     context.a1.call("POST", "/settings", {"statement_ms": 30})
--- a/features/target_stand_in.feature
+++ b/features/target_stand_in.feature
@@ -32,6 +32,17 @@
     And 1 target write goes to a2
     Then all target members hold the same 4 rows
 
+  Scenario: A pause holds writes, and a fence then says that they did not run
+    # A planned change pauses writes before the fence. A write that comes
+    # meanwhile waits; the fence answers it as refused at its old term, so its
+    # caller knows that it may be sent to the next primary.
+    Given target members a1, a2 and a3 with a1 as primary at term 1
+    When a1 is paused and a target write waits there
+    Then the waiting target write goes on after a resume
+    When a1 is paused and a target write waits there
+    And a1 is fenced at term 2 under the waiting target write
+    Then the waiting target write is refused for its term and did not run
+
   Scenario: Limits are counted and refused
     # More statements than slots at once, and more connections than allowed:
     # the surplus is refused by the member and the peaks stay at the limits.
