--- a/bamboospring/commit.py
+++ b/bamboospring/commit.py
@@ -24,11 +24,14 @@
     """Count the targets known to hold a position of its own term.
 
     A target that reports another term does not count, whatever its index:
-    its log may differ at that index.
+    its log may differ at that index. Nor does one that has joined the term
+    but holds no entry of it yet: it has not compared its log with the
+    primary's, and what it has at that index may be about to be dropped.
     """
     roles = (Role.PRIMARY, Role.REPLICA)
     return sum(
         state.term == position.term
+        and state.last_term == position.term
         and state.received >= position.index
         and state.role in roles
         for state in group.states.values()
--- a/bamboospring/promotion.py
+++ b/bamboospring/promotion.py
@@ -241,6 +241,11 @@
         """Tell whether nothing more will be done."""
         return self.phase in (Phase.DONE, Phase.ENDED)
 
+    @property
+    def latest(self) -> GroupRecord | None:
+        """Return the newest record that was seen, also after the end."""
+        return self._object.record() if self._object is not None else None
+
     # Events.
 
     def begin(self, now: float) -> list[Action]:
