--- a/bamboospring/promotion.py
+++ b/bamboospring/promotion.py
@@ -377,8 +377,6 @@
         )
 
     def _hears_primary(self, record: GroupRecord) -> bool:
-        if self.plan.cause is not Cause.PRIMARY_FAILED:
-            return False
         probe = self._probes.get(record.primary)
         if probe is None:
             return False
--- a/bamboospring/server.py
+++ b/bamboospring/server.py
@@ -9,6 +9,7 @@
 from bamboospring.entry import Entry
 from bamboospring.facts import Facts
 from bamboospring.holder import Holder
+from bamboospring.lease import LeaseTiming
 from bamboospring import logs
 from bamboospring.membership import Membership
 from bamboospring.peers import Peers
@@ -18,6 +19,8 @@
 from bamboospring.rendezvous import Placement
 from bamboospring.settings import Settings
 from bamboospring.statement_server import StatementServer
+from bamboospring.steward import Steward
+from bamboospring.suspicion import WatchTiming
 from bamboospring.tokens import TokenCodec
 from bamboospring.tokens import TokenKey
 from bamboospring.watcher import Watcher
@@ -50,7 +53,10 @@
         self.membership = Membership()
         self.pools = Pools(reactor=self.reactor, vm=cfg.vm)
         self.watcher = Watcher(
-            reactor=self.reactor, board=self.board, placement=self.placement
+            reactor=self.reactor,
+            board=self.board,
+            placement=self.placement,
+            timing=WatchTiming(silent=cfg.timing.suspect_ms / 1000),
         ).register(self)
         self.holder = Holder(
             reactor=self.reactor,
@@ -86,6 +92,20 @@
             timing=cfg.timing,
             seeds=cfg.peers.seeds,
         ).register(self)
+        self.steward = Steward(
+            reactor=self.reactor,
+            board=self.board,
+            placement=self.placement,
+            peers=self.peers,
+            platform=self.platform,
+            timing=LeaseTiming(
+                duration=cfg.lease.duration_ms / 1000,
+                renew=cfg.lease.renew_ms / 1000,
+                margin=cfg.lease.margin_ms / 1000,
+            ),
+            publish=self.facts.publish,
+        ).register(self)
+        self.watcher.on_verdict = self.steward.report
 
 
 def run(cfg: Settings) -> None:
--- a/bamboospring/steward.py
+++ b/bamboospring/steward.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
+from functools import partial
 import random
 import secrets
 from typing import Any
@@ -60,6 +61,8 @@
 __all__ = ["Steward"]
 
 TICK = 0.1
+# Without news a group is judged this often, for what time alone changes.
+JUDGE_INTERVAL = 0.5
 CHANGE_TICK = 0.02
 # Each target of a led group is asked this often for its role and position.
 ROUND = 2.0
@@ -86,6 +89,7 @@
     failures: int = 0
     retry_at: float = -1e9
     round_at: float = -1e9
+    judge_at: float = -1e9
     check_at: float = -1e9
     condemned_at: float | None = None
     ordered: str = ""
@@ -231,21 +235,21 @@
     # The regular look at everything.
 
     def _tick(self) -> None:
-        now = self._reactor.now()
         self.leases.step(self._rank)
-        active = False
         for name, group in self._board.groups.items():
-            if not self.leads(name):
+            if self.leads(name):
+                self._look(name, group)
+            else:
                 self._drop_change(name)
-                continue
-            care = self._care_of(name)
-            if now - care.round_at >= ROUND:
-                self._ask_round(group, care)
+        self._reactor.call_later(TICK, self._tick)
+
+    def _look(self, name: str, group: Group) -> None:
+        now = self._reactor.now()
+        care = self._care_of(name)
+        if now - care.round_at >= ROUND:
+            self._ask_round(group, care)
+        if now >= max(care.judge_at, care.retry_at):
             self._judge(name, group, care, now)
-            if care.change is not None:
-                active = True
-                self._apply(name, care, care.change.tick(now))
-        self._reactor.call_later(CHANGE_TICK if active else TICK, self._tick)
 
     def _rank(self, bucket: int) -> int | None:
         """Return our place among a bucket's candidates, if we have one.
@@ -286,26 +290,34 @@
         care.round_at = self._reactor.now()
         for target in group.record.targets:
             order = Order(kind=OrderKind.PROBE, target=target)
-            send_order(
-                self._reactor,
-                order,
-                lambda done, probe, target=target: self._probed(  # type: ignore
-                    group, care, target, probe
-                ),
+            answered = partial(
+                self._probed, group, care, target, group.record.version
             )
+            send_order(self._reactor, order, answered)
 
     def _probed(
-        self, group: Group, care: _Care, target: Target, probe: Probe | None
+        self,
+        group: Group,
+        care: _Care,
+        target: Target,
+        version: int,
+        done: bool,
+        probe: Probe | None,
     ) -> None:
         now = self._reactor.now()
         record = group.record
+        if record.version != version or care.change is not None:
+            # Asked before the change: the answer may show the old term and
+            # would make the new primary look as if it had lost its role.
+            return
+        care.judge_at = now
         if probe is None:
             care.probes.pop(target.name, None)
             return
         care.probes[target.name] = (probe, now)
         if probe.term > record.term:
             self.fire(group_doubted(record.name))
-        elif care.change is None and self.leads(record.name):
+        elif self.leads(record.name):
             for order in orders_to_rejoin(record, {target.name: probe}):
                 self._rejoin(record, order, probe)
 
@@ -325,6 +337,7 @@
     def _judge(self, name: str, group: Group, care: _Care, now: float) -> None:
         if care.change is not None or now < care.retry_at:
             return
+        care.judge_at = now + JUDGE_INTERVAL
         plan = choose_plan(self._view(name, group, care, now))
         if plan is not None:
             self._begin(name, group, care, plan)
@@ -376,10 +389,7 @@
             witnesses=self._witnesses(care, plan, now),
         )
         self._apply(name, care, change.begin(now))
-        if len(self._care) and not change.over:
-            self._reactor.call_later(
-                CHANGE_TICK, lambda: self._tick_change(name, care, change)
-            )
+        self._tick_change(name, care, change)
 
     def _witnesses(self, care: _Care, plan: Plan, now: float) -> str:
         found = care.suspicions.witnesses(plan.primary, plan.term, now)
@@ -388,11 +398,9 @@
     def _tick_change(self, name: str, care: _Care, change: Change) -> None:
         if care.change is not change:
             return
-        if self.leads(name):
-            self._apply(name, care, change.tick(self._reactor.now()))
-        self._reactor.call_later(
-            CHANGE_TICK, lambda: self._tick_change(name, care, change)
-        )
+        self._apply(name, care, change.tick(self._reactor.now()))
+        again = partial(self._tick_change, name, care, change)
+        self._reactor.call_later(CHANGE_TICK, again)
 
     # Carrying out.
 
@@ -478,6 +486,7 @@
 
     def _finish(self, name: str, care: _Care, change: Change) -> None:
         care.change = None
+        care.probes.clear()
         now = self._reactor.now()
         if change.latest is not None:
             self._publish(change.latest)
--- a/bamboospring/watcher.py
+++ b/bamboospring/watcher.py
@@ -1,7 +1,9 @@
 """A holder's watch over the targets of its groups.
 
 One long poll for each target tells of its term, role and positions as they
-change. Writes wait here until a majority holds them.
+change. Writes wait here until a majority holds them. A primary that is silent
+or refuses connections is reported as suspected, on change and slowly again
+while it lasts.
 """
 
 from __future__ import annotations
@@ -10,6 +12,8 @@
 from collections import deque
 from dataclasses import dataclass
 from dataclasses import field
+from http import HTTPStatus
+from typing import Any
 
 from circuits import BaseComponent
 from circuits import handler
@@ -25,19 +29,34 @@
 from bamboospring.reactor import Timer
 from bamboospring.rendezvous import Placement
 from bamboospring.statements import Position
+from bamboospring.suspicion import AwakeClock
+from bamboospring.suspicion import TargetWatch
+from bamboospring.suspicion import Verdict
+from bamboospring.suspicion import WatchTiming
 from bamboospring.target_api import decode_probe
 from bamboospring.target_api import Probe
 
 __all__ = ["Watcher"]
 
-POLL_MS = 500
-POLL_TIMEOUT = 1.0
-RETRY_DELAY = 0.2
+# Seconds. A primary must say something well within the time after which its
+# silence counts; of a replica nothing depends on hearing it without a change.
+PRIMARY_POLL = 0.4
+REPLICA_POLL = 1.0
+POLL_MARGIN = 0.6
+RETRY_DELAY = 0.1
+JUDGE_INTERVAL = 0.1
+REPEAT_REPORT = 1.0
+# A failure that comes this fast is the other machine's word, not silence.
+PROMPT = 0.2
 # How many sightings of the primary's position are kept to tell how old a
 # replica's data is; at two a second this covers half a minute.
 SIGHTINGS = 64
 
 
+# Gets group, target, term and the judgement of that primary.
+OnVerdict = Callable[[str, str, int, Verdict], None]
+
+
 @dataclass(slots=True, kw_only=True, eq=False)
 class _Waiting:
     position: Position
@@ -55,6 +74,9 @@
     sightings: deque[tuple[float, int]] = field(
         default_factory=lambda: deque(maxlen=SIGHTINGS)
     )
+    primary: str = ""
+    suspected: bool = False
+    report_at: float = -1e9
 
 
 class Watcher(BaseComponent):
@@ -63,13 +85,21 @@
     channel = "*"
 
     def __init__(
-        self, *, reactor: Reactor, board: Blackboard, placement: Placement
+        self,
+        *,
+        reactor: Reactor,
+        board: Blackboard,
+        placement: Placement,
+        timing: WatchTiming = WatchTiming(),
     ) -> None:
         super().__init__()
         self._reactor = reactor
         self._board = board
         self._placement = placement
+        self._timing = timing
         self._watched: dict[str, _Watched] = {}
+        self._awake = AwakeClock(pause=timing.pause)
+        self.on_verdict: OnVerdict | None = None
 
     def wait_majority(
         self,
@@ -117,6 +147,31 @@
         self._judge_freshness(watched, target, asked_at)
         self._release(watched)
 
+    @handler("started")
+    def _on_started(self, *_args: Any) -> None:
+        self._judge()
+
+    def _judge(self) -> None:
+        """Judge the primaries of all watched groups."""
+        now = self._reactor.now()
+        self._awake.tick(now)
+        for name, watched in self._watched.items():
+            self._judge_primary(name, watched, now)
+        self._reactor.call_later(JUDGE_INTERVAL, self._judge)
+
+    def _judge_primary(self, name: str, watched: _Watched, now: float) -> None:
+        record = watched.group.record
+        poller = watched.pollers.get(record.primary)
+        if poller is None or self.on_verdict is None:
+            return
+        verdict = poller.watch.verdict(now, self._awake.since)
+        changed = verdict.suspected != watched.suspected
+        due = verdict.suspected and now >= watched.report_at
+        if changed or due:
+            watched.suspected = verdict.suspected
+            watched.report_at = now + REPEAT_REPORT
+            self.on_verdict(name, record.primary, record.term, verdict)
+
     @handler("group_changed")
     def _on_group_changed(self, name: str) -> None:
         self._follow(name)
@@ -138,6 +193,8 @@
             return
         watched = self._watched.setdefault(name, _Watched(group=group))
         watched.group = group
+        self._stop_removed(watched)
+        self._note_primary(watched)
         for target in group.record.targets:
             if target.name not in watched.pollers:
                 poller = _Poller(watcher=self, group=name, target=target)
@@ -145,6 +202,28 @@
                 poller.start()
         self._release(watched)
 
+    def _note_primary(self, watched: _Watched) -> None:
+        """Give a new primary the time to be heard as such.
+
+        As a replica it was asked less often, so it may have been silent for
+        longer than a primary may be.
+        """
+        primary = watched.group.record.primary
+        if primary == watched.primary:
+            return
+        watched.primary = primary
+        watched.suspected = False
+        poller = watched.pollers.get(primary)
+        if poller is not None:
+            poller.watch.heard(self._reactor.now())
+
+    def _stop_removed(self, watched: _Watched) -> None:
+        targets = watched.group.record.targets
+        for name, poller in list(watched.pollers.items()):
+            if poller.target not in targets:
+                poller.stop()
+                del watched.pollers[name]
+
     def _judge_freshness(
         self, watched: _Watched, target: str, asked_at: float
     ) -> None:
@@ -163,9 +242,13 @@
             return
         waiting, watched.waiting = watched.waiting, []
         for item in waiting:
-            if held_by_majority(watched.group, item.position):
+            held = held_by_majority(watched.group, item.position)
+            # Targets that have left for a later term are not counted at the
+            # old one any more, so waiting on would only hold back the answer.
+            lost = watched.group.record.term > item.position.term
+            if held or lost:
                 item.timer.cancel()
-                item.on_held(True)
+                item.on_held(held)
             else:
                 watched.waiting.append(item)
 
@@ -184,12 +267,13 @@
         self._watcher = watcher
         self._reactor = watcher._reactor
         self._group = group
-        self._target = target
+        self.target = target
+        self.watch = TargetWatch(
+            timing=watcher._timing, now=watcher._reactor.now()
+        )
         self._client = HttpClient(
             reactor=self._reactor, address=target.address
         )
-        self._received = 0
-        self._applied = 0
         self._asked_at = 0.0
         self._stopped = False
 
@@ -206,23 +290,36 @@
         if self._stopped:
             return
         self._asked_at = self._reactor.now()
-        self._client.request("GET", path, b"", POLL_TIMEOUT, self._answered)
+        timeout = self._wait() + POLL_MARGIN
+        self._client.request("GET", path, b"", timeout, self._answered)
+
+    def _wait(self) -> float:
+        group = self._watcher._board.groups.get(self._group)
+        primary = group.record.primary if group is not None else ""
+        is_primary = self.target.name == primary
+        return PRIMARY_POLL if is_primary else REPLICA_POLL
 
     def _answered(self, answer: HttpAnswer | HttpLost) -> None:
         if self._stopped:
             return
         probe = None
-        if isinstance(answer, HttpAnswer) and answer.status == 200:
+        if isinstance(answer, HttpAnswer) and answer.status == HTTPStatus.OK:
             probe = decode_probe(answer.body)
+        now = self._reactor.now()
         if probe is None:
+            self._note_failure(now)
             self._reactor.call_later(RETRY_DELAY, self.start)
             return
-        self._received = probe.received
-        self._applied = probe.applied
-        self._watcher.saw(
-            self._group, self._target.name, probe, self._asked_at
-        )
+        self.watch.heard(now)
+        self._watcher.saw(self._group, self.target.name, probe, self._asked_at)
         self._ask(
-            f"/positions?received={self._received}&applied={self._applied}"
-            f"&wait_ms={POLL_MS}"
+            f"/positions?received={probe.received}&applied={probe.applied}"
+            f"&term={probe.term}&role={probe.role.value}"
+            f"&wait_ms={int(self._wait() * 1000)}"
         )
+
+    def _note_failure(self, now: float) -> None:
+        if now - self._asked_at < PROMPT:
+            self.watch.refused(now)
+        else:
+            self.watch.lost()
