--- /dev/null
+++ b/bamboospring/entry.py
@@ -0,0 +1,177 @@
+"""The entry: takes callers' requests and gives them their answers.
+
+See docs/CALLERS.md for the interface. All of a request's faults are found
+here, before anything is sent on.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import itertools
+from typing import Any
+
+from circuits import BaseComponent
+import orjson
+from pydantic import ValidationError
+
+from bamboospring.blackboard import Blackboard
+from bamboospring.forwarding import Forwarder
+from bamboospring.holder import Holder
+from bamboospring.http_codec import HttpServer
+from bamboospring.http_codec import Request
+from bamboospring.http_codec import Response
+from bamboospring.outcomes import Done
+from bamboospring.outcomes import Outcome
+from bamboospring.outcomes import Reason
+from bamboospring.peers import Peers
+from bamboospring.reactor import Reactor
+from bamboospring.rendezvous import Placement
+from bamboospring.requests import SessionRequest
+from bamboospring.requests import StatementRequest
+from bamboospring.requests import TransactionRequest
+from bamboospring.responses import bad_request
+from bamboospring.responses import encode_outcome
+from bamboospring.responses import explain
+from bamboospring.statements import Position
+from bamboospring.statements import Statement
+from bamboospring.statements import Step
+from bamboospring.tokens import BadToken
+from bamboospring.tokens import Session
+from bamboospring.tokens import TokenCodec
+
+__all__ = ["Entry"]
+
+NOT_FOUND = 404
+NOT_ALLOWED = 405
+
+STEPS = {
+    "begin": Step.BEGIN,
+    "statement": Step.STATEMENT,
+    "commit": Step.COMMIT,
+    "rollback": Step.ROLLBACK,
+}
+
+Respond = Callable[[Response], None]
+
+
+class Entry(BaseComponent):
+    """Serve callers over HTTP/JSON."""
+
+    channel = "*"
+
+    def __init__(
+        self,
+        *,
+        reactor: Reactor,
+        board: Blackboard,
+        placement: Placement,
+        peers: Peers,
+        holder: Holder,
+        codec: TokenCodec,
+        listen: str,
+    ) -> None:
+        super().__init__()
+        self._reactor = reactor
+        self._board = board
+        self._codec = codec
+        self._traces = itertools.count(1)
+        self._forwarder = Forwarder(
+            reactor=reactor,
+            board=board,
+            placement=placement,
+            peers=peers,
+            holder=holder,
+            codec=codec,
+            may_retry=lambda: True,
+        )
+        self._routes: dict[str, Callable[[bytes, Respond], None]] = {
+            "/v1/sessions": self._open_session,
+            "/v1/statements": self._run_statement,
+            "/v1/transactions": self._run_step,
+        }
+        self.server = HttpServer(
+            reactor=reactor, address=listen, handler=self._handle
+        )
+
+    def _handle(self, req: Request, respond: Respond) -> None:
+        route = self._routes.get(req.path)
+        if route is None:
+            respond(bad_request("no such path", status=NOT_FOUND))
+            return
+        if req.method != "POST":
+            respond(bad_request("only POST", status=NOT_ALLOWED))
+            return
+        try:
+            route(req.body, respond)
+        except ValidationError as exc:
+            respond(bad_request(explain(exc)))
+
+    def _open_session(self, body: bytes, respond: Respond) -> None:
+        req = SessionRequest.model_validate_json(body)
+        token = self._codec.encode(Session(caller=req.caller))
+        respond(Response(body=orjson.dumps({"token": token})))
+
+    def _run_statement(self, body: bytes, respond: Respond) -> None:
+        req = StatementRequest.model_validate_json(body)
+        staleness = req.staleness_ms
+        self._run(
+            req,
+            respond,
+            write=req.kind == "write",
+            sql=req.sql,
+            staleness=None if staleness is None else staleness / 1000,
+        )
+
+    def _run_step(self, body: bytes, respond: Respond) -> None:
+        req = TransactionRequest.model_validate_json(body)
+        self._run(
+            req,
+            respond,
+            write=req.kind == "write",
+            sql=req.sql or "",
+            step=STEPS[req.step],
+            transaction=req.transaction or "",
+        )
+
+    def _run(
+        self,
+        req: StatementRequest | TransactionRequest,
+        respond: Respond,
+        **more: Any,
+    ) -> None:
+        session = self._codec.decode(req.token)
+        if isinstance(session, BadToken):
+            respond(bad_request(session.message, Reason.BAD_TOKEN))
+            return
+        stmt = Statement(
+            group=req.group,
+            caller=session.caller,
+            params=orjson.dumps(req.params),
+            key=req.key or "",
+            deadline=self._reactor.now() + req.deadline_ms / 1000,
+            token=session.position(req.group),
+            trace=f"{self._board.me.name}-{next(self._traces)}",
+            **more,
+        )
+        if stmt.write and not session.has_room(req.group):
+            respond(bad_request("the session writes to too many groups"))
+            return
+
+        def done(outcome: Outcome) -> None:
+            respond(self._respond(session, stmt, outcome))
+
+        self._forwarder.forward(stmt, done)
+
+    def _respond(
+        self, session: Session, stmt: Statement, outcome: Outcome
+    ) -> Response:
+        if isinstance(outcome, Done) and _wrote(stmt):
+            position = Position(term=outcome.term, index=outcome.index)
+            session = session.moved(stmt.group, position)
+        return encode_outcome(stmt.group, outcome, self._codec.encode(session))
+
+
+def _wrote(stmt: Statement) -> bool:
+    if stmt.step is Step.AUTOCOMMIT:
+        return stmt.write
+    return stmt.step is Step.COMMIT
