--- /dev/null
+++ b/bamboospring/admission.py
@@ -0,0 +1,252 @@
+"""Decide which statements get a slot at a target now, later or not at all.
+
+One `Admission` stands before this holder's share of a target's slots. What
+can't run now waits in a bounded queue, ordered by rounds: the n-th statement
+that a caller has in the queue belongs to the n-th round, so a caller that
+floods it only delays itself. Within a round the earliest deadline goes first.
+
+What would not get its slot in time is refused at once, and not when its
+deadline has passed: its caller can then go elsewhere or come back later, and
+the queue holds only work that is worth doing. Every refusal says when a
+further try makes sense. Nothing here does I/O or asks for the time.
+"""
+
+from __future__ import annotations
+
+from bisect import insort
+from dataclasses import dataclass
+from dataclasses import field
+import itertools
+from typing import Any
+
+from bamboospring.outcomes import Overloaded
+from bamboospring.outcomes import Reason
+
+__all__ = ["Admission", "Refused", "Run", "Ticket", "Verdict", "Wait"]
+
+# How fast the estimate of a statement's time follows what is seen: about
+# this share of the gap for each statement.
+SMOOTHING = 0.1
+FIRST_ESTIMATE = 0.005
+MIN_RETRY_AFTER_MS = 10
+MAX_RETRY_AFTER_MS = 5000
+# Estimates are averages; a statement is let in with this much less time than
+# the estimate, because a refusal that was not needed costs goodput.
+OPTIMISM = 0.8
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class Ticket:
+    """A statement that asked for a slot. `item` is the adapter's own."""
+
+    caller: str
+    deadline: float
+    item: Any
+    round: int = 0
+    number: int = 0
+
+    def __lt__(self, other: Ticket) -> bool:
+        return self.key < other.key
+
+    @property
+    def key(self) -> tuple[int, float, int]:
+        """Return what the queue is ordered by."""
+        return self.round, self.deadline, self.number
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Run:
+    """The slot is taken; `Admission.finished` gives it back."""
+
+    ticket: Ticket
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Wait:
+    """It waits; `Admission.next` hands it out later."""
+
+    ticket: Ticket
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Refused:
+    """It gets no slot and was not run."""
+
+    ticket: Ticket
+    outcome: Overloaded
+
+
+Verdict = Run | Wait | Refused
+
+
+@dataclass(slots=True, kw_only=True)
+class _Use:
+    """What one caller has here."""
+
+    running: int = 0
+    waiting: int = 0
+    round: int = 0
+
+
+@dataclass(slots=True, kw_only=True)
+class Admission:
+    """The slots of one target that this holder may use, and their queue."""
+
+    slots: int
+    queue_limit: int = 256
+    estimate: float = FIRST_ESTIMATE
+    running: int = 0
+    _queue: list[Ticket] = field(default_factory=list)
+    _uses: dict[str, _Use] = field(default_factory=dict)
+    _numbers: Any = field(default_factory=itertools.count)
+    _round: int = 0
+
+    @property
+    def waiting(self) -> int:
+        """Return how many wait."""
+        return len(self._queue)
+
+    def submit(self, ticket: Ticket, now: float) -> list[Verdict]:
+        """Ask for a slot; the list also tells whom this pushes out."""
+        if self.running < self.slots and not self._queue:
+            return [self._start(ticket)]
+        self._place(ticket)
+        refusal = self._refusal(ticket, now)
+        if refusal is not None:
+            return [refusal]
+        verdicts: list[Verdict] = []
+        if len(self._queue) >= self.queue_limit:
+            verdicts.append(self._push_out(now))
+        self._enter(ticket)
+        verdicts.append(Wait(ticket=ticket))
+        return verdicts
+
+    def finished(self, ticket: Ticket, seconds: float) -> None:
+        """Give a slot back after `seconds` of use."""
+        self.running -= 1
+        self.estimate += SMOOTHING * (seconds - self.estimate)
+        self._use(ticket.caller).running -= 1
+        self._tidy(ticket.caller)
+
+    def next(self, now: float) -> list[Verdict]:
+        """Hand free slots to those who wait; refuse those too late."""
+        verdicts: list[Verdict] = []
+        while self._queue and self.running < self.slots:
+            ticket = self._queue.pop(0)
+            self._leave(ticket)
+            if ticket.deadline <= now:
+                verdicts.append(self._refuse(ticket, Reason.DEADLINE, now))
+            else:
+                verdicts.append(self._start(ticket))
+        return verdicts
+
+    def expire(self, now: float) -> list[Verdict]:
+        """Refuse those who wait and whose deadline has come."""
+        late = [ticket for ticket in self._queue if ticket.deadline <= now]
+        for ticket in late:
+            self.cancel(ticket)
+        return [self._refuse(ticket, Reason.DEADLINE, now) for ticket in late]
+
+    def cancel(self, ticket: Ticket) -> None:
+        """Take back a ticket that waits."""
+        self._queue.remove(ticket)
+        self._leave(ticket)
+
+    def wait_estimate(self, ahead: int) -> float:
+        """Return the seconds until a slot is free behind `ahead` others."""
+        if self.slots <= 0:
+            return float("inf")
+        return (ahead + 1) * self.estimate / self.slots
+
+    def _refusal(self, ticket: Ticket, now: float) -> Refused | None:
+        allowed = self._fair_queue(ticket.caller)
+        if self._use(ticket.caller).waiting >= allowed:
+            refused = self._refuse(ticket, Reason.CALLER_LIMIT, now)
+        elif self._comes_too_late(ticket, now):
+            refused = self._refuse(ticket, Reason.QUEUE_FULL, now)
+        else:
+            return None
+        self._tidy(ticket.caller)
+        return refused
+
+    def _fair_queue(self, caller: str) -> int:
+        """Return how much of the queue a caller may fill.
+
+        Alone, all of it but one place: a newcomer can always enter, and
+        from then on each has an equal part.
+        """
+        callers = len(self._uses)
+        if callers <= 1:
+            return max(1, self.queue_limit - 1)
+        return max(1, self.queue_limit // callers)
+
+    def _comes_too_late(self, ticket: Ticket, now: float) -> bool:
+        ahead = self._count_ahead(ticket)
+        wait = self.wait_estimate(ahead) * OPTIMISM
+        return now + wait + self.estimate * OPTIMISM > ticket.deadline
+
+    def _count_ahead(self, ticket: Ticket) -> int:
+        low, high = 0, len(self._queue)
+        while low < high:
+            middle = (low + high) // 2
+            if self._queue[middle] < ticket:
+                low = middle + 1
+            else:
+                high = middle
+        return low
+
+    def _push_out(self, now: float) -> Refused:
+        """Make room: the caller that waits most gives up its last place."""
+        most = max(self._uses.values(), key=lambda use: use.waiting).waiting
+        for ticket in reversed(self._queue):
+            if self._uses[ticket.caller].waiting == most:
+                self.cancel(ticket)
+                return self._refuse(ticket, Reason.CALLER_LIMIT, now)
+        raise AssertionError("the queue is full and nobody waits in it")
+
+    def _place(self, ticket: Ticket) -> None:
+        use = self._use(ticket.caller)
+        ticket.number = next(self._numbers)
+        ticket.round = max(self._round, use.round + 1)
+
+    def _enter(self, ticket: Ticket) -> None:
+        use = self._use(ticket.caller)
+        use.waiting += 1
+        use.round = ticket.round
+        insort(self._queue, ticket)
+
+    def _leave(self, ticket: Ticket) -> None:
+        self._use(ticket.caller).waiting -= 1
+        self._tidy(ticket.caller)
+
+    def _start(self, ticket: Ticket) -> Run:
+        self.running += 1
+        use = self._use(ticket.caller)
+        use.running += 1
+        self._round = max(self._round, ticket.round)
+        use.round = max(use.round, self._round)
+        return Run(ticket=ticket)
+
+    def _refuse(self, ticket: Ticket, reason: Reason, now: float) -> Refused:
+        wait = self.wait_estimate(len(self._queue))
+        retry_ms = min(MAX_RETRY_AFTER_MS, wait * 1000)
+        return Refused(
+            ticket=ticket,
+            outcome=Overloaded(
+                reason=reason,
+                retry_after_ms=max(MIN_RETRY_AFTER_MS, int(retry_ms)),
+            ),
+        )
+
+    def _use(self, caller: str) -> _Use:
+        found = self._uses.get(caller)
+        if found is None:
+            found = self._uses[caller] = _Use()
+        return found
+
+    def _tidy(self, caller: str) -> None:
+        # A caller without work is forgotten, so that memory follows those
+        # who are active. Its round is, too: it comes back in today's.
+        use = self._uses.get(caller)
+        if use is not None and use.running == 0 and use.waiting == 0:
+            del self._uses[caller]
--- a/bamboospring/shares.py
+++ b/bamboospring/shares.py
@@ -30,6 +30,7 @@
 __all__ = [
     "Ask",
     "GroupShares",
+    "ListWatch",
     "Reply",
     "ShareTiming",
     "TargetLimit",
@@ -95,7 +96,8 @@
 
     `grace` is how long a VM that has left the platform's list counts as
     alive. `isolation` is how long a VM keeps its share while it hears from
-    nobody; it must be shorter than `grace`, so that a VM that is cut off
+    nobody. The lag of the platform's list, `isolation` and the time between
+    ticks together must be shorter than `grace`, so that a VM that is cut off
     has stopped before the others take its share.
     """
 
@@ -110,6 +112,7 @@
 
     vm: str
     holders: tuple[str, ...]
+    revision: int
     attempt: int
 
 
@@ -154,32 +157,120 @@
 
 
 @dataclass(slots=True, kw_only=True)
-class GroupShares:
-    """What this VM may use of each target of one group, and since when.
+class ListWatch:
+    """What this VM knows of the platform's list, and since when.
 
-    The adapter feeds `see`, `answer`, `reply`, `heard` and `tick`, sends the
-    `Ask`s that come back, and reads `allowed`. It reports what is in use by
-    `use`, which keeps connections counted until they are really closed. While
-    `cut_off` is set it closes busy connections too.
+    One for a VM, shared by the shares of all groups. While `cut_off` is set
+    nothing may be used, and busy connections are closed too.
     """
 
     me: str
     timing: ShareTiming = field(default_factory=ShareTiming)
+    revision: int = -1
+    listed: frozenset[str] = frozenset()
+    cut_off: bool = False
+    _gone: dict[str, float] = field(default_factory=dict)
+    _informed: bool = False
+    _watching_since: float = NEVER
+    _heard_at: float = NEVER
+    _ticked_at: float = NEVER
+
+    def see(
+        self, *, now: float, revision: int, listed: frozenset[str]
+    ) -> None:
+        """Take a list of VMs that is not older than the last one."""
+        if self._watching_since == NEVER:
+            self._watching_since = now
+        for vm in self.listed - listed:
+            self._gone.setdefault(vm, now)
+        for vm in listed:
+            self._gone.pop(vm, None)
+        self.listed = listed
+        self.revision = revision
+        self.heard(now=now, revision=revision)
+
+    def heard(self, *, now: float, revision: int) -> None:
+        """Note that the platform or some other VM has been heard.
+
+        One with a newer list doesn't count: that list may be without us,
+        and the others' grace time then runs while we go on.
+        """
+        if revision <= self.revision:
+            self._heard_at = max(self._heard_at, now)
+
+    def tick(self, *, now: float) -> None:
+        """Look for a pause of this process and for a cut; often enough."""
+        self.cut_off = self._paused(now) or self._isolated(now)
+        if self.cut_off:
+            self._informed = False
+            self._watching_since = now
+
+    def lingering(self, now: float) -> set[str]:
+        """Return the VMs that have left the list but may still run."""
+        limit = self.timing.grace
+        self._gone = {
+            vm: since
+            for vm, since in self._gone.items()
+            if now - since < limit
+        }
+        return set(self._gone)
+
+    def inform(self, reply: Reply) -> None:
+        """Learn from a VM that has watched the list for longer."""
+        if reply.informed and reply.revision >= self.revision:
+            self._informed = True
+
+    def is_informed(self, now: float) -> bool:
+        """Tell whether any VM that may still run would be known here."""
+        # A new process has not seen which VMs left the list shortly before.
+        # Without this check it would take the share of one that still runs.
+        # One VM that watched for long enough, and that agreed, is enough:
+        # nobody agrees while such a VM may still be running.
+        watched = now - self._watching_since
+        if self._watching_since != NEVER and watched >= self.timing.grace:
+            self._informed = True
+        return self._informed
+
+    def is_lonely(self, now: float) -> bool:
+        """Tell whether it is time to show that others can be heard."""
+        return now - self._heard_at > self.timing.isolation * PROBE_PART
+
+    def _paused(self, now: float) -> bool:
+        # A process that was stopped for longer than the others wait for it
+        # wakes with a share that may be used elsewhere by now. The symptom
+        # would be refused connections at the target. Starting anew, as after
+        # a restart, is enough because growth then needs all promises again.
+        paused = now - self._ticked_at
+        known = self._ticked_at != NEVER
+        self._ticked_at = now
+        return known and paused > self.timing.isolation
+
+    def _isolated(self, now: float) -> bool:
+        # A VM that is cut off can't see that it has left the list. It stops
+        # before `grace` has passed for the others. An outage of the platform
+        # alone doesn't come here, because other VMs are still heard.
+        silent = now - self._heard_at
+        return len(self.listed) > 1 and silent > self.timing.isolation
+
+
+@dataclass(slots=True, kw_only=True)
+class GroupShares:
+    """What this VM may use of each target of one group.
+
+    The adapter feeds `see`, `answer`, `reply` and `tick`, sends the `Ask`s
+    that come back, and reads `allowed`. It reports what is in use by `use`,
+    which keeps connections counted until they are really closed.
+    """
+
+    watch: ListWatch
     holders: tuple[str, ...] = ()
     limits: tuple[TargetLimit, ...] = ()
     attempt: int = 0
-    revision: int = -1
-    cut_off: bool = False
     _allowed: dict[str, Units] = field(default_factory=dict)
     _used: dict[str, Units] = field(default_factory=dict)
     _peers: frozenset[str] = frozenset()
-    _gone: dict[str, float] = field(default_factory=dict)
     _replies: dict[str, Reply] = field(default_factory=dict)
     _asked_at: float = NEVER
-    _heard_at: float = NEVER
-    _ticked_at: float = NEVER
-    _informed: bool = False
-    _watching_since: float = NEVER
 
     def allowed(self, target: str) -> Units:
         """Return what may be used of a target now."""
@@ -194,137 +285,98 @@
         used = self._used.get(target, NONE)
         return self.allowed(target).at_least(used)
 
+    @property
+    def idle(self) -> bool:
+        """Tell whether nothing is held and nothing is to be had."""
+        return self.watch.me not in self.holders and all(
+            self.held(target) == NONE for target in self._used
+        )
+
     def see(
         self,
         *,
         now: float,
-        revision: int,
         holders: tuple[str, ...],
         peers: frozenset[str],
         limits: tuple[TargetLimit, ...],
     ) -> None:
-        """Take a newer list of VMs or newer limits.
+        """Take newer holders or newer limits.
 
-        `holders` are the group's holders in rank order. `peers` are all
-        listed VMs that may be or may have been a holder of the group; too
-        many cost messages, too few could exceed a limit.
+        `holders` are the group's holders in rank order. `peers` are all VMs
+        on the list, or just gone from it, that may be or may have been a
+        holder of the group; too many cost messages, too few could exceed a
+        limit.
         """
-        if self._watching_since == NEVER:
-            self._watching_since = now
-        self._note_gone(now, peers)
-        self.revision = revision
-        self._peers = peers - {self.me}
+        self._peers = peers - {self.watch.me}
         self.limits = limits
         if holders != self.holders:
             self.holders = holders
             self._forget()
-        self._heard_at = now
         self._shrink()
         self._grow(now)
 
     def answer(
-        self, *, now: float, vm: str, holders: tuple[str, ...]
+        self, *, now: float, vm: str, revision: int, holders: tuple[str, ...]
     ) -> Reply:
-        """Answer another VM's `Ask`.
+        """Answer another VM's `Ask`; `revision` is that of its list.
 
         Nothing is promised while a VM that has just left the list may still
         use a share: the asker may be new and not know of it.
         """
-        self.heard(now=now)
-        agrees = holders == self.holders and not self._lingering(now, {vm})
-        informed = self._is_informed(now)
-        held = {limit.target: self.held(limit.target) for limit in self.limits}
-        held.update({name: self.held(name) for name in self._used})
+        self.watch.heard(now=now, revision=revision)
+        gone = self._peers & self.watch.lingering(now)
+        targets = {limit.target for limit in self.limits} | set(self._used)
         return Reply(
-            vm=self.me,
-            agrees=agrees,
-            informed=informed,
-            revision=self.revision,
-            held=held,
+            vm=self.watch.me,
+            agrees=holders == self.holders and not gone - {vm},
+            informed=self.watch.is_informed(now),
+            revision=self.watch.revision,
+            held={target: self.held(target) for target in targets},
         )
 
     def reply(self, *, now: float, attempt: int, reply: Reply) -> None:
         """Take the answer to an `Ask`; late answers count for nothing."""
-        self.heard(now=now)
+        self.watch.heard(now=now, revision=reply.revision)
         if attempt != self.attempt:
             return
         if reply.agrees:
             self._replies[reply.vm] = reply
-            self._inform(reply)
+            self.watch.inform(reply)
         else:
             self._replies.pop(reply.vm, None)
         self._grow(now)
 
-    def heard(self, *, now: float) -> None:
-        """Note that the platform or some other VM has been heard."""
-        self._heard_at = max(self._heard_at, now)
-
     def tick(self, *, now: float) -> list[Ask]:
-        """Check for pauses and isolation; return the questions to send."""
-        self.cut_off = self._paused(now) or self._isolated(now)
-        if self.cut_off:
-            self._give_up(now)
+        """Return the questions to send now; call it after the watch's."""
+        if self.watch.cut_off:
+            self._allowed.clear()
+            self._forget()
         self._grow(now)
-        if now - self._asked_at < self.timing.retry:
+        if now - self._asked_at < self.watch.timing.retry:
             return []
         asked = self._to_ask(now)
         if asked:
             self._asked_at = now
         return [
-            Ask(vm=vm, holders=self.holders, attempt=self.attempt)
+            Ask(
+                vm=vm,
+                holders=self.holders,
+                revision=self.watch.revision,
+                attempt=self.attempt,
+            )
             for vm in sorted(asked)
         ]
 
     def _to_ask(self, now: float) -> set[str]:
+        others = self._may_use(now)
         if self._wants_growth():
-            others = self._may_use(now)
-            informed = self._is_informed(now)
+            informed = self.watch.is_informed(now)
             return {
                 vm for vm in others if not informed or not self._settled(vm)
             }
         # With the platform silent, a question to the other VMs shows that
         # this VM isn't cut off from everything.
-        silent = now - self._heard_at
-        if silent > self.timing.isolation * PROBE_PART:
-            return set(self._peers)
-        return set()
-
-    def _paused(self, now: float) -> bool:
-        # A process that was stopped for longer than the others wait for it
-        # wakes with a share that may be used elsewhere by now. The symptom
-        # would be refused connections at the target. Starting anew, as after
-        # a restart, is enough because growth then needs all promises again.
-        paused = now - self._ticked_at
-        known = self._ticked_at != NEVER
-        self._ticked_at = now
-        return known and paused > self.timing.isolation
-
-    def _isolated(self, now: float) -> bool:
-        # A VM that is cut off can't see that it has left the list. It stops
-        # before `grace` has passed for the others. An outage of the platform
-        # alone doesn't come here, because other VMs are still heard.
-        silent = now - self._heard_at
-        return bool(self._peers) and silent > self.timing.isolation
-
-    def _inform(self, reply: Reply) -> None:
-        if reply.informed and reply.revision >= self.revision:
-            self._informed = True
-
-    def _is_informed(self, now: float) -> bool:
-        # A new process has not seen which VMs left the list shortly before.
-        # Without this check it would take the share of one that still runs.
-        # One VM that watched for long enough, and that agreed, is enough:
-        # nobody agrees while such a VM may still be running.
-        watched = now - self._watching_since
-        if self._watching_since != NEVER and watched >= self.timing.grace:
-            self._informed = True
-        return self._informed
-
-    def _give_up(self, now: float) -> None:
-        self._allowed.clear()
-        self._informed = False
-        self._watching_since = now
-        self._forget()
+        return others if self.watch.is_lonely(now) else set()
 
     def _forget(self) -> None:
         # Answers to questions from before a change promise nothing for the
@@ -333,23 +385,9 @@
         self._replies.clear()
         self._asked_at = NEVER
 
-    def _note_gone(self, now: float, peers: frozenset[str]) -> None:
-        for vm in self._peers - peers:
-            self._gone.setdefault(vm, now)
-        for vm in peers:
-            self._gone.pop(vm, None)
-
-    def _lingering(self, now: float, besides: set[str]) -> set[str]:
-        limit = self.timing.grace
-        self._gone = {
-            vm: since
-            for vm, since in self._gone.items()
-            if now - since < limit
-        }
-        return set(self._gone) - besides
-
     def _may_use(self, now: float) -> set[str]:
-        return set(self._peers) | self._lingering(now, {self.me})
+        running = self.watch.listed | self.watch.lingering(now)
+        return set(self._peers & running)
 
     def _share(self, vm: str, position: int) -> Units:
         if vm not in self.holders:
@@ -377,26 +415,26 @@
 
     def _wants_growth(self) -> bool:
         return any(
-            self.allowed(limit.target) != self._share(self.me, position)
+            self.allowed(limit.target) != self._share(self.watch.me, position)
             for position, limit in enumerate(self.limits)
         )
 
     def _shrink(self) -> None:
         self._allowed = {
             limit.target: self.allowed(limit.target).at_most(
-                self._share(self.me, position)
+                self._share(self.watch.me, position)
             )
             for position, limit in enumerate(self.limits)
         }
 
     def _grow(self, now: float) -> None:
-        if not self._wants_growth():
+        if not self._wants_growth() or not self.watch.is_informed(now):
             return
         others = self._may_use(now)
-        if not others <= self._replies.keys() or not self._is_informed(now):
+        if not others <= self._replies.keys():
             return
         for position, limit in enumerate(self.limits):
-            free = self._share(self.me, position)
+            free = self._share(self.watch.me, position)
             for vm in others:
                 free = free.minus(self._excess(vm, position))
             grown = self.allowed(limit.target).at_least(free)
--- a/features/steps/shares_steps.py
+++ b/features/steps/shares_steps.py
@@ -11,27 +11,29 @@
 from behave import given
 from behave import then
 from behave import when
+from hypothesis import given as for_all
 from hypothesis import HealthCheck
 from hypothesis import Phase
-from hypothesis import given as for_all
 from hypothesis import settings
-from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine
 from hypothesis.stateful import invariant
 from hypothesis.stateful import rule
+from hypothesis.stateful import RuleBasedStateMachine
 from hypothesis.stateful import run_state_machine_as_test
+from hypothesis import strategies as st
 
 from bamboospring.shares import GroupShares
+from bamboospring.shares import ListWatch
 from bamboospring.shares import Reply
 from bamboospring.shares import ShareTiming
+from bamboospring.shares import split
 from bamboospring.shares import TargetLimit
 from bamboospring.shares import Units
-from bamboospring.shares import split
 
 LIMIT = 5
 HOLDERS = 3
 NAMES = ("a", "b", "c", "d", "e")
-TIMING = ShareTiming(grace=4.0, isolation=2.0, retry=0.5)
+LAG = 0.5
+TIMING = ShareTiming(grace=4.0, isolation=1.5, retry=0.5)
 
 
 def limits_of(connections):
@@ -43,7 +45,8 @@
     """One run of a VM: its shares, what it uses and what it has seen."""
 
     def __init__(self, name):
-        self.shares = GroupShares(me=name, timing=TIMING)
+        self.watch = ListWatch(me=name, timing=TIMING)
+        self.shares = GroupShares(watch=self.watch)
         self.seen = -1
         self.paused = False
         self.used = 0
@@ -60,6 +63,7 @@
         super().__init__()
         self.now = 0.0
         self.lists = [frozenset("abc")]
+        self.listed_at = [0.0]
         self.processes = {name: Process(name) for name in "abc"}
         self.cut = set()
         self.gone = {}
@@ -81,25 +85,32 @@
     def join_or_leave(self, name):
         listed = self.lists[-1]
         if name in listed and len(listed) > 1:
-            self.lists.append(listed - {name})
+            self.publish(listed - {name})
             self.gone[name] = self.now
         elif name not in listed and name not in self.processes:
             self.processes[name] = Process(name)
-            self.lists.append(listed | {name})
+            self.publish(listed | {name})
+
+    def publish(self, listed):
+        self.lists.append(listed)
+        self.listed_at.append(self.now)
 
     @rule(name=st.sampled_from(NAMES), skip=st.integers(0, 1))
     def see_list(self, name, skip):
         process = self.running(name)
         if process is None or name in self.cut:
             return
-        seen = max(process.seen, len(self.lists) - 1 - skip, 0)
+        newest = len(self.lists) - 1
+        if skip and self.now - self.listed_at[newest] < LAG:
+            newest -= 1
+        seen = max(process.seen, newest)
         process.seen = seen
         listed = self.lists[seen]
+        process.watch.see(now=self.now, revision=seen, listed=listed)
         process.shares.see(
             now=self.now,
-            revision=seen,
             holders=tuple(sorted(listed, reverse=True))[:HOLDERS],
-            peers=listed,
+            peers=frozenset(NAMES),
             limits=limits_of(LIMIT),
         )
 
@@ -113,9 +124,10 @@
             self.stop_replaced(name, since)
 
     def ask(self, name, process):
+        process.watch.tick(now=self.now)
         for ask in process.shares.tick(now=self.now):
             self.asks.append((name, process, ask))
-        if process.shares.cut_off:
+        if process.watch.cut_off:
             process.set_used(0)
 
     def stop_replaced(self, name, since):
@@ -160,7 +172,12 @@
         other = self.running(ask.vm)
         if other is None or not self.linked(name, ask.vm):
             return
-        reply = other.shares.answer(now=self.now, vm=name, holders=ask.holders)
+        reply = other.shares.answer(
+            now=self.now,
+            vm=name,
+            revision=ask.revision,
+            holders=ask.holders,
+        )
         self.replies.append((name, process, ask.attempt, reply))
 
     def pass_reply(self, name, process, attempt, reply):
@@ -182,8 +199,12 @@
             allowed = process.shares.allowed("t").connections
             process.set_used(0 if idle else min(process.used, allowed))
 
-    @rule()
-    def settle(self):
+    @rule(heal=st.booleans())
+    def settle(self, heal=False):
+        if heal:
+            self.cut.clear()
+            for name in sorted(self.processes):
+                self.wake(name)
         for _ in range(2):
             for name in sorted(self.processes):
                 self.see_list(name=name, skip=0)
@@ -191,22 +212,38 @@
             self.deliver_all()
             self.use_all()
 
-    @rule(name=st.sampled_from(NAMES))
-    def restart(self, name):
-        if name in self.processes:
-            self.processes[name] = Process(name)
+    def wake(self, name):
+        process = self.processes[name]
+        if process.paused:
+            process.paused = False
+            self.ask(name, process)
 
-    @rule(name=st.sampled_from(NAMES))
-    def pause_or_wake(self, name):
-        process = self.processes.get(name)
-        if process is not None:
-            process.paused = not process.paused
-            if not process.paused:
-                self.ask(name, process)
+    @rule(
+        name=st.sampled_from(NAMES),
+        kind=st.sampled_from(["restart", "pause", "cut", "vanish"]),
+    )
+    def disturb(self, name, kind):
+        if name not in self.processes:
+            return
+        if kind == "restart":
+            self.processes[name] = Process(name)
+        elif kind == "pause":
+            self.processes[name].paused = True
+        elif kind == "cut":
+            self.cut ^= {name}
+        elif name in self.lists[-1]:
+            self.cut.add(name)
+            self.join_or_leave(name=name)
+
+    @rule(seconds=st.integers(2, 5))
+    def pass_time(self, seconds):
+        for _ in range(seconds):
+            self.settle()
 
     @rule(name=st.sampled_from(NAMES))
-    def cut_or_mend(self, name):
-        self.cut ^= {name}
+    def resume(self, name):
+        if name in self.processes:
+            self.wake(name)
 
     @invariant()
     def within_limit(self):
@@ -225,15 +262,16 @@
             deadline=None,
             phases=[Phase.generate],
             print_blob=False,
+            report_multiple_bugs=False,
             suppress_health_check=list(HealthCheck),
         ),
     )
 
 
-def agree_to_all(self, *, now, vm, holders):
+def agree_to_all(self, *, now, vm, revision, holders):
     held = {"t": self.held("t")}
     return Reply(
-        vm=self.me, agrees=True, informed=True, revision=99, held=held
+        vm=self.watch.me, agrees=True, informed=True, revision=99, held=held
     )
 
 
@@ -243,15 +281,13 @@
     "what is still used is ignored": {
         "_excess": lambda self, vm, position: Units()
     },
-    "a VM off the list is forgotten": {
-        "_lingering": lambda self, now, besides: set()
-    },
+    "a VM off the list is forgotten": {"lingering": lambda self, now: set()},
     "any list of holders is agreed to": {"answer": agree_to_all},
     "a share is kept after a change": {
         "_shrink": lambda self: None,
         "held": lambda self, target: self._used.get(target, Units()),
     },
-    "a new VM trusts its first list": {"_is_informed": lambda self, now: True},
+    "a new VM trusts its first list": {"is_informed": lambda self, now: True},
     "a cut-off VM keeps its share": {"_isolated": lambda self, now: None},
 }
 
@@ -275,17 +311,25 @@
 def step_shares(context):
     context.now = 100.0
     context.revision = 0
-    context.shares = {name: GroupShares(me=name) for name in "abc"}
+    context.shares = {name: new_shares(name) for name in "abc"}
     see(context, "abc", "abc")
     pass_time(context, 11)
 
 
+def new_shares(name):
+    return GroupShares(watch=ListWatch(me=name))
+
+
 def see(context, holders, peers):
     context.revision += 1
     for shares in context.shares.values():
-        shares.see(
+        shares.watch.see(
             now=context.now,
             revision=context.revision,
+            listed=frozenset(peers),
+        )
+        shares.see(
+            now=context.now,
             holders=tuple(holders),
             peers=frozenset(peers),
             limits=limits_of(20),
@@ -294,11 +338,15 @@
 
 def exchange(context, cut=""):
     for name, shares in context.shares.items():
+        shares.watch.tick(now=context.now)
         for ask in shares.tick(now=context.now):
             if name in cut or ask.vm in cut:
                 continue
             reply = context.shares[ask.vm].answer(
-                now=context.now, vm=name, holders=ask.holders
+                now=context.now,
+                vm=name,
+                revision=ask.revision,
+                holders=ask.holders,
             )
             shares.reply(now=context.now, attempt=ask.attempt, reply=reply)
 
@@ -312,7 +360,7 @@
 @when("VM d takes the place of c, which still uses 2")
 def step_replace(context):
     context.shares["c"].use("t", Units(connections=2))
-    context.shares["d"] = GroupShares(me="d")
+    context.shares["d"] = new_shares("d")
     see(context, "abd", "abcd")
     pass_time(context, 1)
 
@@ -348,10 +396,11 @@
 def step_seeded(context, fault):
     with ExitStack() as stack:
         for name, broken in FAULTS[fault].items():
-            patch = mock.patch.object(GroupShares, name, broken)
+            owner = ListWatch if hasattr(ListWatch, name) else GroupShares
+            patch = mock.patch.object(owner, name, broken)
             stack.enter_context(patch)
         try:
-            explore()
+            explore(examples=3000)
         except AssertionError as exc:
             assert "connections in use" in str(exc), exc
             return
