--- a/bamboospring/watcher.py
+++ b/bamboospring/watcher.py
@@ -215,7 +215,8 @@
         watched.suspected = False
         poller = watched.pollers.get(primary)
         if poller is not None:
-            poller.watch.heard(self._reactor.now())
+            grace = REPLICA_POLL - PRIMARY_POLL
+            poller.watch.heard(self._reactor.now() + grace)
 
     def _stop_removed(self, watched: _Watched) -> None:
         targets = watched.group.record.targets
