--- a/bamboospring/server.py
+++ b/bamboospring/server.py
@@ -58,12 +58,19 @@
             placement=self.placement,
             timing=WatchTiming(silent=cfg.timing.suspect_ms / 1000),
         ).register(self)
+        codec = TokenCodec(
+            keys=[
+                TokenKey(id=key.id, secret=key.secret.encode())
+                for key in cfg.token_keys
+            ]
+        )
         self.holder = Holder(
             reactor=self.reactor,
             board=self.board,
             placement=self.placement,
             pools=self.pools,
             watcher=self.watcher,
+            codec=codec,
         ).register(self)
         StatementServer(
             reactor=self.reactor, peers=self.peers, holder=self.holder
@@ -74,12 +81,7 @@
             placement=self.placement,
             peers=self.peers,
             holder=self.holder,
-            codec=TokenCodec(
-                keys=[
-                    TokenKey(id=key.id, secret=key.secret.encode())
-                    for key in cfg.token_keys
-                ]
-            ),
+            codec=codec,
             listen=cfg.callers.listen,
         ).register(self)
         self.facts = Facts(
