--- a/bamboospring/peer_sync.py
+++ b/bamboospring/peer_sync.py
@@ -178,6 +178,8 @@
     def _on_heartbeat(self, message: Any, reply: Reply) -> None:
         heartbeat = message.heartbeat
         name = heartbeat.vm
+        if heartbeat.draining:
+            self._membership.drains(name)
         vm = self._board.vms.get(name)
         if vm is not None and name != self._board.me.name:
             self._callers[name] = self._reactor.now()
--- a/bamboospring/peers.py
+++ b/bamboospring/peers.py
@@ -82,6 +82,13 @@
         message.id = 0
         self._link(address).send(message.to_bytes())
 
+    def broadcast(self, message: Any) -> None:
+        """Send on each link that stands, whoever opened it."""
+        message.id = 0
+        data = message.to_bytes()
+        for link in [*self._links.values(), *self._accepted]:
+            link.send(data)
+
     def ask(
         self,
         address: str,
--- a/bamboospring/platform_client.py
+++ b/bamboospring/platform_client.py
@@ -48,8 +48,10 @@
 WATCH_MARGIN = 3.0
 FIRST_BACKOFF = 0.1
 MAX_BACKOFF = 5.0
-# A steward that finds the platform back late loses its lease for nothing.
-MAX_LEASE_BACKOFF = 1.0
+# A steward that finds the platform back late loses its lease for nothing, and
+# an operator waits for an edit. There are few calls of both kinds.
+MAX_URGENT_BACKOFF = 1.0
+URGENT = frozenset({"edit", "lease"})
 MAX_WAITING = 32
 
 SERVER_ERRORS = 500
@@ -389,13 +391,13 @@
     def _lane(self, purpose: str) -> _Lane:
         lane = self._lanes.get(purpose)
         if lane is None:
-            leases = _counted_as(purpose) == "lease"
+            urgent = _counted_as(purpose) in URGENT
             lane = _Lane(
                 client=HttpClient(
                     reactor=self._reactor, address=self._address
                 ),
                 backoff=Backoff(
-                    limit=MAX_LEASE_BACKOFF if leases else MAX_BACKOFF
+                    limit=MAX_URGENT_BACKOFF if urgent else MAX_BACKOFF
                 ),
             )
             self._lanes[purpose] = lane
--- a/bamboospring/server.py
+++ b/bamboospring/server.py
@@ -2,13 +2,20 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+import hmac
+
 from circuits import Component
 
 from bamboospring.blackboard import Blackboard
 from bamboospring.blackboard import Vm
+from bamboospring.drain import Drain
 from bamboospring.entry import Entry
 from bamboospring.facts import Facts
 from bamboospring.holder import Holder
+from bamboospring.http_codec import HttpServer
+from bamboospring.http_codec import Request
+from bamboospring.http_codec import Response
 from bamboospring import logs
 from bamboospring.membership import Membership
 from bamboospring.peers import Peers
@@ -18,6 +25,9 @@
 from bamboospring.rendezvous import Placement
 from bamboospring.settings import Settings
 from bamboospring.statement_server import StatementServer
+from bamboospring.table_editor import TableEditor
+from bamboospring.table_pages import make_reach
+from bamboospring.table_pages import TablePages
 from bamboospring.tokens import TokenCodec
 from bamboospring.tokens import TokenKey
 from bamboospring.watcher import Watcher
@@ -86,6 +96,40 @@
             timing=cfg.timing,
             seeds=cfg.peers.seeds,
         ).register(self)
+        self.drain = Drain(
+            reactor=self.reactor,
+            board=self.board,
+            peers=self.peers,
+            callers=self.entry.server,
+            notice=cfg.timing.drain_notice_ms / 1000,
+            patience=cfg.timing.drain_idle_ms / 1000,
+            limit=cfg.timing.drain_ms / 1000,
+        ).register(self)
+        self.table_pages = TablePages(
+            board=self.board,
+            platform=self.platform,
+            editor=TableEditor(
+                reactor=self.reactor,
+                platform=self.platform,
+                reach=make_reach(self.reactor),
+                on_stored=self.facts.store.take_shard_value,
+            ),
+        )
+        self.operators = HttpServer(
+            reactor=self.reactor,
+            address=cfg.operators.listen,
+            handler=self._on_operator,
+        )
+
+    def _on_operator(
+        self, req: Request, respond: Callable[[Response], None]
+    ) -> None:
+        token = f"Bearer {self.cfg.operators.token}"
+        given = req.headers.get("authorization", "")
+        if not hmac.compare_digest(given.encode(), token.encode()):
+            respond(Response(status=401, body=b"{}"))
+        elif not self.table_pages.handle(req, respond):
+            respond(Response(status=404, body=b"{}"))
 
 
 def run(cfg: Settings) -> None:
--- a/bamboospring/settings.py
+++ b/bamboospring/settings.py
@@ -404,11 +404,25 @@
     breaker_ms: int = _milliseconds(
         500, 10, 60_000, "Pause before a failing target is tried again."
     )
+    drain_notice_ms: int = _milliseconds(
+        5_000,
+        0,
+        600_000,
+        "Time for which a shutdown goes on taking connections, while the "
+        "balancer finds out that the process is not ready any more.",
+    )
+    drain_idle_ms: int = _milliseconds(
+        5_000,
+        0,
+        600_000,
+        "Further time for which a shutdown keeps callers' connections on "
+        "which nothing happens.",
+    )
     drain_ms: int = _milliseconds(
         30_000,
         0,
         600_000,
-        "Longest time that a shutdown waits for work in " "flight.",
+        "Longest time that a shutdown takes, whatever is still in flight.",
     )
 
     @model_validator(mode="after")
--- a/bamboospring/table.py
+++ b/bamboospring/table.py
@@ -112,7 +112,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class CellDiff:
-    """One cell that differs. A row that is not there has None."""
+    """One cell that differs."""
 
     group: str
     column: str
@@ -300,10 +300,12 @@
 
 
 def _cells(row: RowChange) -> Iterable[tuple[str, Any, Any]]:
-    before = _encode_optional(row.before) or {}
-    after = _encode_optional(row.after) or {}
+    # A row that is not there is in force as one that sets nothing.
+    default = TableRow(group=row.group)
+    before = encode_row(row.before or default)
+    after = encode_row(row.after or default)
     for column in COLUMNS:
-        yield column, before.get(column), after.get(column)
+        yield column, before[column], after[column]
 
 
 def _changes_since(
--- a/bamboospring/table_commands.py
+++ b/bamboospring/table_commands.py
@@ -48,6 +48,7 @@
     "max_staleness_ms": "staleness ms",
     "leaving_targets": "leaving targets",
 }
+CELLS = [name for name in COLUMNS if name not in ("group", "version")]
 EXIT_CODES = {
     "accepted": ExitCode.DONE,
     "checked": ExitCode.DONE,
@@ -439,13 +440,10 @@
 
 def _change_text(change: Mapping[str, Any], group: str) -> str:
     cells = [
-        f"{name} {_short((row['before'] or {}).get(name))} -> "
-        f"{_short((row['after'] or {}).get(name))}"
+        text
         for row in change["rows"]
         if row["group"] == group
-        for name in COLUMNS
-        if (row["before"] or {}).get(name) != (row["after"] or {}).get(name)
-        and name != "group"
+        for text in _row_texts(row)
     ]
     comment = f" ({change['comment']})" if change["comment"] else ""
     return f"{change['at']} {change['author']}{comment}: {group} " + "; ".join(
@@ -453,6 +451,21 @@
     )
 
 
+def _row_texts(row: Mapping[str, Any]) -> list[str]:
+    before, after = row["before"], row["after"]
+    if after is None:
+        return ["row removed"]
+    if before is None:
+        return [
+            f"{name} {_short(after[name])}" for name in CELLS if after[name]
+        ]
+    return [
+        f"{name} {_short(before[name])} -> {_short(after[name])}"
+        for name in CELLS
+        if before[name] != after[name]
+    ]
+
+
 def _text_table(rows: Sequence[Mapping[str, Any]]) -> str:
     lines = [list(COLUMNS.values())]
     lines += [[_short(row[name]) for name in COLUMNS] for row in rows]
--- a/bamboospring/table_editor.py
+++ b/bamboospring/table_editor.py
@@ -48,7 +48,10 @@
 
 __all__ = ["EditReport", "EditRequest", "TableEditor", "Verdict"]
 
-EDIT_TIMEOUT = 20.0
+# For how long the platform is asked again, in seconds. An update in doubt is
+# worth a longer wait: its author would have to find out by hand.
+PATIENCE = 5.0
+PATIENCE_IN_DOUBT = 20.0
 RETRY_DELAY = 0.05
 PURPOSE = "edit"
 OVERTAKEN = Unavailable(
@@ -183,7 +186,7 @@
         self._platform = editor.platform
         self._request = request
         self._on_report = on_report
-        self._deadline = self._reactor.now() + EDIT_TIMEOUT
+        self._begun_at = self._reactor.now()
         self._parts: dict[int, _Part] = {}
         self._records: dict[str, GroupRecord | None] = {}
         self._cells: dict[tuple[str, str], CellDiff] = {}
@@ -395,7 +398,9 @@
 
     def _again(self, failure: Unavailable, step: Callable[[], None]) -> None:
         wait = max(RETRY_DELAY, failure.retry_after)
-        if self._reactor.now() + wait < self._deadline:
+        doubt = any(part.in_doubt for part in self._open_parts())
+        patience = PATIENCE_IN_DOUBT if doubt else PATIENCE
+        if self._reactor.now() + wait < self._begun_at + patience:
             self._reactor.call_later(wait, step)
             return
         message = f"the platform does not answer: {failure.reason}"
