--- a/bamboospring/peer_sync.py
+++ b/bamboospring/peer_sync.py
@@ -179,7 +179,7 @@
         heartbeat = message.heartbeat
         name = heartbeat.vm
         if heartbeat.draining:
-            self._membership.drains(name)
+            self._membership.drains(name, self._reactor.now())
         vm = self._board.vms.get(name)
         if vm is not None and name != self._board.me.name:
             self._callers[name] = self._reactor.now()
@@ -192,7 +192,8 @@
     def _heard(self, heartbeat: Any, address: str) -> None:
         name = heartbeat.vm
         now = self._reactor.now()
-        self._membership.heard(name, now, draining=heartbeat.draining)
+        self._membership.heard(name, now)
+        self._membership.drains(name, now, heartbeat.draining)
         theirs = Versions(
             vms_revision=heartbeat.vmsRevision,
             shards=tuple(heartbeat.shards),
--- a/bamboospring/server.py
+++ b/bamboospring/server.py
@@ -16,6 +16,7 @@
 from bamboospring.http_codec import HttpServer
 from bamboospring.http_codec import Request
 from bamboospring.http_codec import Response
+from bamboospring.lease import LeaseTiming
 from bamboospring import logs
 from bamboospring.membership import Membership
 from bamboospring.peers import Peers
@@ -25,6 +26,8 @@
 from bamboospring.rendezvous import Placement
 from bamboospring.settings import Settings
 from bamboospring.statement_server import StatementServer
+from bamboospring.steward import Steward
+from bamboospring.suspicion import WatchTiming
 from bamboospring.table_editor import TableEditor
 from bamboospring.table_pages import make_reach
 from bamboospring.table_pages import TablePages
@@ -60,14 +63,24 @@
         self.membership = Membership()
         self.pools = Pools(reactor=self.reactor, vm=cfg.vm)
         self.watcher = Watcher(
-            reactor=self.reactor, board=self.board, placement=self.placement
+            reactor=self.reactor,
+            board=self.board,
+            placement=self.placement,
+            timing=WatchTiming(silent=cfg.timing.suspect_ms / 1000),
         ).register(self)
+        codec = TokenCodec(
+            keys=[
+                TokenKey(id=key.id, secret=key.secret.encode())
+                for key in cfg.token_keys
+            ]
+        )
         self.holder = Holder(
             reactor=self.reactor,
             board=self.board,
             placement=self.placement,
             pools=self.pools,
             watcher=self.watcher,
+            codec=codec,
         ).register(self)
         StatementServer(
             reactor=self.reactor, peers=self.peers, holder=self.holder
@@ -78,12 +91,8 @@
             placement=self.placement,
             peers=self.peers,
             holder=self.holder,
-            codec=TokenCodec(
-                keys=[
-                    TokenKey(id=key.id, secret=key.secret.encode())
-                    for key in cfg.token_keys
-                ]
-            ),
+            codec=codec,
+            membership=self.membership,
             listen=cfg.callers.listen,
         ).register(self)
         self.facts = Facts(
@@ -96,6 +105,20 @@
             timing=cfg.timing,
             seeds=cfg.peers.seeds,
         ).register(self)
+        self.steward = Steward(
+            reactor=self.reactor,
+            board=self.board,
+            placement=self.placement,
+            peers=self.peers,
+            platform=self.platform,
+            timing=LeaseTiming(
+                duration=cfg.lease.duration_ms / 1000,
+                renew=cfg.lease.renew_ms / 1000,
+                margin=cfg.lease.margin_ms / 1000,
+            ),
+            publish=self.facts.publish,
+        ).register(self)
+        self.watcher.on_verdict = self.steward.report
         self.drain = Drain(
             reactor=self.reactor,
             board=self.board,
@@ -105,6 +128,7 @@
             patience=cfg.timing.drain_idle_ms / 1000,
             limit=cfg.timing.drain_ms / 1000,
         ).register(self)
+        self.drain.wait_for("statements", lambda: self.holder.busy)
         self.table_pages = TablePages(
             board=self.board,
             platform=self.platform,
--- a/bamboospring/target_api.py
+++ b/bamboospring/target_api.py
@@ -40,6 +40,7 @@
     last_term: int
     start: int
     leaving: bool
+    primary: str = ""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -47,6 +48,7 @@
     """A target's answer to one statement."""
 
     id: int
+    target: str
     term: int
     role: Role
     received: int
@@ -87,6 +89,7 @@
         raw = orjson.loads(body)
         return TargetAnswer(
             id=raw["id"],
+            target=raw["target"],
             term=raw["term"],
             role=Role(raw["role"]),
             received=raw["received"],
@@ -118,6 +121,7 @@
             last_term=raw["last_term"],
             start=raw["start"],
             leaving=bool(raw.get("leaving")),
+            primary=raw.get("primary") or "",
         )
     except (ValueError, KeyError, TypeError):
         return None
