--- a/bamboospring/entry.py
+++ b/bamboospring/entry.py
@@ -20,6 +20,7 @@
 from bamboospring.http_codec import HttpServer
 from bamboospring.http_codec import Request
 from bamboospring.http_codec import Response
+from bamboospring.membership import Membership
 from bamboospring.outcomes import Done
 from bamboospring.outcomes import Outcome
 from bamboospring.outcomes import Reason
@@ -68,6 +69,7 @@
         peers: Peers,
         holder: Holder,
         codec: TokenCodec,
+        membership: Membership,
         listen: str,
     ) -> None:
         super().__init__()
@@ -82,6 +84,7 @@
             peers=peers,
             holder=holder,
             codec=codec,
+            membership=membership,
             may_retry=lambda: True,
         )
         self._routes: dict[str, Callable[[bytes, Respond], None]] = {
--- a/bamboospring/membership.py
+++ b/bamboospring/membership.py
@@ -22,6 +22,9 @@
 # A peer that stays away is tried this often: seldom enough to cost callers
 # little, often enough that its return is noticed without a probe of its own.
 MAX_AVOIDANCE = 10.0
+# A VM that drained and came back under its name is not known as such to those
+# that exchange no heartbeats with it.
+DRAIN_MEMORY = 30.0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -29,7 +32,7 @@
     """What was last heard of one VM. Instants are monotonic seconds."""
 
     heard_at: float = -1e9
-    draining: bool = False
+    drains_until: float = -1e9
     losses: int = 0
     avoid_until: float = -1e9
 
@@ -53,11 +56,10 @@
     def __init__(self) -> None:
         self._states: dict[str, PeerState] = {}
 
-    def heard(self, vm: str, now: float, *, draining: bool = False) -> None:
-        """Note a sign of life, and whether the VM says that it drains."""
+    def heard(self, vm: str, now: float) -> None:
+        """Note a sign of life."""
         state = self._state(vm)
         state.heard_at = now
-        state.draining = draining
         state.losses = 0
         state.avoid_until = -1e9
 
@@ -69,9 +71,10 @@
         state.losses += 1
         state.avoid_until = now + wait
 
-    def drains(self, vm: str) -> None:
-        """Note that a VM has said that it takes no new work."""
-        self._state(vm).draining = True
+    def drains(self, vm: str, now: float, draining: bool = True) -> None:
+        """Note whether a VM says that it takes no new work."""
+        until = now + DRAIN_MEMORY if draining else -1e9
+        self._state(vm).drains_until = until
 
     def reachability(self, vm: Vm, now: float) -> Reachability:
         """Judge a VM from the list and from what was heard."""
@@ -80,10 +83,16 @@
         if state is None:
             return Reachability(leaving=leaving, avoided=False)
         return Reachability(
-            leaving=leaving or state.draining,
+            leaving=leaving or state.drains_until > now,
             avoided=state.avoid_until > now,
         )
 
+    def avoided(self, vms: Iterable[Vm], now: float) -> frozenset[str]:
+        """Return the names of those VMs that are to be tried last."""
+        return frozenset(
+            vm.name for vm in vms if self.reachability(vm, now).rank > 0
+        )
+
     def order(self, vms: Iterable[Vm], now: float) -> list[Vm]:
         """Return VMs in the order to try them; equals keep their order."""
         return sorted(vms, key=lambda vm: self.reachability(vm, now).rank)
