Take up a group's record that came before the first list of VMs

Cause: at a start a watcher pushes records to a VM as soon as it listens. If that VM has no list of VMs yet it can't tell that it needs the record and only keeps it; follow_placement then returned early because there had been no index before, and the same version again is no news. As leader of the bucket it never began the election, so writes were refused with no_primary until the repair 3 to 5 s later. Ruled out: leases (held in each failing start by a VM that had no record of the group), the steward, the fault proxy.

--- a/bamboospring/group_sync.py
+++ b/bamboospring/group_sync.py
@@ -131,11 +131,15 @@
         """Bring records to the VMs that need them since the VMs changed."""
         self.ask()
         before = self._index
-        if not self._all or not before:
+        if not self._all:
             return
+        # Also at the first list of VMs: a record that a peer sent before
+        # it could not be told to be one of ours, and it is not sent twice.
         for name in self._needed_by(self._board.me.name):
             known = self._all[name]
             self._take(name, known.version, known.value)
+        if not before:
+            return
         for vm, names in self._index.items():
             added = names - before.get(vm, set())
             if added and vm != self._board.me.name:
