--- a/bamboospring/reads.py
+++ b/bamboospring/reads.py
@@ -233,6 +233,8 @@
                 self._done(done_from(answer, at_replica=choice.replica))
             case "ok":
                 self._too_old(choice)
+            case "refused" if self._primary_is_behind(choice, answer):
+                self._refuse(Reason.TOKEN_AHEAD)
             case "refused":
                 if answer.reason in ("term", "not_primary"):
                     self._runner.doubt(self._stmt.group)
@@ -247,6 +249,17 @@
         if answer.term == state.term:
             state.applied = max(state.applied, answer.applied)
 
+    def _primary_is_behind(self, choice: ReadAt, answer: TargetAnswer) -> bool:
+        """Tell whether the primary lacks what the token claims.
+
+        A target that is behind in its term says the same word.
+        """
+        return (
+            not choice.replica
+            and answer.reason == "behind"
+            and answer.term == choice.term
+        )
+
     def _covers(self, answer: TargetAnswer) -> bool:
         position = Position(term=answer.term, index=answer.index)
         record = self._group.record
--- a/bamboospring/testing/fleet.py
+++ b/bamboospring/testing/fleet.py
@@ -29,6 +29,9 @@
 from types import TracebackType
 from typing import Any
 
+from bamboospring.blackboard import Vm
+from bamboospring.rendezvous import choose_holders
+from bamboospring.rendezvous import HOLDERS_PER_GROUP
 from bamboospring.testing.estate import Estate
 from bamboospring.testing.process import ManagedProcess
 from bamboospring.testing.process import StartFailed
@@ -282,6 +285,36 @@
         body = {"mode": mode, "direction": direction, "delay_ms": delay_ms}
         call_json(self._proxy_address, "POST", f"/links/{name}", body)
 
+    def change_primary(
+        self, group: str, name: str, *, without: Iterable[str] = ()
+    ) -> int:
+        """Make a member primary of a new term by hand; return its start.
+
+        The targets in `without` hear nothing of it, as if cut off. The
+        platform is not told; `write_group` does that.
+        """
+        members = [t for t in self.members(group) if t.name not in without]
+        term = 1 + max(self.probe(t.name)["term"] for t in members)
+        for target in members:
+            call_json(target.listen, "POST", "/fence", {"term": term})
+        chosen = self.targets[name]
+        promoted = call_json(chosen.listen, "POST", "/promote", {"term": term})
+        order = {"term": term, "primary": chosen.address}
+        for target in members:
+            if target.name != name:
+                call_json(target.listen, "POST", "/follow", order)
+        return int(promoted["start"])
+
+    def write_group(self, group: str, primary: str) -> None:
+        """Write a new term's primary and start into the platform's object."""
+        value = self.object("group", group)["value"]
+        found = self.probe(primary)
+        value["term"] = found["term"]
+        value["primary"] = primary
+        start = {"term": found["term"], "index": found["start"]}
+        value["starts"] = [*value["starts"], start]
+        self.put_object("group", group, value)
+
     def set_platform_faults(self, **faults: Any) -> None:
         """Set the platform stand-in's faults (see PROTOCOLS)."""
         call_json(self._platform_address, "POST", "/faults", faults)
@@ -318,6 +351,25 @@
         primary = self.primary(group)
         return [t.name for t in self.members(group) if t.name != primary]
 
+    def holders(self, group: str) -> list[str]:
+        """Return the names of the VMs that hold a group."""
+        vms = [
+            Vm(
+                name=vm.name,
+                address=vm.peers,
+                availability_zone=vm.zone,
+                region=self.estate.region,
+            )
+            for vm in self.vms.values()
+        ]
+        chosen = choose_holders(group, vms, HOLDERS_PER_GROUP)
+        return [vm.name for vm in chosen]
+
+    def not_holders(self, group: str) -> list[str]:
+        """Return the names of the VMs that only forward for a group."""
+        holders = self.holders(group)
+        return [name for name in self.vms if name not in holders]
+
     def counters(self, name: str) -> dict[str, Any]:
         """Return the counters of a target, or of `platform`."""
         if name == PLATFORM:
--- /dev/null
+++ b/features/steps/fleet_support.py
@@ -0,0 +1,73 @@
+"""Small things that the steps of several features share."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import dataclasses
+import threading
+from typing import Any
+
+from bamboospring.testing.caller import Caller
+from bamboospring.testing.estate import Estate
+from bamboospring.testing.estate import SMALL
+from bamboospring.testing.fleet import call_json
+from bamboospring.testing.fleet import Fleet
+
+__all__ = [
+    "GROUP",
+    "SCHEMA",
+    "call_json",
+    "caller_at",
+    "in_threads",
+    "start_fleet",
+]
+
+GROUP = "ledger"
+SCHEMA = """
+CREATE TABLE entries (id INTEGER PRIMARY KEY, body TEXT);
+CREATE TABLE balances (name TEXT PRIMARY KEY, amount INTEGER);
+INSERT INTO balances VALUES ('a', 1000), ('b', 1000);
+"""
+
+
+def start_fleet(context: Any, *, vms: int = 3, **changes: Any) -> Fleet:
+    """Start a fleet behind links that ends with the scenario."""
+    estate: Estate = dataclasses.replace(SMALL, schema=SCHEMA, **changes)
+    fleet = Fleet(estate=estate, links=True, vms=vms)
+    context.fleet = fleet
+    context.add_cleanup(fleet.close)
+    fleet.start()
+    fleet.wait_serving()
+    return fleet
+
+
+def caller_at(fleet: Fleet, vm: str, **options: Any) -> Caller:
+    """Return a new caller that works through one VM at first."""
+    names = list(fleet.vms)
+    return Caller(entries=fleet.entries(), at=names.index(vm), **options)
+
+
+def in_threads(works: list[Callable[[], Any]]) -> list[Any]:
+    """Run all at the same time and return their results in order."""
+    results: list[Any] = [None] * len(works)
+    faults: list[BaseException] = []
+    start = threading.Barrier(len(works))
+
+    def run(place: int) -> None:
+        try:
+            start.wait()
+            results[place] = works[place]()
+        except BaseException as exc:
+            faults.append(exc)
+
+    threads = [
+        threading.Thread(target=run, args=(place,), daemon=True)
+        for place in range(len(works))
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    if faults:
+        raise faults[0]
+    return results
--- /dev/null
+++ b/features/steps/session_properties.py
@@ -0,0 +1,295 @@
+"""Properties of tokens and routing, over generated cases.
+
+Every check uses fixed seeds (`derandomize`), so that CI always runs the same
+cases. Models of a group are built freely: also with facts that contradict
+each other, as they do for moments in a running fleet.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from hypothesis import assume
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from bamboospring.blackboard import Group
+from bamboospring.blackboard import GroupRecord
+from bamboospring.blackboard import Role
+from bamboospring.blackboard import TableRow
+from bamboospring.blackboard import Target
+from bamboospring.blackboard import TargetState
+from bamboospring.blackboard import TermStart
+from bamboospring.routing import choose_read
+from bamboospring.routing import confirmed_at
+from bamboospring.routing import Draws
+from bamboospring.routing import ReadAt
+from bamboospring.routing import ReadNeeds
+from bamboospring.routing import required_index
+from bamboospring.routing import SILENT_AFTER
+from bamboospring.statements import Position
+from bamboospring.tokens import BadToken
+from bamboospring.tokens import Session
+from bamboospring.tokens import TokenCodec
+from bamboospring.tokens import TokenKey
+
+__all__ = [
+    "changed_token_is_refused",
+    "choice_is_made_where_possible",
+    "choice_is_safe",
+    "keys_rotate",
+    "merge_covers_both",
+    "older_positions_are_capped",
+    "token_round_trip",
+]
+
+NOW = 100.0
+NEVER = -1e9
+SITES = ("old", "new")
+OLD_KEY = TokenKey(id="k1", secret=b"first secret of the check")
+NEW_KEY = TokenKey(id="k2", secret=b"second secret of the check")
+
+names = st.text(min_size=1, max_size=20)
+positions = st.builds(
+    Position,
+    term=st.integers(0, 5),
+    index=st.integers(0, 2**60),
+)
+sessions = st.builds(
+    Session,
+    caller=names,
+    positions=st.dictionaries(names, positions, max_size=8),
+)
+
+
+def fixed(check: Callable[..., None]) -> Callable[[], None]:
+    """Run a check over 300 cases, always the same ones."""
+    fixed_check: Any = settings(
+        derandomize=True, max_examples=300, deadline=None, database=None
+    )(check)
+    return fixed_check
+
+
+@st.composite
+def groups(draw: Any) -> Group:
+    """Return a group of three with any facts about its targets."""
+    targets = tuple(
+        Target(
+            name=f"m{number}",
+            address=f"127.0.0.1:{number + 1}",
+            availability_zone=f"zone-{number}",
+            site=SITES[number % len(SITES)],
+        )
+        for number in range(3)
+    )
+    term = draw(st.integers(1, 4))
+    primary = draw(st.sampled_from(["m0", "m1", "m2", ""]))
+    starts = tuple(
+        TermStart(term=number + 1, index=1 + 10 * number)
+        for number in range(term)
+    )
+    record = GroupRecord(
+        name="ledger",
+        targets=targets,
+        term=term,
+        primary=primary,
+        starts=starts,
+    )
+    group = Group(record=record)
+    for target in targets:
+        group.states[target.name] = draw(states(target.name, term))
+    return group
+
+
+def states(name: str, term: int) -> Any:
+    """Return facts about a target: half of them those of a good replica."""
+    return st.one_of(good_states(name, term), any_states(name, term))
+
+
+def good_states(name: str, term: int) -> Any:
+    """Return facts of a replica that keeps up with its group."""
+    recently = st.floats(NOW - 1, NOW)
+    return st.builds(
+        TargetState,
+        name=st.just(name),
+        term=st.just(term),
+        last_term=st.just(term),
+        role=st.just(Role.REPLICA),
+        received=st.just(60),
+        applied=st.integers(40, 60),
+        asked_at=recently,
+        seen_at=recently,
+        fresh_at=recently,
+        outstanding=st.integers(0, 4),
+    )
+
+
+def any_states(name: str, term: int) -> Any:
+    """Return any facts about a target of a group at `term`."""
+    near = st.integers(max(0, term - 1), term + 1)
+    instants = st.floats(NOW - 3, NOW)
+    return st.builds(
+        TargetState,
+        name=st.just(name),
+        term=near,
+        last_term=near,
+        role=st.sampled_from(list(Role)),
+        received=st.integers(0, 60),
+        applied=st.integers(0, 60),
+        leaving=st.booleans(),
+        asked_at=instants,
+        seen_at=instants,
+        fresh_at=st.one_of(st.just(NEVER), instants),
+        outstanding=st.integers(0, 4),
+    )
+
+
+needs = st.builds(
+    ReadNeeds,
+    token=st.builds(
+        Position, term=st.integers(0, 2), index=st.integers(0, 60)
+    ),
+    fresh_since=st.one_of(st.none(), st.floats(NOW - 3, NOW)),
+    wait_until=st.sampled_from([NOW - 1, NOW + 1]),
+    excluded=st.frozensets(st.sampled_from(["m0", "m1", "m2"]), max_size=1),
+)
+rows = st.builds(
+    TableRow,
+    group=st.just("ledger"),
+    read_weights=st.dictionaries(st.sampled_from(SITES), st.integers(0, 100)),
+    leaving_targets=st.sampled_from([(), ("m1",)]),
+)
+unit = st.floats(0, 1, exclude_max=True)
+draws = st.builds(Draws, site=unit, first=unit, second=unit)
+
+
+def choose(group: Group, row: TableRow, need: ReadNeeds, drawn: Draws) -> Any:
+    return choose_read(group, row, need, zone="zone-1", now=NOW, draws=drawn)
+
+
+@fixed
+@given(session=sessions)
+def token_round_trip(session: Session) -> None:
+    codec = TokenCodec(keys=[OLD_KEY])
+    assert codec.decode(codec.encode(session)) == session
+
+
+@fixed
+@given(
+    session=sessions, place=st.integers(0, 10_000), shift=st.integers(1, 63)
+)
+def changed_token_is_refused(session: Session, place: int, shift: int) -> None:
+    codec = TokenCodec(keys=[OLD_KEY])
+    token = codec.encode(session)
+    alphabet = (
+        "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_"
+    )
+    place %= len(token)
+    other = alphabet[(alphabet.index(token[place]) + shift) % 64]
+    changed = token[:place] + other + token[place + 1 :]
+    found = codec.decode(changed)
+    # The last character has unused bits: it may stand for the same bytes.
+    assert isinstance(found, BadToken) or (
+        place == len(token) - 1 and found == session
+    )
+    stranger = TokenCodec(keys=[TokenKey(id="k1", secret=b"another secret")])
+    assert isinstance(stranger.decode(token), BadToken)
+    assert isinstance(codec.decode_transaction(token), BadToken)
+
+
+@fixed
+@given(session=sessions)
+def keys_rotate(session: Session) -> None:
+    before = TokenCodec(keys=[OLD_KEY])
+    both = TokenCodec(keys=[NEW_KEY, OLD_KEY])
+    after = TokenCodec(keys=[NEW_KEY])
+    assert both.decode(before.encode(session)) == session
+    assert after.decode(both.encode(session)) == session
+    assert isinstance(after.decode(before.encode(session)), BadToken)
+
+
+@fixed
+@given(one=sessions, two=sessions)
+def merge_covers_both(one: Session, two: Session) -> None:
+    merged = one.merged(two)
+    for group in {*one.positions, *two.positions}:
+        expected = max(one.position(group), two.position(group))
+        assert merged.position(group) == expected
+
+
+@fixed
+@given(group=groups(), row=rows, need=needs, drawn=draws)
+def choice_is_safe(
+    group: Group, row: TableRow, need: ReadNeeds, drawn: Draws
+) -> None:
+    choice = choose(group, row, need, drawn)
+    if not isinstance(choice, ReadAt):
+        return
+    record = group.record
+    state = group.state(choice.target.name)
+    assert need.token.term <= record.term
+    assert choice.min_index == required_index(record, need.token)
+    assert choice.term == state.term
+    assert choice.target.name not in need.excluded
+    assert NOW - state.seen_at <= SILENT_AFTER
+    if need.fresh_since is not None:
+        assert confirmed_at(group) >= need.fresh_since
+    if choice.replica:
+        assert state.applied >= choice.min_index
+        assert state.last_term == record.term
+        assert state.role in (Role.REPLICA, Role.FENCED)
+        assert not state.leaving
+        assert choice.target.name not in row.leaving_targets
+        if need.fresh_since is not None:
+            assert state.fresh_at >= need.fresh_since
+        if row.read_weights:
+            assert row.read_weights.get(choice.target.site, 0) > 0
+    else:
+        assert state.role is Role.PRIMARY
+        assert state.term == record.term
+        assert choice.target.name == record.primary
+
+
+@fixed
+@given(group=groups(), row=rows, need=needs, drawn=draws)
+def choice_is_made_where_possible(
+    group: Group, row: TableRow, need: ReadNeeds, drawn: Draws
+) -> None:
+    record = group.record
+    index = required_index(record, need.token)
+    able = [
+        target
+        for target in record.targets
+        if (state := group.state(target.name)).role is Role.REPLICA
+        and state.last_term == record.term
+        and state.applied >= index
+        and not state.leaving
+        and NOW - state.seen_at <= SILENT_AFTER
+        and target.name not in need.excluded
+        and target.name not in row.leaving_targets
+        and (not row.read_weights or row.read_weights.get(target.site, 0))
+        and (
+            need.fresh_since is None
+            or min(state.fresh_at, confirmed_at(group)) >= need.fresh_since
+        )
+    ]
+    assume(able and need.token.term <= record.term)
+    choice = choose(group, row, need, drawn)
+    assert isinstance(choice, ReadAt)
+    assert choice.target in able
+
+
+@fixed
+@given(group=groups(), token=positions)
+def older_positions_are_capped(group: Group, token: Position) -> None:
+    record = group.record
+    index = required_index(record, token)
+    assert index <= token.index
+    for start in record.starts:
+        if start.term > token.term:
+            assert index <= start.index
+            break
+    else:
+        assert index == token.index
