--- a/bamboospring/forwarding.py
+++ b/bamboospring/forwarding.py
@@ -105,6 +105,9 @@
         if stmt.step in (Step.STATEMENT, Step.COMMIT, Step.ROLLBACK):
             self._forward_step(stmt, done)
             return
+        if not self._board.knows_group(stmt.group):
+            done(NotRun(reason=Reason.UNKNOWN_GROUP))
+            return
         holders = self._placement.holders(stmt.group)
         order = order_holders(
             holders,
--- a/bamboospring/holder.py
+++ b/bamboospring/holder.py
@@ -120,8 +120,12 @@
 
     def _run_new(self, stmt: Statement, done: OnOutcome) -> None:
         group = self._board.groups.get(stmt.group)
-        if group is None:
-            done(NotRun(reason=Reason.UNKNOWN_GROUP))
+        if self._board.starting:
+            done(_not_here(Reason.NOT_HOLDER))
+        elif group is None:
+            known = self._board.knows_group(stmt.group)
+            reason = Reason.NOT_HOLDER if known else Reason.UNKNOWN_GROUP
+            done(_not_here(reason))
         elif stmt.write or stmt.step is Step.BEGIN:
             self.writes.run(stmt, group, done)
         else:
