Wait for a peer's hello, judge silence by an unanswered question, hold ports

Cause 1: a write to a killed holder behind a proxy ended as unknown: the connection was accepted, so the statement counted as sent. A frozen VM's kernel accepts as well. Change: the accepting side says hello, nothing is sent before. Cause 2: a write that waited 1.5 s for the target's lock ended as unknown: after an answered heartbeat the next check came just under the silence limit and the one after it dropped the link without having asked. Change: only a heartbeat that stays unanswered ends a link. Cause 3: a VM could not listen on its port: between its release and the process's start another process had taken it (seen once in 16 fleets). Change: the fleet keeps the ports bound for its whole life.

--- a/bamboospring/peers.py
+++ b/bamboospring/peers.py
@@ -34,6 +34,11 @@
 # long again the link is dropped and its exchanges are lost at once, instead
 # of each waiting for its own deadline.
 SILENCE = 0.5
+# The side that accepts says hello at once. Until it has, nothing is sent: a
+# connection is also accepted by the kernel of a process that is frozen, or by
+# a proxy whose other side is dead, and a statement written into it would have
+# to be given up as unknown although nobody ever saw it.
+HELLO_TIMEOUT = 1.0
 LENGTH = struct.Struct("<I")
 
 
@@ -149,7 +154,9 @@
     exchanges: dict[int, _Exchange] = field(default_factory=dict)
     buffer: bytearray = field(default_factory=bytearray)
     heard_at: float = 0.0
+    heartbeat_at: float = -1e9
     watch: Timer | None = None
+    ready: bool = False
     ended: bool = False
 
     def send(self, data: bytes) -> None:
@@ -162,7 +169,7 @@
         )
         self.exchanges[number] = _Exchange(on_answer=on_answer, timer=timer)
         self._write(number, message.to_bytes())
-        if self.watch is None and self.stream is not None:
+        if self.watch is None and self.ready:
             # Silence before the question is nobody's fault.
             self.heard_at = self.peers.reactor.now()
             self._watch_silence()
@@ -176,9 +183,24 @@
             self._end()
             return
         self.stream = stream
-        self.heard_at = self.peers.reactor.now()
         stream.on_data = self._data
         stream.on_close = self._end
+        if self.address:
+            self.peers.reactor.call_later(HELLO_TIMEOUT, self._check_hello)
+            return
+        self._get_ready()
+        message = envelope()
+        message.init("hello").vm = self.peers.vm
+        message.hello.protocol = PROTOCOL
+        self.send(message.to_bytes())
+
+    def _check_hello(self) -> None:
+        if not self.ready:
+            self.drop()
+
+    def _get_ready(self) -> None:
+        self.ready = True
+        self.heard_at = self.peers.reactor.now()
         waiting, self.waiting = self.waiting, []
         for number, data in waiting:
             # An exchange that was given up meanwhile got the answer "not
@@ -195,7 +217,7 @@
             self._end()
 
     def _write(self, number: int, data: bytes) -> None:
-        if self.stream is None:
+        if self.stream is None or not self.ready:
             self.waiting.append((number, data))
             return
         exchange = self.exchanges.get(number)
@@ -234,6 +256,8 @@
             self.drop()
 
     def _message(self, message: Any) -> None:
+        if not self.ready:
+            self._get_ready()
         number = message.id
         exchange = self.exchanges.pop(number, None)
         if exchange is not None:
@@ -257,20 +281,21 @@
         self.watch = None
         if self.ended or not self.exchanges:
             return
-        silent = self.peers.reactor.now() - self.heard_at
-        if silent >= 2 * SILENCE and self._oldest_is_silent():
+        now = self.peers.reactor.now()
+        unanswered = self.heartbeat_at > self.heard_at
+        if unanswered and now - self.heartbeat_at >= SILENCE:
             self.drop()
             return
-        if silent >= SILENCE:
+        if not unanswered and now - self.heard_at >= SILENCE / 2:
+            # Only a question that stays open tells silence from a peer that
+            # has nothing to say yet.
             message = envelope()
             message.init("heartbeat").vm = self.peers.vm
             message.id = next(self.peers._ids)
+            self.heartbeat_at = now
             self.send(message.to_bytes())
         self._watch_silence()
 
-    def _oldest_is_silent(self) -> bool:
-        return any(item.sent for item in self.exchanges.values())
-
     def _give_up(self, number: int) -> None:
         exchange = self.exchanges.pop(number, None)
         if exchange is not None:
--- a/bamboospring/testing/fleet.py
+++ b/bamboospring/testing/fleet.py
@@ -491,24 +491,17 @@
         )
 
     def _free_address(self) -> str:
-        # The socket stays bound (not listening) until the start of the
-        # process that takes the port: two fleets never choose the same one.
+        # The socket stays bound, not listening, for the fleet's whole life.
+        # With SO_REUSEADDR on both sides the process that the port is for can
+        # listen on it all the same, while the kernel gives it to nobody else:
+        # not to another fleet, nor to an outgoing connection, which would
+        # make the process fail with "address in use", also at a restart.
         sock = socket.socket()
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind(("127.0.0.1", 0))
         self._held_ports.append(sock)
         return f"127.0.0.1:{sock.getsockname()[1]}"
 
-    def _release_ports(self, *addresses: str) -> None:
-        ports = {int(address.rsplit(":", 1)[1]) for address in addresses}
-        kept = []
-        for sock in self._held_ports:
-            if sock.getsockname()[1] in ports:
-                sock.close()
-            else:
-                kept.append(sock)
-        self._held_ports = kept
-
     def _spawn(self, name: str, module: str, *args: str) -> ManagedProcess:
         env = dict(os.environ)
         root = str(pathlib.Path(__file__).resolve().parents[2])
@@ -526,7 +519,6 @@
         return process
 
     def _start_platform(self) -> None:
-        self._release_ports(self._platform_address)
         process = self._spawn(
             PLATFORM,
             "bamboospring.testing.platform",
@@ -541,7 +533,6 @@
         if not self.links:
             return
         links = self._planned_links()
-        self._release_ports(self._proxy_address, *[a for _, a, _ in links])
         process = self._spawn(
             FAULT_PROXY,
             "bamboospring.testing.fault_proxy",
@@ -578,7 +569,6 @@
         estate = self.estate
         data = self.directory / target.name
         data.mkdir()
-        self._release_ports(target.listen)
         options = {
             "--name": target.name,
             "--listen": target.listen,
@@ -650,9 +640,6 @@
         vm = self.vms[name]
         path = self.directory / f"{name}.json"
         path.write_text(json.dumps(self._settings_of(vm), indent=1))
-        self._release_ports(
-            vm.callers_listen, vm.peers_listen, vm.operators_listen
-        )
         self._spawn(name, "bamboospring", "serve", "--settings", str(path))
 
     def _settings_of(self, vm: FleetVm) -> dict[str, Any]:
