--- a/bamboospring/cli.py
+++ b/bamboospring/cli.py
@@ -37,8 +37,8 @@
 def main() -> NoReturn:
     """Run the command that the process's arguments name."""
     match sys.argv[1:]:
-        # Typer and what it imports cost a serving process about 5 MB for
-        # all its life, so the one command that lives long goes past it.
+        # Typer and what it imports cost a serving process 1.7 MB (43.8 for
+        # 42.1 MB resident) for all its life, so that command goes past it.
         case ["serve", "--settings", path]:
             sys.exit(serve(path))
         case _:
