--- a/bamboospring/settings.py
+++ b/bamboospring/settings.py
@@ -178,6 +178,13 @@
 class Peers(_Listener):
     """Where the system's other VMs connect; callers never do."""
 
+    seeds: list[Address] = Field(
+        default_factory=list,
+        max_length=16,
+        description="Peers' addresses to ask which VMs there are when the "
+        "platform does not answer at the start.",
+    )
+
     @model_validator(mode="after")
     def _authenticates(self) -> "Peers":
         if self.tls is not None and not self.tls.authority:
@@ -397,11 +404,25 @@
     breaker_ms: int = _milliseconds(
         500, 10, 60_000, "Pause before a failing target is tried again."
     )
+    drain_notice_ms: int = _milliseconds(
+        5_000,
+        0,
+        600_000,
+        "Time for which a shutdown goes on taking connections, while the "
+        "balancer finds out that the process is not ready any more.",
+    )
+    drain_idle_ms: int = _milliseconds(
+        5_000,
+        0,
+        600_000,
+        "Further time for which a shutdown keeps callers' connections on "
+        "which nothing happens.",
+    )
     drain_ms: int = _milliseconds(
         30_000,
         0,
         600_000,
-        "Longest time that a shutdown waits for work in " "flight.",
+        "Longest time that a shutdown takes, whatever is still in flight.",
     )
 
     @model_validator(mode="after")
