--- /dev/null
+++ b/tools/run_tests.py
@@ -0,0 +1,219 @@
+"""Run the checks and the features, print what failed and the counts.
+
+Each feature file is a behave process of its own, a few at a time. Scenarios
+that KNOWN-RED.txt lists run like all others; their failure is printed and
+counted but does not fail the run. The last line is `N passed, N failed`.
+Exit code: 0 if nothing failed but what is listed, else 1.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+import json
+import os
+from pathlib import Path
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+
+ROOT = Path(__file__).resolve().parent.parent
+KNOWN_RED = ROOT / "KNOWN-RED.txt"
+MOST_KNOWN_RED = 3
+# Each feature starts a fleet of about 20 processes; four at once are what a
+# four-core machine bears without timing out.
+AT_ONCE = 4
+FEATURE_TIMEOUT = 420.0
+TAIL = 60
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Result:
+    """One check or scenario: its name, and its output if it failed."""
+
+    name: str
+    passed: bool
+    output: str = ""
+    seconds: float = 0.0
+
+
+def main(arguments: Sequence[str]) -> int:
+    """Run everything, or only the feature files named."""
+    known = _known_red()
+    results = [] if arguments else [_check(*each) for each in _checks()]
+    features = [ROOT / each for each in arguments] or sorted(
+        ROOT.glob("features/*.feature")
+    )
+    with ThreadPoolExecutor(AT_ONCE) as pool:
+        for found in pool.map(_run_feature, features):
+            results.extend(found)
+    results.extend(_stale_entries(known, results, whole=not arguments))
+    return _print_verdict(results, known)
+
+
+def _checks() -> list[tuple[str, list[str]]]:
+    python = sys.executable
+    return [
+        ("black", [python, "-m", "black", "--check", "-q", "-l", "79", "."]),
+        ("flake8 with hacking", [python, "-m", "flake8"]),
+        ("mypy", [python, "-m", "mypy", "bamboospring"]),
+        (
+            "settings reference is current",
+            [python, "tools/check_reference.py"],
+        ),
+    ]
+
+
+def _check(name: str, command: list[str]) -> Result:
+    started = time.monotonic()
+    done = subprocess.run(
+        command, cwd=ROOT, capture_output=True, text=True, check=False
+    )
+    result = Result(
+        name=name,
+        passed=done.returncode == 0,
+        output=done.stdout + done.stderr,
+        seconds=time.monotonic() - started,
+    )
+    _print_result(result)
+    return result
+
+
+def _run_feature(path: Path) -> list[Result]:
+    """Run one feature file; a run without a report is one failure."""
+    name = str(path.relative_to(ROOT))
+    with tempfile.TemporaryDirectory() as folder:
+        report = Path(folder) / "report.json"
+        code, output = _behave(path, report)
+        results = _scenarios(name, report, output)
+    failed = any(not each.passed for each in results)
+    if not results or (code != 0 and not failed):
+        results.append(
+            Result(
+                name=f"{name}: ended with {code}", passed=False, output=output
+            )
+        )
+    for each in results:
+        _print_result(each)
+    return results
+
+
+def _behave(path: Path, report: Path) -> tuple[int, str]:
+    command = [sys.executable, "-m", "behave", "--no-color"]
+    command += ["--format=json", f"--outfile={report}"]
+    command += ["--format=plain", "--outfile=/dev/stdout", str(path)]
+    process = subprocess.Popen(
+        command,
+        cwd=ROOT,
+        env={**os.environ, "PYTHONHASHSEED": "0"},
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+        errors="replace",
+        start_new_session=True,
+    )
+    try:
+        output, _ = process.communicate(timeout=FEATURE_TIMEOUT)
+    except subprocess.TimeoutExpired:
+        # The feature's fleet is in the session that was started for it, so
+        # nothing of it outlives the run and nothing else is touched.
+        os.killpg(process.pid, signal.SIGKILL)
+        output, _ = process.communicate()
+        output += f"\nended after {FEATURE_TIMEOUT:.0f} s"
+    return process.returncode, output
+
+
+def _scenarios(name: str, report: Path, output: str) -> list[Result]:
+    try:
+        features = json.loads(report.read_text())
+    except (OSError, ValueError):
+        return []
+    return [
+        Result(
+            name=f"{name}: {each['name']}",
+            passed=each["status"] == "passed",
+            output="" if each["status"] == "passed" else output,
+            seconds=_seconds(each),
+        )
+        for feature in features
+        for each in feature.get("elements", ())
+        if each["type"] != "background"
+    ]
+
+
+def _seconds(scenario: dict[str, list[dict[str, dict[str, float]]]]) -> float:
+    return sum(
+        step.get("result", {}).get("duration", 0.0)
+        for step in scenario["steps"]
+    )
+
+
+def _known_red() -> dict[str, str]:
+    """Return the listed scenarios with cause and issue.
+
+    A line is `features/x.feature: Scenario; cause; issue`.
+    """
+    if not KNOWN_RED.exists():
+        return {}
+    known = {}
+    for line in KNOWN_RED.read_text().splitlines():
+        if line.strip() and not line.startswith("#"):
+            name, _, rest = line.partition(";")
+            known[name.strip()] = rest.strip()
+    return known
+
+
+def _stale_entries(
+    known: dict[str, str], results: Sequence[Result], *, whole: bool
+) -> list[Result]:
+    names = {each.name for each in results}
+    stale = [
+        Result(
+            name=f"KNOWN-RED.txt: {name}",
+            passed=False,
+            output="no such scenario ran",
+        )
+        for name in known
+        if whole and name not in names
+    ]
+    if len(known) > MOST_KNOWN_RED:
+        stale.append(
+            Result(
+                name="KNOWN-RED.txt: length",
+                passed=False,
+                output=f"{len(known)} entries, {MOST_KNOWN_RED} are allowed",
+            )
+        )
+    for each in stale:
+        _print_result(each)
+    return stale
+
+
+def _print_result(result: Result) -> None:
+    word = "passed" if result.passed else "FAILED"
+    print(f"{word} {result.name} ({result.seconds:.1f} s)", flush=True)
+
+
+def _print_verdict(results: Sequence[Result], known: dict[str, str]) -> int:
+    failed = [each for each in results if not each.passed]
+    shown: set[str] = set()
+    for each in failed:
+        print(f"\n--- {each.name}")
+        if each.output not in shown:
+            print("\n".join(each.output.splitlines()[-TAIL:]))
+        shown.add(each.output)
+    for each in results:
+        if each.name not in known:
+            continue
+        word = "passed this time" if each.passed else "known red"
+        print(f"\n{word}: {each.name}; {known[each.name]}")
+    new = [each for each in failed if each.name not in known]
+    print(f"\n{len(results) - len(failed)} passed, {len(failed)} failed")
+    return 1 if new else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
