--- a/bamboospring/cli.py
+++ b/bamboospring/cli.py
@@ -56,7 +56,7 @@
         return _complain(exc)
     logs.configure(level=cfg.logs.level, vm=cfg.vm)
 
-    import_module("bamboospring.server").run(cfg)
+    import_module("bamboospring.server").run(cfg, path)
     return ExitCode.DONE
 
 
--- a/bamboospring/commands.py
+++ b/bamboospring/commands.py
@@ -17,6 +17,7 @@
 from bamboospring import __version__
 from bamboospring import cli
 from bamboospring.errors import SettingsError
+from bamboospring import fleet_commands
 from bamboospring import table_commands
 
 __all__ = ["app"]
@@ -49,6 +50,7 @@
     root.command()(check)
     root.command()(version)
     root.add_typer(table_commands.app, name="table")
+    fleet_commands.add_to(root)
     return root
 
 
--- a/bamboospring/entry.py
+++ b/bamboospring/entry.py
@@ -53,6 +53,8 @@
 }
 
 Respond = Callable[[Response], None]
+# Gets what was answered after how many seconds, and the time of the answer.
+OnAnswered = Callable[[Statement, Outcome, float, float], None]
 
 
 class Entry(BaseComponent):
@@ -71,12 +73,14 @@
         codec: TokenCodec,
         membership: Membership,
         listen: str,
+        on_answered: OnAnswered = lambda *_: None,
     ) -> None:
         super().__init__()
         self._reactor = reactor
         self._board = board
         self._codec = codec
         self._traces = itertools.count(1)
+        self._on_answered = on_answered
         self._forwarder = Forwarder(
             reactor=reactor,
             board=board,
@@ -146,12 +150,13 @@
         if isinstance(session, BadToken):
             respond(bad_request(session.message, Reason.BAD_TOKEN))
             return
+        begun_at = self._reactor.now()
         stmt = Statement(
             group=req.group,
             caller=session.caller,
             params=orjson.dumps(req.params),
             key=req.key or "",
-            deadline=self._reactor.now() + req.deadline_ms / 1000,
+            deadline=begun_at + req.deadline_ms / 1000,
             token=session.position(req.group),
             trace=f"{self._board.me.name}-{next(self._traces)}",
             **more,
@@ -161,6 +166,8 @@
             return
 
         def done(outcome: Outcome) -> None:
+            now = self._reactor.now()
+            self._on_answered(stmt, outcome, now - begun_at, now)
             respond(self._respond(session, stmt, outcome))
 
         self._forwarder.forward(stmt, done)
--- /dev/null
+++ b/bamboospring/rotation.py
@@ -0,0 +1,74 @@
+"""Take new keys, tokens and the level of logs without a restart.
+
+On SIGHUP the settings file is read again. What it says is taken as a whole or
+not at all: a file with a fault changes nothing and is logged.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import signal
+from typing import Any
+
+from bamboospring.errors import SettingsError
+from bamboospring import logs
+from bamboospring.reactor import Reactor
+from bamboospring import settings
+from bamboospring.settings import Settings
+from bamboospring.settings import Tls
+from bamboospring.tls import Keys
+
+__all__ = ["Rotation"]
+
+Apply = Callable[[Settings], None]
+
+
+class Rotation:
+    """Read the settings again and hand them to whoever can take them."""
+
+    def __init__(self, *, reactor: Reactor, path: str) -> None:
+        self._reactor = reactor
+        self._path = path
+        self._keys: list[tuple[Keys, Callable[[Settings], Tls | None]]] = []
+        self._apply: list[Apply] = []
+
+    def add_keys(
+        self, keys: Keys, find: Callable[[Settings], Tls | None]
+    ) -> None:
+        """Replace `keys` by the files that `find` picks from the settings."""
+        self._keys.append((keys, find))
+
+    def add(self, apply: Apply) -> None:
+        """Call `apply` with new settings; it must not fail."""
+        self._apply.append(apply)
+
+    def install(self) -> None:
+        """Listen for SIGHUP from now on."""
+        signal.signal(signal.SIGHUP, self._on_signal)
+
+    def read_again(self) -> bool:
+        """Take what the file says now; False if it can't be used."""
+        try:
+            cfg = settings.load(self._path)
+            for keys, find in self._keys:
+                tls = find(cfg)
+                if tls is not None:
+                    keys.read_again(tls)
+        except SettingsError as exc:
+            logs.log_event(
+                "settings_refused", level=logs.Level.ERROR, reason=str(exc)
+            )
+            return False
+        for apply in self._apply:
+            apply(cfg)
+        logs.log_event("settings_taken", keys=[k.id for k in cfg.token_keys])
+        return True
+
+    def _on_signal(self, number: int, frame: Any) -> None:
+        # In a signal handler anything may be half done; the work is left to
+        # the loop, which is woken.
+        self._reactor.call_later(0, self._read_now)
+        self._reactor.resume()
+
+    def _read_now(self) -> None:
+        self.read_again()
--- a/bamboospring/server.py
+++ b/bamboospring/server.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-import hmac
 
 from circuits import Component
 
@@ -12,25 +11,33 @@
 from bamboospring.drain import Drain
 from bamboospring.entry import Entry
 from bamboospring.facts import Facts
+from bamboospring.fleet_view import FleetView
 from bamboospring.holder import Holder
-from bamboospring.http_codec import HttpServer
-from bamboospring.http_codec import Request
-from bamboospring.http_codec import Response
 from bamboospring.lease import LeaseTiming
 from bamboospring import logs
 from bamboospring.membership import Membership
+from bamboospring.metrics import Metrics
+from bamboospring.operators import Operators
+from bamboospring.peers import envelope
 from bamboospring.peers import Peers
 from bamboospring.platform_client import PlatformClient
 from bamboospring.pool import Pools
 from bamboospring.reactor import Reactor
+from bamboospring.rendezvous import bucket_of
 from bamboospring.rendezvous import Placement
+from bamboospring.rotation import Rotation
+from bamboospring.server_metrics import watch_process
 from bamboospring.settings import Settings
+from bamboospring.settings import Tls
 from bamboospring.statement_server import StatementServer
+from bamboospring.status_view import StatusView
 from bamboospring.steward import Steward
 from bamboospring.suspicion import WatchTiming
 from bamboospring.table_editor import TableEditor
 from bamboospring.table_pages import make_reach
 from bamboospring.table_pages import TablePages
+from bamboospring.tls import Keys
+from bamboospring.tls import secured
 from bamboospring.tokens import TokenCodec
 from bamboospring.tokens import TokenKey
 from bamboospring.watcher import Watcher
@@ -41,10 +48,13 @@
 class Server(Component):
     """All that one process is made of."""
 
-    def __init__(self, cfg: Settings) -> None:
+    def __init__(self, cfg: Settings, path: str = "") -> None:
         super().__init__()
         self.cfg = cfg
         self.reactor = Reactor().register(self)
+        self.rotation = Rotation(reactor=self.reactor, path=path)
+        self.rotation.add(self._take_settings)
+        to_targets = self._secured(cfg.targets.tls, lambda s: s.targets.tls)
         self.board = Blackboard(
             me=Vm(
                 name=cfg.vm,
@@ -55,45 +65,49 @@
         )
         self.placement = Placement()
         self.peers = Peers(
-            reactor=self.reactor, vm=cfg.vm, listen=cfg.peers.listen
+            reactor=self._secured(
+                cfg.peers.tls, lambda s: s.peers.tls, check_name=False
+            ),
+            vm=cfg.vm,
+            listen=cfg.peers.listen,
         )
         self.platform = PlatformClient(
-            reactor=self.reactor, address=cfg.platform.address
+            reactor=self._secured(cfg.platform.tls, lambda s: s.platform.tls),
+            address=cfg.platform.address,
         )
         self.membership = Membership()
-        self.pools = Pools(reactor=self.reactor, vm=cfg.vm)
+        self.metrics = Metrics(
+            knows=self.board.knows_group, slow_after=self._slow_after
+        )
+        self.pools = Pools(reactor=to_targets, vm=cfg.vm)
         self.watcher = Watcher(
-            reactor=self.reactor,
+            reactor=to_targets,
             board=self.board,
             placement=self.placement,
             timing=WatchTiming(silent=cfg.timing.suspect_ms / 1000),
         ).register(self)
-        codec = TokenCodec(
-            keys=[
-                TokenKey(id=key.id, secret=key.secret.encode())
-                for key in cfg.token_keys
-            ]
-        )
+        self.codec = TokenCodec(keys=_token_keys(cfg))
         self.holder = Holder(
             reactor=self.reactor,
             board=self.board,
             placement=self.placement,
             pools=self.pools,
             watcher=self.watcher,
-            codec=codec,
+            codec=self.codec,
         ).register(self)
         StatementServer(
             reactor=self.reactor, peers=self.peers, holder=self.holder
         )
         self.entry = Entry(
-            reactor=self.reactor,
+            reactor=self._secured(cfg.callers.tls, lambda s: s.callers.tls),
             board=self.board,
             placement=self.placement,
             peers=self.peers,
             holder=self.holder,
-            codec=codec,
+            codec=self.codec,
             membership=self.membership,
             listen=cfg.callers.listen,
+            on_answered=self.metrics.answered,
         ).register(self)
         self.facts = Facts(
             reactor=self.reactor,
@@ -106,7 +120,7 @@
             seeds=cfg.peers.seeds,
         ).register(self)
         self.steward = Steward(
-            reactor=self.reactor,
+            reactor=to_targets,
             board=self.board,
             placement=self.placement,
             peers=self.peers,
@@ -135,30 +149,86 @@
             editor=TableEditor(
                 reactor=self.reactor,
                 platform=self.platform,
-                reach=make_reach(self.reactor),
+                reach=make_reach(to_targets),
                 on_stored=self.facts.store.take_shard_value,
             ),
         )
-        self.operators = HttpServer(
-            reactor=self.reactor,
+        status = StatusView(
+            board=self.board,
+            placement=self.placement,
+            metrics=self.metrics,
+            now=self.reactor.now,
+        )
+        self.operators = Operators(
+            reactor=self._secured(
+                cfg.operators.tls, lambda s: s.operators.tls
+            ),
             address=cfg.operators.listen,
-            handler=self._on_operator,
+            token=lambda: self.cfg.operators.token,
+            board=self.board,
+            metrics=self.metrics,
+            status=status,
+            fleet=FleetView(
+                board=self.board, peers=self.peers, describe=status.describe
+            ),
+            handle_table=self.table_pages.handle,
+            hand_over=self._order_hand_over,
         )
+        watch_process(self)
+
+    def _secured(
+        self,
+        tls: Tls | None,
+        find: Callable[[Settings], Tls | None],
+        *,
+        check_name: bool = True,
+    ) -> Reactor:
+        if tls is None:
+            return self.reactor
+        keys = Keys(tls=tls, check_name=check_name)
+        self.rotation.add_keys(keys, find)
+        return secured(self.reactor, keys)
+
+    def _slow_after(self, group: str) -> float:
+        objectives = self.cfg.objectives
+        found = objectives.groups.get(group, objectives.default)
+        return found.latency_ms / 1000
+
+    def _take_settings(self, cfg: Settings) -> None:
+        self.cfg = cfg
+        self.codec.use(_token_keys(cfg))
+        logs.configure(level=cfg.logs.level, vm=cfg.vm)
+
+    def _order_hand_over(self, group: str, target: str) -> None:
+        """Tell all who may lead the group; only the one who does acts."""
+        for vm in self.placement.candidates(bucket_of(group)):
+            if vm.name == self.board.me.name:
+                self.steward.hand_over(group, target)
+                continue
+            message = envelope()
+            order = message.init("handOver")
+            order.group = group
+            order.target = target
+            self.peers.send(vm.address, message)
+
 
-    def _on_operator(
-        self, req: Request, respond: Callable[[Response], None]
-    ) -> None:
-        token = f"Bearer {self.cfg.operators.token}"
-        given = req.headers.get("authorization", "")
-        if not hmac.compare_digest(given.encode(), token.encode()):
-            respond(Response(status=401, body=b"{}"))
-        elif not self.table_pages.handle(req, respond):
-            respond(Response(status=404, body=b"{}"))
+def _token_keys(cfg: Settings) -> list[TokenKey]:
+    return [
+        TokenKey(id=key.id, secret=key.secret.encode())
+        for key in cfg.token_keys
+    ]
 
 
-def run(cfg: Settings) -> None:
-    """Serve until told to stop."""
+def run(cfg: Settings, path: str = "") -> None:
+    """Serve until told to stop; `path` is where SIGHUP reads again."""
     logs.configure(level=cfg.logs.level, vm=cfg.vm)
-    server = Server(cfg)
-    logs.log_event("listening", callers=server.entry.server.address)
+    server = Server(cfg, path)
+    if path:
+        server.rotation.install()
+    logs.log_event(
+        "listening",
+        callers=server.entry.server.address,
+        peers=server.peers.listener.address,
+        operators=server.operators.address,
+    )
     server.run()
--- /dev/null
+++ b/bamboospring/server_metrics.py
@@ -0,0 +1,107 @@
+"""Show what the components of a process count, beside what callers got."""
+
+from __future__ import annotations
+
+import resource
+import time
+from typing import TYPE_CHECKING
+
+from bamboospring.metrics import Kind
+from bamboospring.status_view import resident_bytes
+
+if TYPE_CHECKING:
+    from bamboospring.server import Server
+
+__all__ = ["watch_process"]
+
+
+def watch_process(server: Server) -> None:
+    """Add the process's own numbers to its metrics."""
+    metrics = server.metrics
+    metrics.watch(
+        "process.cpu.time",
+        time.process_time,
+        kind=Kind.COUNTER,
+        unit="s",
+        description="Processor time used.",
+    )
+    metrics.watch(
+        "process.memory.usage",
+        resident_bytes,
+        unit="By",
+        description="Resident memory.",
+    )
+    metrics.watch(
+        "process.context_switches",
+        lambda: resource.getrusage(resource.RUSAGE_SELF).ru_nivcsw,
+        kind=Kind.COUNTER,
+        description="Times the processor was taken away.",
+    )
+    metrics.watch(
+        "bamboospring.caller.connections",
+        lambda: len(server.entry.server.connections),
+        description="Connections from callers.",
+    )
+    metrics.watch(
+        "bamboospring.statements.running",
+        lambda: server.holder.busy,
+        description="Statements running here as a holder.",
+    )
+    metrics.watch(
+        "bamboospring.peer.io",
+        lambda: {
+            "transmit": server.peers.sent_bytes,
+            "receive": server.peers.received_bytes,
+        },
+        kind=Kind.COUNTER,
+        unit="By",
+        label="network.io.direction",
+        description="Bytes exchanged with other VMs.",
+    )
+    _watch_control(server)
+
+
+def _watch_control(server: Server) -> None:
+    metrics = server.metrics
+    board = server.board
+    metrics.watch(
+        "bamboospring.platform.calls",
+        lambda: {
+            purpose: counts.calls
+            for purpose, counts in server.platform.counts.items()
+        },
+        kind=Kind.COUNTER,
+        label="purpose",
+        description="Calls to the platform, by purpose.",
+    )
+    metrics.watch(
+        "bamboospring.platform.failures",
+        lambda: {
+            purpose: counts.failed
+            for purpose, counts in server.platform.counts.items()
+        },
+        kind=Kind.COUNTER,
+        label="purpose",
+        description="Calls to the platform without a usable answer.",
+    )
+    metrics.watch(
+        "bamboospring.leases",
+        lambda: sum(
+            lease.valid_until > server.reactor.now()
+            for lease in board.leases.values()
+        ),
+        description="Buckets of groups that this VM leads.",
+    )
+    metrics.watch(
+        "bamboospring.vms",
+        lambda: len(board.vms),
+        description="VMs in the list in force.",
+    )
+    metrics.watch(
+        "bamboospring.table.version",
+        lambda: {
+            str(shard): each.version for shard, each in board.table.items()
+        },
+        label="shard",
+        description="Version of the table in force, by shard.",
+    )
--- a/bamboospring/tokens.py
+++ b/bamboospring/tokens.py
@@ -113,6 +113,10 @@
     """Signs and verifies with the fleet's keys; the first one signs."""
 
     def __init__(self, *, keys: Sequence[TokenKey]) -> None:
+        self.use(keys)
+
+    def use(self, keys: Sequence[TokenKey]) -> None:
+        """Sign with the first of these keys and verify with all of them."""
         if not keys:
             raise ValueError("at least one token key is needed")
         self._signer = keys[0]
