--- a/bamboospring/forwarding.py
+++ b/bamboospring/forwarding.py
@@ -14,6 +14,7 @@
 from bamboospring.blackboard import Liveness
 from bamboospring.blackboard import Vm
 from bamboospring.holder import Holder
+from bamboospring.membership import Membership
 from bamboospring.outcomes import NotRun
 from bamboospring.outcomes import Outcome
 from bamboospring.outcomes import Reason
@@ -35,9 +36,6 @@
 # The holder's own final answer comes at the deadline; the entry gives it this
 # much longer, in seconds, to arrive.
 ANSWER_GRACE = 0.2
-# A holder that has just been lost is asked last for this many seconds: the
-# platform's list names the dead for a while.
-DOUBT_SECONDS = 2.0
 MAX_TRIES = 3
 # Said by a holder that took nothing on. Another one may.
 ELSEWHERE = frozenset(
@@ -88,6 +86,7 @@
         peers: Peers,
         holder: Holder,
         codec: TokenCodec,
+        membership: Membership,
         may_retry: Callable[[], bool],
     ) -> None:
         self._reactor = reactor
@@ -96,9 +95,9 @@
         self._peers = peers
         self._holder = holder
         self._codec = codec
+        self._membership = membership
         self._may_retry = may_retry
         self._turn = itertools.count()
-        self._doubted: dict[str, float] = {}
 
     def forward(self, stmt: Statement, done: OnOutcome) -> None:
         """Have a statement run and call back once."""
@@ -112,7 +111,7 @@
         order = order_holders(
             holders,
             me=self._board.me.name,
-            doubted=self._in_doubt(),
+            doubted=self._membership.avoided(holders, self._reactor.now()),
             turn=next(self._turn),
         )
         self._try(stmt, order[:MAX_TRIES], done)
@@ -129,11 +128,12 @@
 
         def answered(answer: Outcome | PeerLost) -> None:
             if isinstance(answer, PeerLost):
-                self._doubt(first)
+                self._membership.lost(first.name, self._reactor.now())
                 outcome = _lost(stmt, answer)
                 again = not answer.sent or _harmless(stmt)
             else:
                 outcome = answer
+                self._note(first, answer)
                 again = (
                     isinstance(answer, NotRun) and answer.reason in ELSEWHERE
                 )
@@ -186,17 +186,11 @@
             vm.address, encode_statement(stmt, now), timeout, answered
         )
 
-    def _doubt(self, vm: Vm) -> None:
-        self._doubted[vm.name] = self._reactor.now() + DOUBT_SECONDS
-
-    def _in_doubt(self) -> frozenset[str]:
-        if not self._doubted:
-            return frozenset()
+    def _note(self, vm: Vm, outcome: Outcome) -> None:
         now = self._reactor.now()
-        self._doubted = {
-            name: until for name, until in self._doubted.items() if until > now
-        }
-        return frozenset(self._doubted)
+        self._membership.heard(vm.name, now)
+        if isinstance(outcome, NotRun) and outcome.reason is Reason.DRAINING:
+            self._membership.drains(vm.name, now)
 
 
 def _harmless(stmt: Statement) -> bool:
