--- a/bamboospring/breaker.py
+++ b/bamboospring/breaker.py
@@ -50,6 +50,10 @@
     retry_at: float = NEVER
     _started_at: float = NEVER
 
+    def may_try(self, now: float) -> bool:
+        """Tell whether it makes sense to wait for a connection."""
+        return self.circuit is not Circuit.OPEN or now >= self.retry_at
+
     def may_open(self, now: float) -> bool:
         """Tell whether a new connection may be tried now.
 
--- a/bamboospring/commits.py
+++ b/bamboospring/commits.py
@@ -13,6 +13,7 @@
 from bamboospring.outcomes import Done
 from bamboospring.outcomes import NotRun
 from bamboospring.outcomes import Outcome
+from bamboospring.outcomes import Overloaded
 from bamboospring.outcomes import Reason
 from bamboospring.outcomes import Unknown
 from bamboospring.pool import Leased
@@ -79,6 +80,7 @@
             leased=leased,
         )
         self.table.open(transaction)
+        self.pools.park(leased)
         self._wait_idle(transaction)
         return done_from(answer, transaction=self._handle(transaction))
 
@@ -136,6 +138,7 @@
     def next_handle(self, transaction: Transaction) -> str:
         """Make a transaction ready for its next step."""
         self.table.free(transaction)
+        self.pools.park(transaction.leased)
         self._wait_idle(transaction)
         return self._handle(transaction)
 
@@ -177,9 +180,23 @@
         stmt = self._stmt
         if stmt.step is Step.COMMIT:
             self._runner.flights.add(stmt.group, self)
+
+        def ready(leased: Leased | NotRun | Overloaded) -> None:
+            if isinstance(leased, Leased):
+                self._send(leased)
+            else:
+                self._end(rolled_back(), healthy=False)
+                self._finish(leased)
+
+        self._runner.pools.resume(
+            self._transaction.leased, stmt.deadline, stmt.caller, ready
+        )
+
+    def _send(self, leased: Leased) -> None:
+        stmt = self._stmt
         self._runner.exchange.send(
             stmt,
-            self._transaction.leased,
+            leased,
             term=self._transaction.term,
             min_index=0,
             timeout=stmt.deadline - self._runner.reactor.now(),
--- /dev/null
+++ b/bamboospring/connections.py
@@ -0,0 +1,133 @@
+"""How many connections to a target are open, and when one is opened.
+
+A connection can be dead while new ones work: something between the two ends
+has lost track of it, and nothing is ever heard on it again. So idle ones are
+checked at an interval, and one that was silent too long is checked before it
+is used. New ones are opened one after the other, a jittered pause apart, also
+when many have been lost at once: otherwise all holders would open all their
+connections in one moment, at 10 ms of the target's time each.
+
+No I/O here, no clock and no randomness.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Generic
+from typing import Protocol
+from typing import TypeVar
+
+__all__ = ["ConnectionTiming", "Connections"]
+
+NEVER = -1e9
+
+
+class Heard(Protocol):
+    """A connection as far as this module needs it."""
+
+    heard_at: float
+
+
+T = TypeVar("T", bound=Heard)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ConnectionTiming:
+    """Times in seconds. `pace` is the shortest time between two openings."""
+
+    pace: float = 0.02
+    heartbeat: float = 1.0
+    heartbeat_timeout: float = 1.0
+
+
+@dataclass(slots=True, kw_only=True)
+class Connections(Generic[T]):
+    """The connections of one pool: opening, idle, checked and in use."""
+
+    timing: ConnectionTiming = field(default_factory=ConnectionTiming)
+    limit: int = 0
+    opening: int = 0
+    open: int = 0
+    _idle: list[T] = field(default_factory=list)
+    _next_open_at: float = NEVER
+
+    @property
+    def total(self) -> int:
+        """Return all that count at the target, also those being opened."""
+        return self.opening + self.open
+
+    @property
+    def idle(self) -> int:
+        """Return how many are neither used nor checked."""
+        return len(self._idle)
+
+    def set_limit(self, limit: int) -> list[T]:
+        """Take a new limit; returns idle connections to close."""
+        self.limit = limit
+        closed = []
+        while self._idle and self.total > limit:
+            closed.append(self._idle.pop(0))
+            self.open -= 1
+        return closed
+
+    def take(self, now: float) -> T | None:
+        """Take the idle connection used last, if it was heard lately."""
+        oldest = now - 2 * self.timing.heartbeat
+        if self._idle and self._idle[-1].heard_at >= oldest:
+            return self._idle.pop()
+        return None
+
+    def give_back(self, conn: T) -> bool:
+        """Put a connection back; False if it has to be closed."""
+        if self.total > self.limit:
+            self.open -= 1
+            return False
+        self._idle.append(conn)
+        return True
+
+    def lost(self) -> None:
+        """Note that a connection in use or under check has ended."""
+        self.open -= 1
+
+    def wait_to_open(self, now: float, missing: int) -> float | None:
+        """Return the seconds until one may be opened, None if none may.
+
+        `missing` is how many are needed; those being opened count.
+        """
+        if self.opening >= missing or self.total >= self.limit:
+            return None
+        return max(0.0, self._next_open_at - now)
+
+    def opening_one(self, now: float, *, draw: float) -> None:
+        """Note that one is being opened; `draw` is from 0 up to 1."""
+        self.opening += 1
+        self._next_open_at = now + self.timing.pace * (0.5 + draw)
+
+    def opened(self, conn: T) -> bool:
+        """Take a new connection in; False if it has to be closed."""
+        self.opening -= 1
+        self.open += 1
+        return self.give_back(conn)
+
+    def open_failed(self) -> None:
+        """Note that one could not be opened."""
+        self.opening -= 1
+
+    def due(self, now: float) -> list[T]:
+        """Take out the idle connections that are to be checked now."""
+        oldest = now - self.timing.heartbeat
+        due = [conn for conn in self._idle if conn.heard_at <= oldest]
+        self._idle = [conn for conn in self._idle if conn.heard_at > oldest]
+        return due
+
+    def suspect_idle(self) -> None:
+        """Have all idle connections checked before they are used."""
+        for conn in self._idle:
+            conn.heard_at = NEVER
+
+    def take_idle(self) -> list[T]:
+        """Take out all idle connections for closing."""
+        taken, self._idle = self._idle, []
+        self.open -= len(taken)
+        return taken
--- a/bamboospring/forwarding.py
+++ b/bamboospring/forwarding.py
@@ -37,6 +37,9 @@
 # much longer, in seconds, to arrive.
 ANSWER_GRACE = 0.2
 MAX_TRIES = 3
+# With fewer slots than holders some holder has none at the primary, and a new
+# holder has none at first. Who said so is asked last for this long.
+SHARELESS_SECONDS = 2.0
 # Said by a holder that took nothing on. Another one may.
 ELSEWHERE = frozenset(
     {
@@ -98,6 +101,7 @@
         self._membership = membership
         self._may_retry = may_retry
         self._turn = itertools.count()
+        self._shareless: dict[tuple[str, bool], dict[str, float]] = {}
 
     def forward(self, stmt: Statement, done: OnOutcome) -> None:
         """Have a statement run and call back once."""
@@ -107,11 +111,13 @@
         if not self._board.knows_group(stmt.group):
             done(NotRun(reason=Reason.UNKNOWN_GROUP))
             return
+        now = self._reactor.now()
         holders = self._placement.holders(stmt.group)
+        doubted = self._membership.avoided(holders, now)
         order = order_holders(
             holders,
             me=self._board.me.name,
-            doubted=self._membership.avoided(holders, self._reactor.now()),
+            doubted=doubted | self._without_share(stmt, now),
             turn=next(self._turn),
         )
         self._try(stmt, order[:MAX_TRIES], done)
@@ -134,17 +140,46 @@
             else:
                 outcome = answer
                 self._note(first, answer)
+                self._note_share(stmt, first, answer)
                 again = (
                     isinstance(answer, NotRun) and answer.reason in ELSEWHERE
                 )
             left = stmt.deadline - self._reactor.now()
-            if again and others and left > 0 and self._may_retry():
+            if again and others and left > 0 and self._may_go_on(outcome):
                 self._try(stmt, others, done)
             else:
                 done(outcome)
 
         self._ask(first, stmt, answered)
 
+    def _may_go_on(self, outcome: Outcome) -> bool:
+        # A holder without a share took nothing on, and is remembered.
+        if isinstance(outcome, NotRun):
+            if outcome.reason is Reason.NOT_HOLDER:
+                return True
+        return self._may_retry()
+
+    def _note_share(self, stmt: Statement, vm: Vm, outcome: Outcome) -> None:
+        if isinstance(outcome, NotRun):
+            if outcome.reason is Reason.NOT_HOLDER:
+                known = self._shareless.setdefault(
+                    (stmt.group, stmt.write), {}
+                )
+                known[vm.name] = self._reactor.now() + SHARELESS_SECONDS
+
+    def _without_share(self, stmt: Statement, now: float) -> frozenset[str]:
+        """Return the VMs that lately had no share of what is needed."""
+        key = stmt.group, stmt.write
+        known = self._shareless.get(key)
+        if not known:
+            return frozenset()
+        left = {vm: until for vm, until in known.items() if until > now}
+        if left:
+            self._shareless[key] = left
+        else:
+            del self._shareless[key]
+        return frozenset(left)
+
     # A step of a transaction: only the one that has it.
 
     def _forward_step(self, stmt: Statement, done: OnOutcome) -> None:
--- a/bamboospring/peer_sync.py
+++ b/bamboospring/peer_sync.py
@@ -86,6 +86,7 @@
         self._callers: dict[str, float] = {}
         self._fetches: dict[int | str, _Fetch] = {}
         self._announcing: Timer | None = None
+        self.on_heard: list[Callable[[int], None]] = []
         store.on_change.append(self.announce)
         peers.handle("heartbeat", self._on_heartbeat)
         peers.handle("tableWant", self._on_table_want)
@@ -193,6 +194,8 @@
         name = heartbeat.vm
         now = self._reactor.now()
         self._membership.heard(name, now)
+        for callback in self.on_heard:
+            callback(heartbeat.vmsRevision)
         self._membership.drains(name, now, heartbeat.draining)
         theirs = Versions(
             vms_revision=heartbeat.vmsRevision,
--- a/bamboospring/pool.py
+++ b/bamboospring/pool.py
@@ -1,14 +1,37 @@
-"""Statement connections to targets, within this holder's share."""
+"""Statement connections to targets, within this holder's share.
+
+A statement that asks for a connection first needs a slot, see
+`bamboospring.admission`, then gets an open connection or waits for a new one.
+How connections are opened, checked and closed is decided in
+`bamboospring.connections`.
+
+An open transaction keeps its connection, and its slot only while one of its
+statements runs. Writes pass one more gate: open transactions and running
+writes together are no more than the slots. Otherwise writes that wait for a
+lock of an open transaction would fill all slots, and the transaction could
+never get one to commit.
+"""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 from collections import deque
 from dataclasses import dataclass
+from dataclasses import field
+import random
 
 import orjson
 
+from bamboospring.admission import Admission
+from bamboospring.admission import Refused
+from bamboospring.admission import Run
+from bamboospring.admission import Ticket
+from bamboospring.admission import Verdict
+from bamboospring.admission import Wait
 from bamboospring.blackboard import Target
+from bamboospring.breaker import Breaker
+from bamboospring.connections import Connections
+from bamboospring.connections import ConnectionTiming
 from bamboospring.http_codec import HttpAnswer
 from bamboospring.http_codec import HttpConnection
 from bamboospring.http_codec import HttpLost
@@ -17,149 +40,522 @@
 from bamboospring.outcomes import Reason
 from bamboospring.reactor import Reactor
 from bamboospring.reactor import Timer
+from bamboospring.shares import Units
 
-__all__ = ["Leased", "Pool", "Pools"]
+__all__ = ["Leased", "Pool", "PoolCounters", "PoolTiming", "Pools"]
 
 CONNECT_TIMEOUT = 1.0
-MAX_QUEUE = 64
+RETRY_SOON_MS = 100
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PoolTiming:
+    """Times of all pools, in seconds."""
+
+    tick: float = 0.25
+    connect_timeout: float = CONNECT_TIMEOUT
+    connections: ConnectionTiming = field(default_factory=ConnectionTiming)
+
+
+@dataclass(slots=True, kw_only=True)
+class PoolCounters:
+    """What a pool has done, for reports and tests."""
+
+    opened: int = 0
+    failed: int = 0
+    dead: int = 0
+    refused: int = 0
 
 
 @dataclass(slots=True, kw_only=True, eq=False)
 class Leased:
-    """A statement connection in the hands of one statement."""
+    """A statement connection in the hands of one statement.
+
+    `slot` and `gate` are the tickets that it holds, `heard_at` is when the
+    connection was last seen alive. Whoever gets no answer in time sets
+    `silent` before the connection is given back.
+    """
 
     target: Target
     conn: HttpConnection
+    heard_at: float = 0.0
+    leased_at: float = 0.0
+    slot: Ticket | None = None
+    gate: Ticket | None = None
+    silent: bool = False
 
 
 OnReady = Callable[[Leased | NotRun | Overloaded], None]
 
 
 @dataclass(slots=True, kw_only=True, eq=False)
-class _Waiting:
+class _Asking:
+    """A statement on its way to a connection."""
+
+    caller: str
+    deadline: float
     on_ready: OnReady
-    timer: Timer
+    gate: Ticket | None = None
+    slot: Ticket | None = None
+    leased: Leased | None = None
+    timer: Timer | None = None
 
 
 class Pool:
     """The connections of one holder to one target."""
 
     def __init__(
-        self, *, reactor: Reactor, target: Target, vm: str, share: int
+        self,
+        *,
+        reactor: Reactor,
+        target: Target,
+        vm: str,
+        queue_limit: int,
+        timing: PoolTiming,
+        chance: Callable[[], float],
     ) -> None:
+        self.target = target
+        self.counters = PoolCounters()
+        self.breaker = Breaker()
         self._reactor = reactor
-        self._target = target
         self._vm = vm
+        self._timing = timing
+        self._chance = chance
+        self._share = Units()
+        self._slots = Admission(slots=0, queue_limit=queue_limit)
+        self._gate = Admission(slots=0, queue_limit=queue_limit)
+        self._connections = Connections[Leased](timing=timing.connections)
+        self._needing: deque[_Asking] = deque()
+        self._leased: set[Leased] = set()
+        self._pinned: set[Leased] = set()
+        self._opener: Timer | None = None
+
+    @property
+    def used(self) -> Units:
+        """Return what is in use of the target.
+
+        While a transaction is open one slot counts as used, so that its
+        next statement finds one also after the share has been given up.
+        """
+        slots = self._slots.running
+        if self._pinned and self._slots.slots > 0:
+            slots = max(1, slots)
+        return Units(slots=slots, connections=self._connections.total)
+
+    @property
+    def share(self) -> Units:
+        """Return what may be used."""
+        return self._share
+
+    @property
+    def waiting(self) -> int:
+        """Return how many statements wait for a slot."""
+        return self._slots.waiting + self._gate.waiting
+
+    def set_share(self, share: Units) -> None:
+        """Take a new share; what is idle beyond it is closed at once."""
         self._share = share
-        self._idle: list[Leased] = []
-        self._open = 0
-        self._queue: deque[_Waiting] = deque()
+        self._apply_share()
+        for leased in self._connections.set_limit(share.connections):
+            leased.conn.close()
+        self._serve()
 
-    def acquire(self, deadline: float, on_ready: OnReady) -> None:
+    def acquire(
+        self,
+        caller: str,
+        deadline: float,
+        on_ready: OnReady,
+        *,
+        writes: bool,
+    ) -> None:
         """Call back with a connection, or with why there is none."""
-        if len(self._queue) >= MAX_QUEUE:
-            on_ready(Overloaded(reason=Reason.QUEUE_FULL, retry_after_ms=100))
-            return
-        waiting = _Waiting(
-            on_ready=on_ready,
-            timer=self._reactor.call_later(
-                max(0.0, deadline - self._reactor.now()),
-                lambda: self._give_up(waiting),
-            ),
-        )
-        self._queue.append(waiting)
-        self._serve()
+        asking = _Asking(caller=caller, deadline=deadline, on_ready=on_ready)
+        refusal = self._refusal()
+        if refusal is not None:
+            self.counters.refused += 1
+            on_ready(refusal)
+        elif writes:
+            self._submit(self._gate, asking)
+        else:
+            self._submit(self._slots, asking)
 
     def release(self, leased: Leased, *, healthy: bool) -> None:
         """Give a connection back; one in doubt is closed."""
+        if leased not in self._leased:
+            return
+        now = self._reactor.now()
+        self._leased.discard(leased)
+        self._pinned.discard(leased)
+        self._free_slot(leased, now)
+        if leased.gate is not None:
+            seconds = now - leased.leased_at
+            self._gate.finished(leased.gate, seconds)
+            leased.gate = None
         if healthy and leased.conn.usable:
-            self._idle.append(leased)
+            leased.heard_at = now
+            keep = self._connections.give_back(leased)
+            if not keep:
+                leased.conn.close()
         else:
-            self._open -= 1
+            self._connections.lost()
             leased.conn.close()
+        if leased.silent:
+            self._suspect()
+        self._apply_share()
+        self._serve()
+
+    def park(self, leased: Leased) -> None:
+        """Keep a transaction's connection and give its slot back."""
+        self._pinned.add(leased)
+        self._free_slot(leased, self._reactor.now())
         self._serve()
 
-    def _give_up(self, waiting: _Waiting) -> None:
-        self._queue.remove(waiting)
-        waiting.on_ready(
-            Overloaded(reason=Reason.DEADLINE, retry_after_ms=100)
+    def resume(
+        self, leased: Leased, caller: str, deadline: float, on_ready: OnReady
+    ) -> None:
+        """Get a slot again for the next statement of a transaction."""
+        asking = _Asking(
+            caller=caller, deadline=deadline, on_ready=on_ready, leased=leased
         )
+        self._submit(self._slots, asking)
+
+    def tick(self) -> None:
+        """Check what is idle, refuse what is late; a few times a second."""
+        now = self._reactor.now()
+        self._apply_share()
+        self._take(self._gate.expire(now), self._gate)
+        self._take(self._slots.expire(now), self._slots)
+        self._check_idle()
+        self._serve()
+
+    def close_all(self) -> None:
+        """Close every connection, busy or not."""
+        for leased in self._connections.take_idle():
+            leased.conn.close()
+        for leased in list(self._leased):
+            leased.conn.close()
+
+    # Slots.
+
+    def _apply_share(self) -> None:
+        now = self._reactor.now()
+        slots = self.breaker.slots(self._share.slots, now)
+        if self._pinned:
+            slots = max(1, slots)
+        self._slots.slots = slots
+        self._gate.slots = max(1, slots) if slots else 0
+
+    def _refusal(self) -> NotRun | None:
+        if self._share.slots <= 0 or self._share.connections <= 0:
+            # Another holder has a share of this target.
+            return NotRun(
+                reason=Reason.NOT_HOLDER, retry_after_ms=RETRY_SOON_MS
+            )
+        now = self._reactor.now()
+        closed = not self.breaker.may_try(now)
+        if closed and self._connections.total == 0:
+            return self._unreachable(now)
+        return None
+
+    def _unreachable(self, now: float) -> NotRun:
+        left = max(0.0, self.breaker.retry_at - now)
+        return NotRun(
+            reason=Reason.TARGET_UNREACHABLE,
+            retry_after_ms=max(RETRY_SOON_MS, int(left * 1000)),
+        )
+
+    def _submit(self, admission: Admission, asking: _Asking) -> None:
+        ticket = Ticket(
+            caller=asking.caller, deadline=asking.deadline, item=asking
+        )
+        now = self._reactor.now()
+        self._take(admission.submit(ticket, now), admission)
+
+    def _take(self, verdicts: list[Verdict], admission: Admission) -> None:
+        for verdict in verdicts:
+            asking: _Asking = verdict.ticket.item
+            match verdict:
+                case Run(ticket=ticket):
+                    self._stop_timer(asking)
+                    self._granted(asking, ticket, admission)
+                case Wait(ticket=ticket):
+                    self._start_timer(asking, ticket, admission)
+                case Refused(outcome=outcome):
+                    self._stop_timer(asking)
+                    self._give_gate_back(asking)
+                    self.counters.refused += 1
+                    asking.on_ready(outcome)
+
+    def _granted(
+        self, asking: _Asking, ticket: Ticket, admission: Admission
+    ) -> None:
+        if admission is self._gate:
+            asking.gate = ticket
+            self._submit(self._slots, asking)
+        elif asking.leased is not None:
+            asking.slot = ticket
+            self._hand(asking, asking.leased)
+        else:
+            asking.slot = ticket
+            self._needing.append(asking)
+            self._supply()
+            if asking in self._needing:
+                left = asking.deadline - self._reactor.now()
+                asking.timer = self._reactor.call_later(
+                    max(0.0, left), lambda: self._needed_too_long(asking)
+                )
+
+    def _start_timer(
+        self, asking: _Asking, ticket: Ticket, admission: Admission
+    ) -> None:
+        def late() -> None:
+            self._take(admission.expire(self._reactor.now()), admission)
+
+        left = asking.deadline - self._reactor.now()
+        asking.timer = self._reactor.call_later(max(0.0, left), late)
+
+    def _stop_timer(self, asking: _Asking) -> None:
+        if asking.timer is not None:
+            asking.timer.cancel()
+            asking.timer = None
+
+    def _free_slot(self, leased: Leased, now: float) -> None:
+        if leased.slot is not None:
+            self._slots.finished(leased.slot, now - leased.leased_at)
+            leased.slot = None
+
+    def _give_gate_back(self, asking: _Asking) -> None:
+        if asking.gate is not None:
+            self._gate.finished(asking.gate, self._gate.estimate)
+            asking.gate = None
 
     def _serve(self) -> None:
-        while self._queue and self._idle:
-            leased = self._idle.pop()
+        now = self._reactor.now()
+        self._take(self._gate.next(now), self._gate)
+        self._take(self._slots.next(now), self._slots)
+        self._supply()
+
+    # Connections.
+
+    def _supply(self) -> None:
+        """Give waiting statements open connections, and open new ones."""
+        now = self._reactor.now()
+        if self._needing and self._connections.idle:
+            self._check_idle()
+        while self._needing:
+            leased = self._connections.take(now)
+            if leased is None:
+                break
             if not leased.conn.usable:
-                self._open -= 1
+                self._connections.lost()
                 continue
-            self._hand(leased)
-        if self._queue and self._open < self._share:
-            self._open += 1
-            self._connect()
-
-    def _hand(self, leased: Leased) -> None:
-        waiting = self._queue.popleft()
-        waiting.timer.cancel()
-        waiting.on_ready(leased)
+            self._hand(self._needing.popleft(), leased)
+        if self._needing:
+            self._open_or_wait(now)
+
+    def _needed_too_long(self, asking: _Asking) -> None:
+        asking.timer = None
+        if asking in self._needing:
+            self._needing.remove(asking)
+            self._give_slot_back(asking)
+            asking.on_ready(
+                NotRun(reason=Reason.DEADLINE, retry_after_ms=RETRY_SOON_MS)
+            )
+            self._serve()
 
-    def _connect(self) -> None:
+    def _give_slot_back(self, asking: _Asking) -> None:
+        if asking.slot is not None:
+            self._slots.finished(asking.slot, self._slots.estimate)
+            asking.slot = None
+        self._give_gate_back(asking)
+
+    def _hand(self, asking: _Asking, leased: Leased) -> None:
+        self._stop_timer(asking)
+        leased.slot = asking.slot
+        if asking.gate is not None:
+            leased.gate = asking.gate
+        leased.leased_at = self._reactor.now()
+        self._leased.add(leased)
+        asking.on_ready(leased)
+
+    def _open_or_wait(self, now: float) -> None:
+        missing = len(self._needing)
+        wait = self._connections.wait_to_open(now, missing)
+        if wait is None:
+            return
+        if wait > 0:
+            if self._opener is None:
+                self._opener = self._reactor.call_later(wait, self._open_due)
+        elif self.breaker.may_open(now):
+            self._connections.opening_one(now, draw=self._chance())
+            self._open()
+            self._open_or_wait(now)
+        elif self._connections.opening == 0:
+            self._fail_needing(now)
+
+    def _open_due(self) -> None:
+        self._opener = None
+        self._supply()
+
+    def _open(self) -> None:
         conn = HttpConnection(
-            reactor=self._reactor, address=self._target.address
+            reactor=self._reactor, address=self.target.address
         )
+        timeout = self._timing.connect_timeout
 
         def opened(ok: bool) -> None:
             if not ok:
-                self._failed()
+                self._open_failed()
                 return
             body = orjson.dumps({"id": 0, "holder": self._vm})
-            conn.request("POST", "/connect", body, CONNECT_TIMEOUT, answered)
+            conn.request("POST", "/connect", body, timeout, answered)
 
         def answered(answer: HttpAnswer | HttpLost) -> None:
             if isinstance(answer, HttpLost) or answer.status != 200:
                 conn.close()
-                self._failed()
+                self._open_failed()
                 return
-            self._idle.append(Leased(target=self._target, conn=conn))
-            self._serve()
-
-        conn.connect(CONNECT_TIMEOUT, opened)
+            self._opened(conn)
+
+        conn.connect(timeout, opened)
+
+    def _opened(self, conn: HttpConnection) -> None:
+        now = self._reactor.now()
+        self.counters.opened += 1
+        self.breaker.opened(now)
+        leased = Leased(target=self.target, conn=conn, heard_at=now)
+        if not self._connections.opened(leased):
+            conn.close()
+        self._apply_share()
+        self._serve()
 
-    def _failed(self) -> None:
-        self._open -= 1
-        if self._queue:
-            waiting = self._queue.popleft()
-            waiting.timer.cancel()
-            waiting.on_ready(
-                NotRun(reason=Reason.TARGET_UNREACHABLE, retry_after_ms=100)
-            )
+    def _open_failed(self) -> None:
+        now = self._reactor.now()
+        self.counters.failed += 1
+        self._connections.open_failed()
+        self.breaker.failed(now, draw=self._chance())
+        if self._connections.opening == 0:
+            self._fail_needing(now)
         self._serve()
 
+    def _fail_needing(self, now: float) -> None:
+        """Refuse what waits for a connection to a target without any."""
+        if self._connections.total > 0:
+            return
+        needing, self._needing = self._needing, deque()
+        for asking in needing:
+            self._stop_timer(asking)
+            self._give_slot_back(asking)
+        for asking in needing:
+            asking.on_ready(self._unreachable(now))
+
+    # Heartbeats.
+
+    def _suspect(self) -> None:
+        # What lost track of one connection has often lost many. Checking the
+        # idle ones at once costs one short exchange each and no slot, where
+        # each statement sent on a dead one waits for its whole deadline.
+        self._connections.suspect_idle()
+        self._check_idle()
+
+    def _check_idle(self) -> None:
+        for leased in self._connections.due(self._reactor.now()):
+            self._check(leased)
+
+    def _check(self, leased: Leased) -> None:
+        if not leased.conn.usable:
+            self._connections.lost()
+            leased.conn.close()
+            return
+        timeout = self._timing.connections.heartbeat_timeout
+
+        def answered(answer: HttpAnswer | HttpLost) -> None:
+            if isinstance(answer, HttpLost):
+                self.counters.dead += 1
+                self._connections.lost()
+                leased.conn.close()
+                if answer.reason == "timeout":
+                    self._suspect()
+            else:
+                leased.heard_at = self._reactor.now()
+                if not self._connections.give_back(leased):
+                    leased.conn.close()
+            self._supply()
+
+        leased.conn.request("GET", "/probe", b"", timeout, answered)
+
 
 class Pools:
     """All pools of this process, made when first asked for."""
 
-    def __init__(self, *, reactor: Reactor, vm: str) -> None:
+    def __init__(
+        self,
+        *,
+        reactor: Reactor,
+        vm: str,
+        queue_limit: int = 256,
+        timing: PoolTiming | None = None,
+        chance: Callable[[], float] = random.random,
+    ) -> None:
         self._reactor = reactor
         self._vm = vm
+        self._queue_limit = queue_limit
+        self._timing = timing or PoolTiming()
+        self._chance = chance
         self._pools: dict[str, Pool] = {}
 
+    def start(self) -> None:
+        """Begin to check pools at each interval."""
+        for address, pool in list(self._pools.items()):
+            pool.tick()
+            if pool.share == Units() and pool.used == Units():
+                del self._pools[address]
+        self._reactor.call_later(self._timing.tick, self.start)
+
     def acquire(
-        self, target: Target, deadline: float, caller: str, on_ready: OnReady
+        self,
+        target: Target,
+        deadline: float,
+        caller: str,
+        on_ready: OnReady,
+        *,
+        writes: bool = False,
     ) -> None:
-        """Ask for a connection to a target on behalf of a caller."""
-        self._pool(target).acquire(deadline, on_ready)
+        """Ask for a connection to a target on behalf of a caller.
+
+        `writes` is true for what may wait for a lock at the target.
+        """
+        self.pool(target).acquire(caller, deadline, on_ready, writes=writes)
 
     def release(self, leased: Leased, *, healthy: bool) -> None:
         """Give a connection back."""
-        self._pool(leased.target).release(leased, healthy=healthy)
+        self.pool(leased.target).release(leased, healthy=healthy)
+
+    def park(self, leased: Leased) -> None:
+        """Give a transaction's slot back between its statements."""
+        self.pool(leased.target).park(leased)
 
-    def _pool(self, target: Target) -> Pool:
+    def resume(
+        self, leased: Leased, deadline: float, caller: str, on_ready: OnReady
+    ) -> None:
+        """Get a slot for a transaction's next statement."""
+        pool = self.pool(leased.target)
+        pool.resume(leased, caller, deadline, on_ready)
+
+    def pool(self, target: Target) -> Pool:
+        """Return the pool of a target."""
         found = self._pools.get(target.address)
         if found is None:
-            share = max(1, target.slots // 3)
             found = self._pools[target.address] = Pool(
                 reactor=self._reactor,
                 target=target,
                 vm=self._vm,
-                share=share,
+                queue_limit=self._queue_limit,
+                timing=self._timing,
+                chance=self._chance,
             )
         return found
+
+    def all(self) -> list[Pool]:
+        """Return all pools."""
+        return list(self._pools.values())
--- a/bamboospring/reads.py
+++ b/bamboospring/reads.py
@@ -191,7 +191,9 @@
                 self._send(choice, leased)
                 return
             state.outstanding -= 1
-            if leased.reason is Reason.TARGET_UNREACHABLE:
+            if leased.reason is Reason.TARGET_UNREACHABLE or (
+                leased.reason is Reason.NOT_HOLDER and choice.replica
+            ):
                 self._elsewhere(choice, leased)
             else:
                 self._done(leased)
--- a/bamboospring/server.py
+++ b/bamboospring/server.py
@@ -8,6 +8,7 @@
 
 from bamboospring.blackboard import Blackboard
 from bamboospring.blackboard import Vm
+from bamboospring.connections import ConnectionTiming
 from bamboospring.drain import Drain
 from bamboospring.entry import Entry
 from bamboospring.facts import Facts
@@ -22,6 +23,7 @@
 from bamboospring.peers import Peers
 from bamboospring.platform_client import PlatformClient
 from bamboospring.pool import Pools
+from bamboospring.pool import PoolTiming
 from bamboospring.reactor import Reactor
 from bamboospring.rendezvous import bucket_of
 from bamboospring.rendezvous import Placement
@@ -29,6 +31,8 @@
 from bamboospring.server_metrics import watch_process
 from bamboospring.settings import Settings
 from bamboospring.settings import Tls
+from bamboospring.share_keeper import ShareKeeper
+from bamboospring.shares import ShareTiming
 from bamboospring.statement_server import StatementServer
 from bamboospring.status_view import StatusView
 from bamboospring.steward import Steward
@@ -79,7 +83,12 @@
         self.metrics = Metrics(
             knows=self.board.knows_group, slow_after=self._slow_after
         )
-        self.pools = Pools(reactor=to_targets, vm=cfg.vm)
+        self.pools = Pools(
+            reactor=to_targets,
+            vm=cfg.vm,
+            queue_limit=cfg.limits.queue_length,
+            timing=_pool_timing(cfg),
+        )
         self.watcher = Watcher(
             reactor=to_targets,
             board=self.board,
@@ -119,6 +128,18 @@
             timing=cfg.timing,
             seeds=cfg.peers.seeds,
         ).register(self)
+        self.shares = ShareKeeper(
+            reactor=self.reactor,
+            board=self.board,
+            placement=self.placement,
+            peers=self.peers,
+            pools=self.pools,
+            timing=ShareTiming(
+                grace=cfg.timing.share_grace_ms / 1000,
+                isolation=cfg.timing.share_isolation_ms / 1000,
+            ),
+        ).register(self)
+        self.facts.sync.on_heard.append(self.shares.heard)
         self.steward = Steward(
             reactor=to_targets,
             board=self.board,
@@ -212,6 +233,17 @@
             self.peers.send(vm.address, message)
 
 
+def _pool_timing(cfg: Settings) -> PoolTiming:
+    return PoolTiming(
+        connect_timeout=cfg.timing.connect_timeout_ms / 1000,
+        connections=ConnectionTiming(
+            pace=cfg.timing.connect_interval_ms / 1000,
+            heartbeat=cfg.timing.target_heartbeat_ms / 1000,
+            heartbeat_timeout=cfg.timing.target_heartbeat_timeout_ms / 1000,
+        ),
+    )
+
+
 def _token_keys(cfg: Settings) -> list[TokenKey]:
     return [
         TokenKey(id=key.id, secret=key.secret.encode())
--- a/bamboospring/settings.py
+++ b/bamboospring/settings.py
@@ -339,6 +339,21 @@
         "Time without an answer after which a pooled "
         "connection is taken for dead.",
     )
+    share_grace_ms: int = _milliseconds(
+        10_000,
+        100,
+        600_000,
+        "Time for which a VM that has left the platform's list counts as "
+        "running; its share of targets' limits is not used by others before.",
+    )
+    share_isolation_ms: int = _milliseconds(
+        4_000,
+        50,
+        300_000,
+        "Time after which a VM that hears neither the platform nor other VMs "
+        "gives up its share. With the lag of the platform's list it must "
+        "stay below `share_grace_ms`.",
+    )
     probe_ms: int = _milliseconds(
         200, 10, 60_000, "Interval of a holder's probes of a target."
     )
--- /dev/null
+++ b/bamboospring/share_keeper.py
@@ -0,0 +1,312 @@
+"""Keep this holder's shares of its targets' limits up to date.
+
+The decisions are in `bamboospring.shares`; this component tells them what
+the blackboard knows and the pools use, exchanges the messages `shareRequest`
+and `shareRelease` with other VMs and gives the pools their shares.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Any
+
+from circuits import BaseComponent
+from circuits import handler
+from xxhash import xxh64_intdigest
+
+from bamboospring.blackboard import Blackboard
+from bamboospring.blackboard import GroupRecord
+from bamboospring.blackboard import Target
+from bamboospring.blackboard import Vm
+from bamboospring import logs
+from bamboospring.peers import envelope
+from bamboospring.peers import PeerLost
+from bamboospring.peers import Peers
+from bamboospring.peers import Reply as SendReply
+from bamboospring.pool import Pools
+from bamboospring.reactor import Reactor
+from bamboospring.rendezvous import Placement
+from bamboospring.rendezvous import rank
+from bamboospring.rendezvous import shard_of
+from bamboospring.shares import Ask
+from bamboospring.shares import GroupShares
+from bamboospring.shares import ListWatch
+from bamboospring.shares import Reply
+from bamboospring.shares import ShareTiming
+from bamboospring.shares import TargetLimit
+from bamboospring.shares import Units
+
+__all__ = ["ShareKeeper", "hash_names", "limits_of", "possible_holders"]
+
+TICK = 0.25
+ASK_TIMEOUT = 1.0
+# A group's holders are the best VMs of their zones. This many of each zone
+# are asked, so that up to two VMs that joined above a former holder in one
+# moment, with no other holder left to tell of it, do not hide it.
+ASKED_IN_ZONE = 3
+
+
+def possible_holders(group: str, vms: Iterable[Vm]) -> frozenset[str]:
+    """Return the VMs that may be, or shortly have been, a group's holder."""
+    found = []
+    in_zone: dict[tuple[str, str], int] = {}
+    for vm in rank(group, vms):
+        place = vm.region, vm.availability_zone
+        in_zone[place] = in_zone.get(place, 0) + 1
+        if in_zone[place] <= ASKED_IN_ZONE:
+            found.append(vm.name)
+    return frozenset(found)
+
+
+def limits_of(
+    record: GroupRecord, *, max_slots: int, max_connections: int
+) -> tuple[TargetLimit, ...]:
+    """Return what each target allows under a row's limits (0: no limit)."""
+    return tuple(
+        TargetLimit(
+            target=target.name,
+            units=Units(
+                slots=_smaller(target.slots, max_slots),
+                connections=_smaller(target.connections, max_connections),
+            ),
+        )
+        for target in record.targets
+    )
+
+
+def hash_names(names: Iterable[str]) -> int:
+    """Return a hash of an ordered list of names, as sent in messages."""
+    return xxh64_intdigest("\n".join(names).encode())
+
+
+def _smaller(limit: int, row_limit: int) -> int:
+    return min(limit, row_limit) if row_limit > 0 else limit
+
+
+class ShareKeeper(BaseComponent):
+    """Gives pools their shares and speaks with the other holders."""
+
+    channel = "*"
+
+    def __init__(
+        self,
+        *,
+        reactor: Reactor,
+        board: Blackboard,
+        placement: Placement,
+        peers: Peers,
+        pools: Pools,
+        timing: ShareTiming,
+    ) -> None:
+        super().__init__()
+        self._reactor = reactor
+        self._board = board
+        self._placement = placement
+        self._peers = peers
+        self._pools = pools
+        self.watch = ListWatch(me=board.me.name, timing=timing)
+        self._groups: dict[str, GroupShares] = {}
+        self._targets: dict[str, tuple[Target, ...]] = {}
+        self._known: dict[str, Vm] = {}
+        self._ticked_at = -1e9
+        peers.handle("shareRequest", self._on_request)
+
+    def heard(self, revision: int) -> None:
+        """Note that a VM with this revision of the list was heard."""
+        self.watch.heard(now=self._reactor.now(), revision=revision)
+
+    @handler("started")
+    def _on_started(self, *_args: Any) -> None:
+        self._pools.start()
+        self._tick()
+
+    @handler("vms_changed")
+    def _on_vms_changed(self) -> None:
+        now = self._reactor.now()
+        board = self._board
+        self._check_pause(now)
+        self._known.update(board.vms)
+        self.watch.see(
+            now=now,
+            revision=board.vms_revision,
+            listed=frozenset(board.vms),
+        )
+        kept = self.watch.listed | self.watch.lingering(now)
+        self._known = {
+            name: vm for name, vm in self._known.items() if name in kept
+        }
+        self._see_all()
+
+    @handler("group_changed")
+    def _on_group_changed(self, name: str) -> None:
+        self._see(name)
+
+    @handler("table_changed")
+    def _on_table_changed(self, shard: int) -> None:
+        for name in list(self._board.groups):
+            if shard_of(name) == shard:
+                self._see(name)
+
+    # What is to be kept.
+
+    def _see_all(self) -> None:
+        for name in set(self._board.groups) | set(self._groups):
+            self._see(name)
+
+    def _see(self, name: str) -> None:
+        group = self._board.groups.get(name)
+        holders = tuple(vm.name for vm in self._placement.holders(name))
+        if not holders:
+            return
+        shares = self._groups.get(name)
+        if shares is None:
+            if group is None or self._board.me.name not in holders:
+                return
+            shares = self._groups[name] = GroupShares(watch=self.watch)
+        self._report_use(name, shares)
+        limits = shares.limits
+        if group is not None:
+            self._targets[name] = group.record.targets
+            row = self._board.row(name, shard_of(name))
+            limits = limits_of(
+                group.record,
+                max_slots=row.max_slots,
+                max_connections=row.max_connections,
+            )
+        shares.see(
+            now=self._reactor.now(),
+            holders=holders,
+            peers=possible_holders(name, self._known.values()),
+            limits=limits,
+        )
+        self._give(name, shares)
+
+    def _report_use(self, name: str, shares: GroupShares) -> None:
+        for target in self._targets.get(name, ()):
+            shares.use(target.name, self._pools.pool(target).used)
+
+    def _give(self, name: str, shares: GroupShares) -> None:
+        for target in self._targets.get(name, ()):
+            pool = self._pools.pool(target)
+            allowed = shares.allowed(target.name)
+            if pool.share != allowed:
+                pool.set_share(allowed)
+                logs.log_event(
+                    "share",
+                    group=name,
+                    target=target.name,
+                    slots=allowed.slots,
+                    connections=allowed.connections,
+                )
+
+    # Time.
+
+    def _tick(self) -> None:
+        now = self._reactor.now()
+        self._check_pause(now)
+        self.watch.heard(
+            now=self._board.vms_seen_at, revision=self._board.vms_revision
+        )
+        for name, shares in list(self._groups.items()):
+            self._report_use(name, shares)
+            for ask in shares.tick(now=now):
+                self._ask(name, shares, ask)
+            self._give(name, shares)
+            if shares.idle:
+                del self._groups[name]
+                del self._targets[name]
+        self._reactor.call_later(TICK, self._tick)
+
+    def _check_pause(self, now: float) -> None:
+        self.watch.tick(now=now)
+        if not self.watch.cut_off:
+            return
+        logs.log_event("shares_given_up", level=logs.Level.WARNING)
+        for name, shares in self._groups.items():
+            shares.tick(now=now)
+            self._give(name, shares)
+        for pool in self._pools.all():
+            pool.close_all()
+
+    # Messages.
+
+    def _ask(self, name: str, shares: GroupShares, ask: Ask) -> None:
+        vm = self._known.get(ask.vm)
+        if vm is None:
+            return
+
+        def answered(message: Any) -> None:
+            if isinstance(message, PeerLost):
+                return
+            reply = _decode_reply(message.shareRelease)
+            self._report_use(name, shares)
+            shares.reply(
+                now=self._reactor.now(), attempt=ask.attempt, reply=reply
+            )
+            if self._groups.get(name) is shares:
+                self._give(name, shares)
+
+        message = envelope()
+        out = message.init("shareRequest")
+        out.group = name
+        out.vm = self._board.me.name
+        out.vmsRevision = max(0, ask.revision)
+        out.holders = hash_names(ask.holders)
+        self._peers.ask(vm.address, message, ASK_TIMEOUT, answered)
+
+    def _on_request(self, message: Any, send: SendReply) -> None:
+        asked = message.shareRequest
+        name = asked.group
+        now = self._reactor.now()
+        self._check_pause(now)
+        holders = tuple(vm.name for vm in self._placement.holders(name))
+        shares = self._groups.get(name)
+        if shares is None:
+            # Nothing is held here; what is promised is to ask before that
+            # changes.
+            shares = GroupShares(watch=self.watch)
+            shares.see(
+                now=now,
+                holders=holders,
+                peers=possible_holders(name, self._known.values()),
+                limits=(),
+            )
+        else:
+            self._report_use(name, shares)
+        agrees = hash_names(holders) == asked.holders
+        reply = shares.answer(
+            now=now,
+            vm=asked.vm,
+            revision=asked.vmsRevision,
+            holders=shares.holders if agrees else (),
+        )
+        send(_encode_reply(name, reply))
+
+
+def _encode_reply(name: str, reply: Reply) -> Any:
+    message = envelope()
+    out = message.init("shareRelease")
+    out.group = name
+    out.vm = reply.vm
+    out.vmsRevision = max(0, reply.revision)
+    out.agrees = reply.agrees
+    out.informed = reply.informed
+    targets = out.init("targets", len(reply.held))
+    for item, (target, units) in zip(targets, sorted(reply.held.items())):
+        item.target = target
+        item.slots = units.slots
+        item.connections = units.connections
+    return message
+
+
+def _decode_reply(release: Any) -> Reply:
+    return Reply(
+        vm=release.vm,
+        agrees=release.agrees,
+        informed=release.informed,
+        revision=release.vmsRevision,
+        held={
+            item.target: Units(slots=item.slots, connections=item.connections)
+            for item in release.targets
+        },
+    )
--- a/bamboospring/shares.py
+++ b/bamboospring/shares.py
@@ -40,6 +40,8 @@
 ]
 
 NEVER = -1e9
+# Revisions of the platform's list count from 1: nobody has left that list.
+FIRST_REVISION = 1
 PROBE_PART = 0.3
 
 
@@ -181,6 +183,7 @@
         """Take a list of VMs that is not older than the last one."""
         if self._watching_since == NEVER:
             self._watching_since = now
+            self._informed = revision == FIRST_REVISION
         for vm in self.listed - listed:
             self._gone.setdefault(vm, now)
         for vm in listed:
@@ -374,9 +377,11 @@
             return {
                 vm for vm in others if not informed or not self._settled(vm)
             }
-        # With the platform silent, a question to the other VMs shows that
-        # this VM isn't cut off from everything.
-        return others if self.watch.is_lonely(now) else set()
+        # With the platform silent, a question to the other holders shows
+        # that this VM isn't cut off from everything.
+        if not self.watch.is_lonely(now):
+            return set()
+        return others & set(self.holders) or others
 
     def _forget(self) -> None:
         # Answers to questions from before a change promise nothing for the
--- a/bamboospring/wire.capnp
+++ b/bamboospring/wire.capnp
@@ -99,6 +99,9 @@
   vm @1 :Text;
   vmsRevision @2 :UInt64;
   targets @3 :List(TargetShare);
+  holders @4 :UInt64;         # hash of the ordered names of the holders
+  agrees @5 :Bool;            # in a release: the promise, see shares.py
+  informed @6 :Bool;
 }
 
 struct TargetShare {
--- a/bamboospring/writes.py
+++ b/bamboospring/writes.py
@@ -272,7 +272,11 @@
                 self._finish(leased)
 
         self._runner.pools.acquire(
-            choice.target, self._stmt.deadline, self._stmt.caller, ready
+            choice.target,
+            self._stmt.deadline,
+            self._stmt.caller,
+            ready,
+            writes=True,
         )
 
     def _send(self, choice: WriteAt, leased: Leased) -> None:
