--- /dev/null
+++ b/bamboospring/load.py
@@ -0,0 +1,481 @@
+"""An open-loop load and experiment tool: `bamboospring load`.
+
+Statements arrive at random (Poisson) instants that do not depend on earlier
+answers, so a slow proxy gets no less load than a fast one. Latency counts from
+the instant at which a statement was due, not from when it could be sent:
+otherwise a stall would hide itself. The seed fixes arrivals and mix.
+
+The tool is for test estates. It is bounded in time, rate and connections, and
+speaks only to addresses on this machine.
+
+Example::
+
+    plan = LoadPlan(entries=("127.0.0.1:8001",), group="ledger", rate=200)
+    result = run(plan)
+    print(result.summary()["done"])
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections import Counter
+from collections import deque
+from dataclasses import asdict
+from dataclasses import dataclass
+from dataclasses import field
+from functools import partial
+import gc
+import random
+from typing import Any
+
+from circuits import BaseComponent
+from circuits import Component
+from circuits import handler
+from hdrh.histogram import HdrHistogram
+import orjson
+
+from bamboospring.errors import BamboospringError
+from bamboospring.http_codec import HttpAnswer
+from bamboospring.http_codec import HttpConnection
+from bamboospring.http_codec import HttpLost
+from bamboospring.reactor import Reactor
+
+__all__ = ["Fault", "LoadError", "LoadPlan", "LoadResult", "plot", "run"]
+
+MAX_SECONDS = 600.0
+MAX_RATE = 50_000.0
+MAX_CALLERS = 2_000
+LOOPBACK = "127."
+CONNECT_TIMEOUT = 2.0
+# Answers are waited for this much longer than the deadline, in seconds.
+GRACE = 1.0
+HIGHEST_MICROSECONDS = 120_000_000
+DIGITS = 3
+PERCENTILES = (50.0, 90.0, 99.0, 99.9)
+LOST = "lost"
+UNSENT = "unsent"
+
+
+class LoadError(BamboospringError):
+    """The plan is out of bounds or can't be begun."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Fault:
+    """A call to a stand-in, `at` seconds after the begin."""
+
+    at: float
+    address: str
+    path: str
+    body: dict[str, Any]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LoadPlan:
+    """What to send. Shares are percent, `rate` is statements a second."""
+
+    entries: tuple[str, ...]
+    group: str
+    rate: float
+    seconds: float = 10.0
+    callers: int = 32
+    write_percent: float = 0.0
+    transaction_percent: float = 0.0
+    read_sql: str = "SELECT 1"
+    write_sql: str = ""
+    staleness_ms: int | None = None
+    deadline_ms: int = 1000
+    caller: str = "load"
+    sessions_per_caller: int = 0
+    seed: int = 1
+    faults: tuple[Fault, ...] = ()
+
+    def check(self) -> None:
+        """Raise LoadError for what is out of bounds."""
+        addresses = [*self.entries, *(fault.address for fault in self.faults)]
+        if not self.entries:
+            raise LoadError("no entry to send to")
+        if not all(address.startswith(LOOPBACK) for address in addresses):
+            raise LoadError("only addresses on this machine are allowed")
+        if not 0 < self.seconds <= MAX_SECONDS:
+            raise LoadError(f"seconds must be above 0, up to {MAX_SECONDS}")
+        if not 0 < self.rate <= MAX_RATE:
+            raise LoadError(f"rate must be above 0, up to {MAX_RATE}")
+        if not 0 < self.callers <= MAX_CALLERS:
+            raise LoadError(f"callers must be 1 to {MAX_CALLERS}")
+        if self.write_percent + self.transaction_percent > 0:
+            if not self.write_sql:
+                raise LoadError("writes need the SQL of a write")
+
+
+@dataclass(slots=True, kw_only=True)
+class LoadResult:
+    """What came back."""
+
+    plan: LoadPlan
+    outcomes: Counter[str] = field(default_factory=Counter)
+    reasons: Counter[str] = field(default_factory=Counter)
+    targets: Counter[str] = field(default_factory=Counter)
+    at_replica: int = 0
+    elapsed: float = 0.0
+    seconds: list[Counter[str]] = field(default_factory=list)
+    latencies: dict[str, HdrHistogram] = field(default_factory=dict)
+
+    def note(
+        self, outcome: str, latency: float, at: float, reason: str
+    ) -> None:
+        """Count one answer."""
+        self.outcomes[outcome] += 1
+        if reason:
+            self.reasons[f"{outcome}/{reason}"] += 1
+        if outcome not in self.latencies:
+            self.latencies[outcome] = HdrHistogram(
+                1, HIGHEST_MICROSECONDS, DIGITS
+            )
+        self.latencies[outcome].record_value(max(1, int(latency * 1e6)))
+        while len(self.seconds) <= int(at):
+            self.seconds.append(Counter())
+        self.seconds[int(at)][outcome] += 1
+
+    def percentile(self, outcome: str, percent: float) -> float:
+        """Return a latency in milliseconds, 0 if there was no such answer."""
+        found = self.latencies.get(outcome)
+        if found is None:
+            return 0.0
+        return float(found.get_value_at_percentile(percent)) / 1000
+
+    def summary(self) -> dict[str, Any]:
+        """Return the result as a JSON object."""
+        return {
+            "plan": asdict(self.plan),
+            "elapsed_s": round(self.elapsed, 3),
+            "outcomes": dict(self.outcomes),
+            "reasons": dict(self.reasons),
+            "targets": dict(self.targets),
+            "done_per_s": round(
+                self.outcomes["done"] / max(self.elapsed, 1e-9), 1
+            ),
+            "at_replica": self.at_replica,
+            "latency_ms": {
+                outcome: {
+                    f"p{percent:g}": round(
+                        self.percentile(outcome, percent), 3
+                    )
+                    for percent in PERCENTILES
+                }
+                for outcome in sorted(self.latencies)
+            },
+            "by_second": [dict(counter) for counter in self.seconds],
+        }
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class _Session:
+    """One caller's session on one connection."""
+
+    entry: str
+    caller: str
+    conn: HttpConnection | None = None
+    token: str = ""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Due:
+    """A statement that has arrived."""
+
+    at: float
+    kind: str
+
+
+class _Load(BaseComponent):
+    """Sends what the plan says and stops the process's manager."""
+
+    channel = "*"
+
+    def __init__(self, *, reactor: Reactor, plan: LoadPlan) -> None:
+        super().__init__()
+        self.result = LoadResult(plan=plan)
+        self._reactor = reactor
+        self._plan = plan
+        self._random = random.Random(plan.seed)
+        self._idle: deque[_Session] = deque()
+        self._waiting: deque[_Due] = deque()
+        self._opening = 0
+        self._busy = 0
+        self._began = 0.0
+        self._next = 0.0
+        self._over = False
+
+    @handler("started")
+    def _on_started(self, *_args: Any) -> None:
+        plan = self._plan
+        self._opening = plan.callers
+        for number in range(plan.callers):
+            name = plan.caller
+            if plan.sessions_per_caller:
+                name = f"{name}-{number // plan.sessions_per_caller}"
+            session = _Session(
+                entry=plan.entries[number % len(plan.entries)], caller=name
+            )
+            self._open(session, self._opened)
+
+    def _open(
+        self, session: _Session, done: Callable[[_Session], None]
+    ) -> None:
+        conn = HttpConnection(reactor=self._reactor, address=session.entry)
+
+        def connected(ok: bool) -> None:
+            if not ok:
+                done(session)
+                return
+            body = orjson.dumps({"caller": session.caller})
+            conn.request(
+                "POST", "/v1/sessions", body, CONNECT_TIMEOUT, answered
+            )
+
+        def answered(answer: HttpAnswer | HttpLost) -> None:
+            if isinstance(answer, HttpAnswer) and answer.status < 300:
+                session.conn = conn
+                token = orjson.loads(answer.body)["token"]
+                session.token = session.token or token
+            done(session)
+
+        conn.connect(CONNECT_TIMEOUT, connected)
+
+    def _opened(self, session: _Session) -> None:
+        self._opening -= 1
+        self._idle.append(session)
+        if self._opening == 0:
+            self._begin()
+
+    def _begin(self) -> None:
+        # What stands now stays to the end; not looking at it again keeps
+        # the tool's own pauses out of the latencies.
+        gc.freeze()
+        now = self._began = self._reactor.now()
+        for fault in self._plan.faults:
+            self._reactor.call_later(fault.at, partial(self._break, fault))
+        self._next = now + self._gap()
+        self._arrive()
+
+    def _gap(self) -> float:
+        return self._random.expovariate(self._plan.rate)
+
+    def _arrive(self) -> None:
+        now = self._reactor.now()
+        end = self._began + self._plan.seconds
+        while self._next <= now and self._next < end:
+            self._waiting.append(_Due(at=self._next, kind=self._kind()))
+            self._next += self._gap()
+        self._send_waiting()
+        if self._next < end:
+            self._reactor.call_later(max(0.0, self._next - now), self._arrive)
+        else:
+            wait = self._plan.deadline_ms / 1000 + GRACE
+            self._reactor.call_later(wait, self._finish)
+            self._over = True
+
+    def _kind(self) -> str:
+        draw = self._random.random() * 100
+        if draw < self._plan.write_percent:
+            return "write"
+        if draw < self._plan.write_percent + self._plan.transaction_percent:
+            return "transaction"
+        return "read"
+
+    def _send_waiting(self) -> None:
+        while self._waiting and self._idle:
+            due = self._waiting.popleft()
+            session = self._idle.popleft()
+            self._busy += 1
+            if due.kind == "transaction":
+                _Transaction(load=self, session=session, due=due).begin()
+            else:
+                self._statement(session, due)
+
+    def _statement(self, session: _Session, due: _Due) -> None:
+        plan = self._plan
+        write = due.kind == "write"
+        body: dict[str, Any] = {
+            "token": session.token,
+            "group": plan.group,
+            "kind": due.kind,
+            "sql": plan.write_sql if write else plan.read_sql,
+            "params": [],
+            "staleness_ms": None if write else plan.staleness_ms,
+            "deadline_ms": plan.deadline_ms,
+        }
+        self.post(
+            session,
+            "/v1/statements",
+            body,
+            lambda data: self.done(session, due, data),
+        )
+
+    def post(
+        self,
+        session: _Session,
+        path: str,
+        body: dict[str, Any],
+        on_data: Callable[[dict[str, Any]], None],
+    ) -> None:
+        """Send one request; a lost one gives the outcome `lost`."""
+
+        def answered(answer: HttpAnswer | HttpLost) -> None:
+            if isinstance(answer, HttpLost):
+                session.conn = None
+                on_data({"outcome": LOST, "reason": answer.reason})
+                return
+            data = orjson.loads(answer.body)
+            session.token = data.get("token") or session.token
+            on_data(data)
+
+        if session.conn is None or not session.conn.usable:
+            self._open(
+                session,
+                lambda _s: self._post_again(session, path, body, answered),
+            )
+            return
+        timeout = self._plan.deadline_ms / 1000 + GRACE
+        session.conn.request(
+            "POST", path, orjson.dumps(body), timeout, answered
+        )
+
+    def _post_again(
+        self,
+        session: _Session,
+        path: str,
+        body: dict[str, Any],
+        answered: Callable[[HttpAnswer | HttpLost], None],
+    ) -> None:
+        if session.conn is None:
+            answered(HttpLost(sent=False, reason="connect"))
+            return
+        body = {**body, "token": session.token}
+        timeout = self._plan.deadline_ms / 1000 + GRACE
+        session.conn.request(
+            "POST", path, orjson.dumps(body), timeout, answered
+        )
+
+    def done(self, session: _Session, due: _Due, data: dict[str, Any]) -> None:
+        """Count an answer and let the session take the next statement."""
+        now = self._reactor.now()
+        result = self.result
+        result.note(
+            data.get("outcome") or LOST,
+            now - due.at,
+            now - self._began,
+            data.get("reason") or "",
+        )
+        if data.get("target"):
+            result.targets[data["target"]] += 1
+        result.at_replica += bool(data.get("at_replica"))
+        self._busy -= 1
+        self._idle.append(session)
+        self._send_waiting()
+        if self._over and self._busy == 0 and not self._waiting:
+            self._finish()
+
+    def _finish(self) -> None:
+        if self.result.elapsed:
+            return
+        now = self._reactor.now()
+        self.result.elapsed = min(now - self._began, self._plan.seconds)
+        unsent = len(self._waiting) + self._busy
+        if unsent:
+            self.result.outcomes[UNSENT] = unsent
+        self.root.stop()
+
+    def _break(self, fault: Fault) -> None:
+        conn = HttpConnection(reactor=self._reactor, address=fault.address)
+
+        def connected(ok: bool) -> None:
+            if ok:
+                body = orjson.dumps(fault.body)
+                conn.request(
+                    "POST",
+                    fault.path,
+                    body,
+                    CONNECT_TIMEOUT,
+                    lambda _answer: conn.close(),
+                )
+
+        conn.connect(CONNECT_TIMEOUT, connected)
+
+
+class _Transaction:
+    """Begin, one write, commit; the first that fails ends it."""
+
+    def __init__(self, *, load: _Load, session: _Session, due: _Due) -> None:
+        self._load = load
+        self._session = session
+        self._due = due
+        self._steps = deque(["begin", "statement", "commit"])
+
+    def begin(self) -> None:
+        """Send the first step."""
+        self._step("")
+
+    def _step(self, transaction: str) -> None:
+        plan = self._load.result.plan
+        step = self._steps.popleft()
+        body: dict[str, Any] = {
+            "token": self._session.token,
+            "group": plan.group,
+            "step": step,
+            "transaction": transaction,
+            "kind": "write",
+            "sql": plan.write_sql if step == "statement" else None,
+            "params": [],
+            "deadline_ms": plan.deadline_ms,
+        }
+        self._load.post(
+            self._session, "/v1/transactions", body, self._answered
+        )
+
+    def _answered(self, data: dict[str, Any]) -> None:
+        if data.get("outcome") == "done" and self._steps:
+            self._step(data["transaction"])
+        else:
+            self._load.done(self._session, self._due, data)
+
+
+def run(plan: LoadPlan) -> LoadResult:
+    """Send what the plan says and return what came back.
+
+    Raises LoadError if the plan is out of bounds.
+    """
+    plan.check()
+    root = Component()
+    reactor = Reactor().register(root)
+    load = _Load(reactor=reactor, plan=plan).register(root)
+    root.run()
+    return load.result
+
+
+def plot(result: LoadResult, path: str) -> None:
+    """Draw answers by second and latencies into an image file."""
+    # Only here: it takes 60 MB and half a second to load.
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, (above, below) = pyplot.subplots(2, 1, figsize=(8, 7))
+    for outcome in sorted(result.outcomes):
+        counts = [counter[outcome] for counter in result.seconds]
+        above.plot(counts, label=outcome)
+    above.set_xlabel("second")
+    above.set_ylabel("answers")
+    above.legend()
+    percents = [0, 25, 50, 75, 90, 95, 99, 99.5, 99.9]
+    for outcome in sorted(result.latencies):
+        values = [result.percentile(outcome, p) for p in percents]
+        below.plot([str(p) for p in percents], values, "o-", label=outcome)
+    below.set_yscale("log")
+    below.set_xlabel("percentile")
+    below.set_ylabel("latency, ms")
+    below.legend()
+    figure.tight_layout()
+    figure.savefig(path)
+    pyplot.close(figure)
