--- a/bamboospring/admission.py
+++ b/bamboospring/admission.py
@@ -30,9 +30,12 @@
 FIRST_ESTIMATE = 0.005
 MIN_RETRY_AFTER_MS = 10
 MAX_RETRY_AFTER_MS = 5000
-# Estimates are averages; a statement is let in with this much less time than
-# the estimate, because a refusal that was not needed costs goodput.
-OPTIMISM = 0.8
+# What is let in may wait for this part of the time that it has left. The rest
+# is for running, and for estimates that were too low: a statement that times
+# out at the target has used a slot and a connection for nothing.
+WAIT_PART = 0.5
+# A statement is started only with this many times the usual time left.
+START_RESERVE = 1.5
 
 
 @dataclass(slots=True, kw_only=True, eq=False)
@@ -119,6 +122,7 @@
             verdicts.append(self._push_out(now))
         self._enter(ticket)
         verdicts.append(Wait(ticket=ticket))
+        verdicts.extend(self._refuse_hopeless(now))
         return verdicts
 
     def finished(self, ticket: Ticket, seconds: float) -> None:
@@ -134,7 +138,7 @@
         while self._queue and self.running < self.slots:
             ticket = self._queue.pop(0)
             self._leave(ticket)
-            if ticket.deadline <= now:
+            if ticket.deadline < now + self.estimate * START_RESERVE:
                 verdicts.append(self._refuse(ticket, Reason.DEADLINE, now))
             else:
                 verdicts.append(self._start(ticket))
@@ -182,8 +186,26 @@
 
     def _comes_too_late(self, ticket: Ticket, now: float) -> bool:
         ahead = self._count_ahead(ticket)
-        wait = self.wait_estimate(ahead) * OPTIMISM
-        return now + wait + self.estimate * OPTIMISM > ticket.deadline
+        return self._is_hopeless(ticket, ahead, now, WAIT_PART)
+
+    def _is_hopeless(
+        self, ticket: Ticket, ahead: int, now: float, part: float
+    ) -> bool:
+        left = ticket.deadline - now
+        wait = self.wait_estimate(ahead)
+        return wait > left * part or wait + self.estimate > left
+
+    def _refuse_hopeless(self, now: float) -> list[Verdict]:
+        """Refuse at once whom newcomers have pushed too far back."""
+        verdicts: list[Verdict] = []
+        while self._queue:
+            last = self._queue[-1]
+            ahead = len(self._queue) - 1
+            if not self._is_hopeless(last, ahead, now, 1.0):
+                break
+            self.cancel(last)
+            verdicts.append(self._refuse(last, Reason.QUEUE_FULL, now))
+        return verdicts
 
     def _count_ahead(self, ticket: Ticket) -> int:
         low, high = 0, len(self._queue)
--- a/bamboospring/reads.py
+++ b/bamboospring/reads.py
@@ -46,6 +46,7 @@
 
 MAX_TRIES = 4
 MAX_ROUNDS = 3
+SHORT_TIME = 0.3
 # A read that no target can serve while the primary changes waits for the
 # next one like a write; so many may do so at one holder.
 MAX_PARKED = 64
@@ -225,8 +226,11 @@
 
     def _time_for(self, choice: ReadAt) -> float:
         # A replica that has gone silent must leave time for another try.
+        # With little time left another try would not help either.
         left = self._left()
-        return left / 2 if choice.replica else left
+        if choice.replica and left > SHORT_TIME:
+            return max(left / 2, SHORT_TIME)
+        return left
 
     def _answered(self, choice: ReadAt, answer: TargetAnswer) -> None:
         self._learn(choice, answer)
