--- a/bamboospring/entry.py
+++ b/bamboospring/entry.py
@@ -20,6 +20,7 @@
 from bamboospring.http_codec import HttpServer
 from bamboospring.http_codec import Request
 from bamboospring.http_codec import Response
+from bamboospring.membership import Membership
 from bamboospring.outcomes import Done
 from bamboospring.outcomes import Outcome
 from bamboospring.outcomes import Reason
@@ -52,6 +53,8 @@
 }
 
 Respond = Callable[[Response], None]
+# Gets what was answered after how many seconds, and the time of the answer.
+OnAnswered = Callable[[Statement, Outcome, float, float], None]
 
 
 class Entry(BaseComponent):
@@ -68,13 +71,16 @@
         peers: Peers,
         holder: Holder,
         codec: TokenCodec,
+        membership: Membership,
         listen: str,
+        on_answered: OnAnswered = lambda *_: None,
     ) -> None:
         super().__init__()
         self._reactor = reactor
         self._board = board
         self._codec = codec
         self._traces = itertools.count(1)
+        self._on_answered = on_answered
         self._forwarder = Forwarder(
             reactor=reactor,
             board=board,
@@ -82,6 +88,7 @@
             peers=peers,
             holder=holder,
             codec=codec,
+            membership=membership,
             may_retry=lambda: True,
         )
         self._routes: dict[str, Callable[[bytes, Respond], None]] = {
@@ -143,12 +150,13 @@
         if isinstance(session, BadToken):
             respond(bad_request(session.message, Reason.BAD_TOKEN))
             return
+        begun_at = self._reactor.now()
         stmt = Statement(
             group=req.group,
             caller=session.caller,
             params=orjson.dumps(req.params),
             key=req.key or "",
-            deadline=self._reactor.now() + req.deadline_ms / 1000,
+            deadline=begun_at + req.deadline_ms / 1000,
             token=session.position(req.group),
             trace=f"{self._board.me.name}-{next(self._traces)}",
             **more,
@@ -158,6 +166,8 @@
             return
 
         def done(outcome: Outcome) -> None:
+            now = self._reactor.now()
+            self._on_answered(stmt, outcome, now - begun_at, now)
             respond(self._respond(session, stmt, outcome))
 
         self._forwarder.forward(stmt, done)
--- a/bamboospring/holder.py
+++ b/bamboospring/holder.py
@@ -115,6 +115,8 @@
             self.transactions.run(stmt, finished)
         elif not self._holds(stmt.group):
             finished(_not_here(Reason.NOT_HOLDER))
+        elif self._board.draining:
+            finished(_not_here(Reason.DRAINING))
         else:
             self._run_new(stmt, finished)
 
