--- a/bamboospring/facts.py
+++ b/bamboospring/facts.py
@@ -110,6 +110,11 @@
         """
         return not self._board.starting
 
+    @property
+    def table_from_platform(self) -> bool:
+        """Say whether the platform's own table has been read."""
+        return self._table_read
+
     def publish(self, record: GroupRecord) -> None:
         """Take and spread a group record that this VM has just stored."""
         self.groups.publish(record)
--- a/bamboospring/group_sync.py
+++ b/bamboospring/group_sync.py
@@ -130,12 +130,11 @@
     def follow_placement(self) -> None:
         """Bring records to the VMs that need them since the VMs changed."""
         self.ask()
+        self._take_needed()
         before = self._index
-        if not self._all or not before:
+        if not before:
             return
-        for name in self._needed_by(self._board.me.name):
-            known = self._all[name]
-            self._take(name, known.version, known.value)
+        self._needed_by(self._board.me.name)
         for vm, names in self._index.items():
             added = names - before.get(vm, set())
             if added and vm != self._board.me.name:
@@ -162,6 +161,16 @@
 
     # What is known.
 
+    def _take_needed(self) -> None:
+        """Put in force what was told before we knew that we need it.
+
+        News may overtake the list of VMs. Without this the record would be
+        known here, so that no question brings it again, and never in force.
+        """
+        for name, known in self._all.items():
+            if self._board.me.name in needs_group(self._placement, name):
+                self._take(name, known.version, known.value)
+
     def _learn(self, name: str, version: int, value: Any) -> bool:
         """Keep a record if it is newer; put it in force if we need it."""
         known = self._all.get(name)
--- /dev/null
+++ b/features/steps/configuration_properties.py
@@ -0,0 +1,493 @@
+"""Generated runs of the real components over small fakes of their outsides.
+
+Five processes and a platform. Messages and platform answers lie in one bag,
+from which any may be delivered, doubled or dropped at any time; processes
+restart and the platform fails. What is checked: at a live process no version
+ever falls; a process that has got ready by the platform's own table is not
+behind its earlier life; and when all faults are over, everybody has every
+edit.
+
+Only two processes watch the platform and none checks it by itself, so that
+the peers have to bring everything; the real numbers would hide their faults.
+
+MUTATIONS
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+import heapq
+import itertools
+from typing import Any
+from unittest import mock
+
+from circuits import Component
+from circuits import Event
+from hypothesis import given
+from hypothesis import HealthCheck
+from hypothesis import Phase
+from hypothesis import settings
+from hypothesis import strategies
+
+from bamboospring.blackboard import Blackboard
+from bamboospring.blackboard import Vm
+from bamboospring.facts import Facts
+from bamboospring.group_sync import needs_group
+from bamboospring.membership import Membership
+from bamboospring.peers import PeerLost
+from bamboospring.peers import schema
+from bamboospring.platform_client import Changes
+from bamboospring.platform_client import Found
+from bamboospring.platform_client import Missing
+from bamboospring.platform_client import Unavailable
+from bamboospring.platform_client import VmsFound
+from bamboospring import platform_watch
+from bamboospring import rendezvous
+from bamboospring.rendezvous import Placement
+from bamboospring.settings import Timing
+
+__all__ = ["check_spread", "converged_runs"]
+
+NAMES = ("vm-a", "vm-b", "vm-c", "vm-d", "vm-e")
+GROUPS = ("g1",)
+SHARDS = (0, 1)
+WATCHERS = 2
+NO_CHECKS = 1e6
+STEPS = 80
+HEAL_SECONDS = 20
+# Which message of the bag: mostly the oldest or the newest ones.
+PLACES = (0, 0, 0, 1, 2, 3, 5, 8, -1, -1, -1, -2, -3, -5)
+converged_runs = 0
+
+
+class started(Event):
+    """What the manager fires when it begins to run."""
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class FakeTimer:
+    """A timer of the fake reactor."""
+
+    callback: Callable[[], None] | None
+
+    def cancel(self) -> None:
+        """Drop the callback."""
+        self.callback = None
+
+
+class Clock:
+    """The time of all processes and their timers."""
+
+    def __init__(self) -> None:
+        self.now = 1000.0
+        self._timers: list[tuple[float, int, FakeTimer]] = []
+        self._order = itertools.count()
+
+    def call_at(self, when: float, callback: Callable[[], None]) -> FakeTimer:
+        """Call back when the time has come."""
+        timer = FakeTimer(callback=callback)
+        heapq.heappush(self._timers, (when, next(self._order), timer))
+        return timer
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass."""
+        end = self.now + seconds
+        while self._timers and self._timers[0][0] <= end:
+            when, _, timer = heapq.heappop(self._timers)
+            self.now = max(self.now, when)
+            if timer.callback is not None:
+                timer.callback()
+        self.now = end
+
+
+class FakeReactor:
+    """The reactor of one life of a process; a dead one calls nobody."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.alive = True
+        self._clock = clock
+
+    def now(self) -> float:
+        """Return the time."""
+        return self._clock.now
+
+    def call_later(
+        self, delay: float, callback: Callable[[], None]
+    ) -> FakeTimer:
+        """Call back after a delay, if still alive."""
+        when = self._clock.now + delay
+        return self._clock.call_at(when, self.guard(callback))
+
+    def guard(self, callback: Callable[..., None]) -> Callable[..., None]:
+        """Return a callback that does nothing after death."""
+
+        def call(*args: Any) -> None:
+            if self.alive:
+                callback(*args)
+
+        return call
+
+
+class FakePeers:
+    """Messages between processes, by way of the world's bag."""
+
+    def __init__(self, world: World, name: str, reactor: FakeReactor) -> None:
+        self.handlers: dict[str, Callable[[Any, Any], None]] = {}
+        self.reactor = reactor
+        self._world = world
+        self._name = name
+        self._ids = itertools.count(1)
+
+    def handle(self, which: str, callback: Callable[[Any, Any], None]) -> None:
+        """Call back with messages of a kind."""
+        self.handlers[which] = callback
+
+    def send(self, address: str, message: Any) -> None:
+        """Put a message into the bag."""
+        message.id = 0
+        data = message.to_bytes()
+        self._world.bag.append(lambda: self._arrive(address, data, None))
+
+    def ask(
+        self,
+        address: str,
+        message: Any,
+        timeout: float,
+        on_answer: Callable[[Any], None],
+    ) -> None:
+        """Put a question into the bag; its answer goes there too."""
+        message.id = next(self._ids)
+        data = message.to_bytes()
+        open_ = [True]
+
+        def answered(answer: Any) -> None:
+            if open_[0]:
+                open_[0] = False
+                on_answer(answer)
+
+        def reply(answer: bytes) -> None:
+            def deliver() -> None:
+                if self.reactor.alive:
+                    with schema.Envelope.from_bytes(answer) as back:
+                        answered(back)
+
+            self._world.bag.append(deliver)
+
+        self.reactor.call_later(timeout, lambda: answered(PeerLost(sent=True)))
+        self._world.bag.append(lambda: self._arrive(address, data, reply))
+
+    def _arrive(
+        self, address: str, data: bytes, reply: Callable[[bytes], None] | None
+    ) -> None:
+        process = self._world.processes.get(address)
+        if process is None:
+            return
+
+        def answer(message: Any) -> None:
+            if reply is not None:
+                reply(message.to_bytes())
+
+        with schema.Envelope.from_bytes(data) as message:
+            handler = process.peers.handlers.get(message.which())
+            if handler is not None:
+                handler(message, answer)
+
+
+class FakePlatform:
+    """Calls of one process to the platform.
+
+    What an answer says is as of the call; it may be delivered much later.
+    """
+
+    def __init__(self, world: World, reactor: FakeReactor) -> None:
+        self._world = world
+        self._reactor = reactor
+
+    def get(self, kind: str, name: str, purpose: str, on_result: Any) -> None:
+        """Read an object."""
+        version, value = self._world.objects.get((kind, name), (0, None))
+        result: Found | Missing = Missing(kind=kind, name=name)
+        if version:
+            result = Found(kind=kind, name=name, version=version, value=value)
+        self._answer(result, on_result)
+
+    def list(self, kind: str, purpose: str, on_result: Any) -> None:
+        """Read all objects of a kind."""
+        self._answer(self._changes(kind, 0), on_result)
+
+    def watch(
+        self, kind: str, after: int, wait_ms: int, purpose: str, on_result: Any
+    ) -> None:
+        """Read what has changed; a waiting watch is answered at its end."""
+        if self._changes(kind, after).objects or wait_ms == 0:
+            self._answer(self._changes(kind, after), on_result)
+            return
+
+        def look() -> None:
+            self._answer(self._changes(kind, after), on_result)
+
+        self._reactor.call_later(0.5, look)
+
+    def vms(self, on_result: Any, *, purpose: str = "vms") -> None:
+        """Read the list of VMs."""
+        self._answer(VmsFound(revision=1, vms=self._world.vms), on_result)
+
+    def _changes(self, kind: str, after: int) -> Changes:
+        world = self._world
+        objects = tuple(
+            Found(kind=kind, name=name, version=version, value=value)
+            for (its_kind, name), (version, value) in world.objects.items()
+            if its_kind == kind and world.revisions[its_kind, name] > after
+        )
+        return Changes(objects=objects, revision=world.revision)
+
+    def _answer(self, result: Any, on_result: Any) -> None:
+        lost = Unavailable(maybe_applied=False, retry_after=0.3)
+        answer = self._reactor.guard(on_result)
+        open_ = [True]
+
+        def deliver(what: Any) -> None:
+            if open_[0]:
+                open_[0] = False
+                answer(what)
+
+        if self._world.outage:
+            self._reactor.call_later(0.05, lambda: deliver(lost))
+            return
+        self._world.bag.append(lambda: deliver(result))
+        # An answer that is dropped ends as a timeout.
+        self._reactor.call_later(2.0, lambda: deliver(lost))
+
+
+class Process:
+    """One life of a process: the real component over fakes."""
+
+    def __init__(self, world: World, name: str) -> None:
+        self.reactor = FakeReactor(world.clock)
+        self.board = Blackboard(me=world.vm(name))
+        self.peers = FakePeers(world, name, self.reactor)
+        self.highest: dict[str, int] = {}
+        self._root = Component()
+        self.placement = Placement()
+        self.facts = Facts(
+            reactor=self.reactor,  # type: ignore[arg-type]
+            board=self.board,
+            placement=self.placement,
+            peers=self.peers,  # type: ignore[arg-type]
+            platform=FakePlatform(world, self.reactor),  # type: ignore
+            membership=Membership(),
+            timing=Timing(),
+            seeds=[other for other in NAMES if other != name],
+            chance=lambda: 0.5,
+        ).register(self._root)
+        self._root.fire(started())
+        self.settle()
+
+    def settle(self) -> None:
+        """Dispatch all events that were fired."""
+        while len(self._root):
+            self._root.flush()
+
+    def versions(self) -> dict[str, int]:
+        """Return the versions in force by the name of their object."""
+        found = {
+            f"table/{number}": shard.version
+            for number, shard in self.board.table.items()
+        }
+        for name, group in self.board.groups.items():
+            found[f"group/{name}"] = group.record.version
+        return found
+
+
+class World:
+    """All processes, the platform and the bag of messages."""
+
+    def __init__(self) -> None:
+        self.clock = Clock()
+        self.bag: list[Callable[[], None]] = []
+        self.outage = False
+        self.revision = 0
+        self.objects: dict[tuple[str, str], tuple[int, Any]] = {}
+        self.revisions: dict[tuple[str, str], int] = {}
+        self.processes: dict[str, Process] = {}
+        self.earlier: dict[str, dict[str, int]] = {}
+        self.floors: dict[str, dict[str, int]] = {}
+        self.vms = tuple(
+            {
+                "name": name,
+                "address": name,
+                "availability_zone": f"zone-{number % 3}",
+                "region": "",
+                "state": "live",
+            }
+            for number, name in enumerate(NAMES)
+        )
+        for group in GROUPS:
+            self.edit("group", group)
+        for name in NAMES:
+            self.processes[name] = Process(self, name)
+
+    def vm(self, name: str) -> Vm:
+        """Return a VM of the list."""
+        number = NAMES.index(name)
+        zone = f"zone-{number % 3}"
+        return Vm(name=name, address=name, availability_zone=zone)
+
+    def edit(self, kind: str, name: str) -> None:
+        """Accept an update of an object."""
+        version = self.objects.get((kind, name), (0, None))[0] + 1
+        value: dict[str, Any] = {"rows": {"g1": {"max_slots": version}}}
+        if kind == "group":
+            value = {"targets": [], "term": version}
+        self.revision += 1
+        self.objects[kind, name] = (version, value)
+        self.revisions[kind, name] = self.revision
+
+    def restart(self, name: str) -> None:
+        """End a process and start it again."""
+        old = self.processes[name]
+        old.reactor.alive = False
+        self.earlier[name] = old.highest
+        # Whoever else was to give an answer may now have nothing to give.
+        self.floors = {name: self._floor_without(name)}
+        self.processes[name] = Process(self, name)
+
+    def _floor_without(self, name: str) -> dict[str, int]:
+        """Return the table versions that all other processes have."""
+        others = [
+            process.versions()
+            for other, process in self.processes.items()
+            if other != name
+        ]
+        return {
+            f"table/{shard}": min(
+                versions.get(f"table/{shard}", 0) for versions in others
+            )
+            for shard in SHARDS
+        }
+
+    def settle(self) -> None:
+        """Dispatch events everywhere, then check what must always hold."""
+        for name, process in self.processes.items():
+            process.settle()
+            self._check(name, process)
+
+    def heal(self) -> None:
+        """Let time pass without any fault."""
+        self.outage = False
+        for _ in range(HEAL_SECONDS * 10):
+            self.clock.advance(0.1)
+            self.settle()
+            while self.bag:
+                self.bag.pop(0)()
+                self.settle()
+
+    def check_all_equal(self) -> None:
+        """Check that everybody has every edit that concerns it."""
+        for name, process in self.processes.items():
+            assert not process.board.starting, name
+            found = process.versions()
+            for (kind, item), (version, _) in self.objects.items():
+                label = f"{kind}/{item}"
+                needing = needs_group(process.placement, item)
+                if kind == "table" or name in needing:
+                    assert found.get(label) == version, (name, label, found)
+            assert process.board.group_names == set(GROUPS), name
+
+    def _check(self, name: str, process: Process) -> None:
+        for label, version in process.versions().items():
+            known = process.highest.get(label, 0)
+            assert version >= known, f"{name} {label} {known} to {version}"
+            process.highest[label] = version
+        if process.board.starting:
+            return
+        pasts = [self.floors.pop(name, {})]
+        if process.facts.table_from_platform:
+            pasts.append(self.earlier.pop(name, {}))
+        for past in pasts:
+            for label, version in past.items():
+                now = process.versions().get(label, 0)
+                behind = label.startswith("table/") and now < version
+                assert not behind, f"{name} {label} behind its past"
+
+
+PLACE = strategies.sampled_from(PLACES)
+DELIVER = strategies.tuples(strategies.just("deliver"), PLACE)
+SOME = strategies.tuples(strategies.just("some"), strategies.integers(1, 12))
+EDIT = strategies.tuples(strategies.just("table"), strategies.just(0))
+STEP = strategies.one_of(
+    DELIVER,
+    DELIVER,
+    SOME,
+    SOME,
+    EDIT,
+    EDIT,
+    strategies.tuples(strategies.just("drop"), PLACE),
+    strategies.tuples(strategies.just("twice"), PLACE),
+    strategies.tuples(
+        strategies.just("table"), strategies.sampled_from(SHARDS)
+    ),
+    strategies.tuples(
+        strategies.just("group"), strategies.sampled_from(GROUPS)
+    ),
+    strategies.tuples(strategies.just("pass"), strategies.integers(1, 20)),
+    strategies.tuples(
+        strategies.just("restart"), strategies.sampled_from(NAMES)
+    ),
+    strategies.tuples(strategies.just("outage"), strategies.booleans()),
+)
+
+
+def run_step(world: World, what: str, value: Any) -> None:
+    """Do one generated step."""
+    match what:
+        case "table" | "group":
+            world.edit(what, str(value))
+        case "pass":
+            world.clock.advance(value / 10)
+        case "restart":
+            world.restart(value)
+        case "outage":
+            world.outage = value
+        case "some":
+            for _ in range(min(value, len(world.bag))):
+                world.bag.pop(0)()
+                world.settle()
+        case _ if world.bag:
+            place = min(value, len(world.bag) - 1)
+            place = max(place, -len(world.bag))
+            message = world.bag[place]
+            if what != "twice":
+                del world.bag[place]
+            if what != "drop":
+                message()
+    world.settle()
+
+
+def check_spread(runs: int) -> None:
+    """Run that many generated runs; raise AssertionError on a fault."""
+
+    @settings(
+        max_examples=runs,
+        derandomize=True,
+        database=None,
+        deadline=None,
+        phases=(Phase.explicit, Phase.generate),
+        suppress_health_check=list(HealthCheck),
+    )
+    @given(steps=strategies.lists(STEP, min_size=30, max_size=STEPS))
+    def run(steps: list[tuple[str, Any]]) -> None:
+        global converged_runs
+        world = World()
+        for what, value in steps:
+            run_step(world, what, value)
+        world.heal()
+        world.check_all_equal()
+        converged_runs += 1
+
+    with (
+        mock.patch.object(rendezvous, "WATCHERS", WATCHERS),
+        mock.patch.object(platform_watch, "SHORTEST_CHECK", NO_CHECKS),
+    ):
+        run()
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -20,8 +20,11 @@
 from configuration_support import same_shard_names
 from configuration_support import start_estate
 
+from bamboospring.blackboard import Vm
+from bamboospring.rendezvous import choose_watchers
 from bamboospring.rendezvous import shard_of
 from bamboospring.testing.caller import Caller
+from bamboospring.testing.fleet import Fleet
 from bamboospring.testing.fleet import wait_until
 
 SHARD = shard_of(GROUP)
@@ -41,17 +44,13 @@
 
 @given("a fleet of {count:d} VMs whose versions in force are observed")
 def given_observed(context: Any, count: int) -> None:
-    fleet = start_estate(context, vms=count, settings=with_seeds(count))
+    fleet = start_estate(context, vms=count)
     context.observer = ForceObserver(fleet)
     context.add_cleanup(context.observer.stop)
     context.edits = []
     context.turn = 0
 
 
-def with_seeds(count: int) -> dict[str, Any]:
-    return {}
-
-
 # Races.
 
 
@@ -314,23 +313,31 @@
 
 @then("no VM ever went back to a lower version")
 def then_no_fall(context: Any) -> None:
+    # Look on for a while: an old version could still be on its way.
+    enough = context.observer.samples + 20 * len(context.fleet.vms)
+    wait_until(
+        lambda: context.observer.samples >= enough,
+        seconds=30,
+        what="more looks at the versions in force",
+    )
     context.observer.stop()
-    assert context.observer.samples > 20 * len(context.fleet.vms)
     assert context.observer.falls == [], context.observer.falls
 
 
 @when("the answers of the platform to one watcher are held back")
 def when_held_back(context: Any) -> None:
-    context.away = ["vm-4"]
+    context.watcher = watchers(context.fleet)[0]
+    context.away = [context.watcher]
     context.fleet.link(
-        "platform:vm-4", mode="freeze", direction="to_client"
+        f"platform:{context.watcher}", mode="freeze", direction="to_client"
     )
 
 
 @when("another VM is frozen")
 def when_frozen(context: Any) -> None:
-    context.away.append("vm-7")
-    context.fleet.freeze("vm-7")
+    context.frozen, context.restarted = others(context)[:2]
+    context.away.append(context.frozen)
+    context.fleet.freeze(context.frozen)
 
 
 @when("the platform goes down")
@@ -340,14 +347,44 @@
 
 @when("the frozen VM wakes and a third VM is killed and started again")
 def when_wakes(context: Any) -> None:
-    context.fleet.kill("vm-9")
-    context.fleet.thaw("vm-7")
-    context.fleet.restart("vm-9")
+    fleet = context.fleet
+    fleet.kill(context.restarted)
+    add_seeds(fleet, context.restarted)
+    fleet.thaw(context.frozen)
+    fleet.restart(context.restarted)
+
+
+def watchers(fleet: Fleet) -> list[str]:
+    """Return the VMs that watch the platform for all."""
+    vms = [
+        Vm(
+            name=vm.name,
+            address=vm.peers,
+            availability_zone=vm.zone,
+            region=fleet.estate.region,
+        )
+        for vm in fleet.vms.values()
+    ]
+    return [vm.name for vm in choose_watchers(vms)]
+
+
+def others(context: Any) -> list[str]:
+    """Return the VMs that nothing has been done to."""
+    return [name for name in context.fleet.vms if name not in context.away]
+
+
+def add_seeds(fleet: Fleet, vm: str) -> None:
+    """Tell a VM its peers, whose addresses were unknown at the start."""
+    path = fleet.directory / f"{vm}.json"
+    settings = json.loads(path.read_text())
+    seeds = [other.peers for other in fleet.vms.values() if other.name != vm]
+    settings["peers"]["seeds"] = seeds
+    path.write_text(json.dumps(settings))
 
 
 @when("the answers held back arrive")
 def when_arrive(context: Any) -> None:
-    context.fleet.link("platform:vm-4", mode="pass")
+    context.fleet.link(f"platform:{context.watcher}", mode="pass")
 
 
 @then("the last edit is in force on all VMs within {seconds:d} s")
--- a/features/steps/configuration_support.py
+++ b/features/steps/configuration_support.py
@@ -4,9 +4,9 @@
 
 from collections.abc import Iterable
 from collections.abc import Sequence
+import dataclasses
 from dataclasses import dataclass
 from dataclasses import field
-import dataclasses
 import itertools
 import os
 import subprocess
@@ -241,15 +241,17 @@
         begun = caller.begin(GROUP)
         if not self._note("begin", begun):
             return
+        handle = begun.transaction
         for sql in (
             "UPDATE balances SET amount = amount - 1 WHERE name = 'a'",
             "UPDATE balances SET amount = amount + 1 WHERE name = 'b'",
         ):
-            step = caller.statement(GROUP, begun.transaction, sql)
+            step = caller.statement(GROUP, handle, sql)
             if not self._note("statement", step):
                 return
+            handle = step.transaction
         caller.roam()
-        if self._note("commit", caller.commit(GROUP, begun.transaction)):
+        if self._note("commit", caller.commit(GROUP, handle)):
             self.transactions += 1
 
     def _note(self, what: str, answer: Any) -> bool:
@@ -287,5 +289,3 @@
     names = (f"{group}-{number}" for number in itertools.count())
     shared = (name for name in names if shard_of(name) == shard_of(group))
     return list(itertools.islice(shared, count))
-
-
