--- a/bamboospring/testing/fleet.py
+++ b/bamboospring/testing/fleet.py
@@ -29,6 +29,9 @@
 from types import TracebackType
 from typing import Any
 
+from bamboospring.blackboard import Vm
+from bamboospring.rendezvous import choose_holders
+from bamboospring.rendezvous import HOLDERS_PER_GROUP
 from bamboospring.testing.estate import Estate
 from bamboospring.testing.process import ManagedProcess
 from bamboospring.testing.process import StartFailed
@@ -282,6 +285,36 @@
         body = {"mode": mode, "direction": direction, "delay_ms": delay_ms}
         call_json(self._proxy_address, "POST", f"/links/{name}", body)
 
+    def change_primary(
+        self, group: str, name: str, *, without: Iterable[str] = ()
+    ) -> int:
+        """Make a member primary of a new term by hand; return its start.
+
+        The targets in `without` hear nothing of it, as if cut off. The
+        platform is not told; `write_group` does that.
+        """
+        members = [t for t in self.members(group) if t.name not in without]
+        term = 1 + max(self.probe(t.name)["term"] for t in members)
+        for target in members:
+            call_json(target.listen, "POST", "/fence", {"term": term})
+        chosen = self.targets[name]
+        promoted = call_json(chosen.listen, "POST", "/promote", {"term": term})
+        order = {"term": term, "primary": chosen.address}
+        for target in members:
+            if target.name != name:
+                call_json(target.listen, "POST", "/follow", order)
+        return int(promoted["start"])
+
+    def write_group(self, group: str, primary: str) -> None:
+        """Write a new term's primary and start into the platform's object."""
+        value = self.object("group", group)["value"]
+        found = self.probe(primary)
+        value["term"] = found["term"]
+        value["primary"] = primary
+        start = {"term": found["term"], "index": found["start"]}
+        value["starts"] = [*value["starts"], start]
+        self.put_object("group", group, value)
+
     def set_platform_faults(self, **faults: Any) -> None:
         """Set the platform stand-in's faults (see PROTOCOLS)."""
         call_json(self._platform_address, "POST", "/faults", faults)
@@ -318,6 +351,25 @@
         primary = self.primary(group)
         return [t.name for t in self.members(group) if t.name != primary]
 
+    def holders(self, group: str) -> list[str]:
+        """Return the names of the VMs that hold a group."""
+        vms = [
+            Vm(
+                name=vm.name,
+                address=vm.peers,
+                availability_zone=vm.zone,
+                region=self.estate.region,
+            )
+            for vm in self.vms.values()
+        ]
+        chosen = choose_holders(group, vms, HOLDERS_PER_GROUP)
+        return [vm.name for vm in chosen]
+
+    def not_holders(self, group: str) -> list[str]:
+        """Return the names of the VMs that only forward for a group."""
+        holders = self.holders(group)
+        return [name for name in self.vms if name not in holders]
+
     def counters(self, name: str) -> dict[str, Any]:
         """Return the counters of a target, or of `platform`."""
         if name == PLATFORM:
@@ -439,24 +491,17 @@
         )
 
     def _free_address(self) -> str:
-        # The socket stays bound (not listening) until the start of the
-        # process that takes the port: two fleets never choose the same one.
+        # The socket stays bound, not listening, for the fleet's whole life.
+        # With SO_REUSEADDR on both sides the process that the port is for can
+        # listen on it all the same, while the kernel gives it to nobody else:
+        # not to another fleet, nor to an outgoing connection, which would
+        # make the process fail with "address in use", also at a restart.
         sock = socket.socket()
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind(("127.0.0.1", 0))
         self._held_ports.append(sock)
         return f"127.0.0.1:{sock.getsockname()[1]}"
 
-    def _release_ports(self, *addresses: str) -> None:
-        ports = {int(address.rsplit(":", 1)[1]) for address in addresses}
-        kept = []
-        for sock in self._held_ports:
-            if sock.getsockname()[1] in ports:
-                sock.close()
-            else:
-                kept.append(sock)
-        self._held_ports = kept
-
     def _spawn(self, name: str, module: str, *args: str) -> ManagedProcess:
         env = dict(os.environ)
         root = str(pathlib.Path(__file__).resolve().parents[2])
@@ -474,7 +519,6 @@
         return process
 
     def _start_platform(self) -> None:
-        self._release_ports(self._platform_address)
         process = self._spawn(
             PLATFORM,
             "bamboospring.testing.platform",
@@ -489,7 +533,6 @@
         if not self.links:
             return
         links = self._planned_links()
-        self._release_ports(self._proxy_address, *[a for _, a, _ in links])
         process = self._spawn(
             FAULT_PROXY,
             "bamboospring.testing.fault_proxy",
@@ -526,7 +569,6 @@
         estate = self.estate
         data = self.directory / target.name
         data.mkdir()
-        self._release_ports(target.listen)
         options = {
             "--name": target.name,
             "--listen": target.listen,
@@ -598,9 +640,6 @@
         vm = self.vms[name]
         path = self.directory / f"{name}.json"
         path.write_text(json.dumps(self._settings_of(vm), indent=1))
-        self._release_ports(
-            vm.callers_listen, vm.peers_listen, vm.operators_listen
-        )
         self._spawn(name, "bamboospring", "serve", "--settings", str(path))
 
     def _settings_of(self, vm: FleetVm) -> dict[str, Any]:
