--- a/bamboospring/holder.py
+++ b/bamboospring/holder.py
@@ -14,7 +14,6 @@
 from circuits import handler
 
 from bamboospring.blackboard import Blackboard
-from bamboospring.commits import TransactionRunner
 from bamboospring.confirm import Confirmer
 from bamboospring.events import group_doubted
 from bamboospring.exchange import Exchange
@@ -29,6 +28,7 @@
 from bamboospring.statements import Statement
 from bamboospring.statements import Step
 from bamboospring.tokens import TokenCodec
+from bamboospring.transaction_runner import TransactionRunner
 from bamboospring.watcher import Watcher
 from bamboospring.writes import Flights
 from bamboospring.writes import WriteRunner
--- a/bamboospring/requests.py
+++ b/bamboospring/requests.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Annotated
 from typing import Any
 from typing import Literal
@@ -38,8 +39,27 @@
 
 
 Text = Annotated[str, AfterValidator(_encodable)]
-Integer = Annotated[int, Field(ge=-MAX_INTEGER - 1, le=MAX_INTEGER)]
-Scalar = Text | Integer | float | bool | None
+
+
+def _checked_scalar(value: Any) -> Any:
+    # A union of types would take an integer that is too large as a float
+    # and change its value without a word.
+    match value:
+        case None | bool():
+            return value
+        case str():
+            return _encodable(value)
+        case int() if -MAX_INTEGER - 1 <= value <= MAX_INTEGER:
+            return value
+        case float() if math.isfinite(value):
+            return value
+        case int() | float():
+            raise ValueError("a number out of range")
+        case _:
+            raise ValueError("neither text, number, boolean nor null")
+
+
+Scalar = Annotated[Any, AfterValidator(_checked_scalar)]
 
 
 class _Model(BaseModel):
--- a/features/environment.py
+++ b/features/environment.py
@@ -12,5 +12,5 @@
 def after_scenario(context: Any, scenario: Any) -> None:
     """Print the last lines of each process of a failed scenario's fleet."""
     fleet = getattr(context, "fleet", None)
-    if fleet is not None and scenario.status.name == "failed":
+    if fleet is not None and scenario.status.name != "passed":
         print(fleet.tail())
