--- a/bamboospring/admission.py
+++ b/bamboospring/admission.py
@@ -28,12 +28,13 @@
 # this share of the gap for each statement.
 SMOOTHING = 0.1
 FIRST_ESTIMATE = 0.005
+SHORTEST = 1e-5
 MIN_RETRY_AFTER_MS = 10
 MAX_RETRY_AFTER_MS = 5000
 # What is let in may wait for this part of the time that it has left. The rest
 # is for running, and for estimates that were too low: a statement that times
 # out at the target has used a slot and a connection for nothing.
-WAIT_PART = 0.5
+WAIT_PART = 0.6
 # A statement is started only with this many times the usual time left.
 START_RESERVE = 1.5
 
@@ -142,6 +143,7 @@
                 verdicts.append(self._refuse(ticket, Reason.DEADLINE, now))
             else:
                 verdicts.append(self._start(ticket))
+        verdicts.extend(self._refuse_hopeless(now))
         return verdicts
 
     def expire(self, now: float) -> list[Verdict]:
@@ -163,7 +165,7 @@
         return (ahead + 1) * self.estimate / self.slots
 
     def _refusal(self, ticket: Ticket, now: float) -> Refused | None:
-        allowed = self._fair_queue(ticket.caller)
+        allowed = self._fair_queue(ticket, now)
         if self._use(ticket.caller).waiting >= allowed:
             refused = self._refuse(ticket, Reason.CALLER_LIMIT, now)
         elif self._comes_too_late(ticket, now):
@@ -173,16 +175,20 @@
         self._tidy(ticket.caller)
         return refused
 
-    def _fair_queue(self, caller: str) -> int:
-        """Return how much of the queue a caller may fill.
+    def _fair_queue(self, ticket: Ticket, now: float) -> int:
+        """Return how many places of the queue a caller may have.
 
-        Alone, all of it but one place: a newcomer can always enter, and
-        from then on each has an equal part.
+        The queue is as long as can be worked off in time. A caller has an
+        equal part of it, and what others leave free but one place, so that a
+        newcomer can always enter. More would only be pushed back by the
+        others' statements until it came too late.
         """
-        callers = len(self._uses)
-        if callers <= 1:
-            return max(1, self.queue_limit - 1)
-        return max(1, self.queue_limit // callers)
+        wait = (ticket.deadline - now) * WAIT_PART
+        in_time = wait * self.slots / max(self.estimate, SHORTEST)
+        places = int(max(0.0, min(self.queue_limit, in_time)))
+        own = self._use(ticket.caller).waiting
+        free = places - 1 - (len(self._queue) - own)
+        return max(1, places // len(self._uses), free)
 
     def _comes_too_late(self, ticket: Ticket, now: float) -> bool:
         ahead = self._count_ahead(ticket)
--- a/bamboospring/forwarding.py
+++ b/bamboospring/forwarding.py
@@ -23,6 +23,7 @@
 from bamboospring.peers import Peers
 from bamboospring.reactor import Reactor
 from bamboospring.rendezvous import Placement
+from bamboospring.retry_budget import RetryBudget
 from bamboospring.statements import Statement
 from bamboospring.statements import Step
 from bamboospring.tokens import BadToken
@@ -90,7 +91,7 @@
         holder: Holder,
         codec: TokenCodec,
         membership: Membership,
-        may_retry: Callable[[], bool],
+        budget: RetryBudget,
     ) -> None:
         self._reactor = reactor
         self._board = board
@@ -99,7 +100,7 @@
         self._holder = holder
         self._codec = codec
         self._membership = membership
-        self._may_retry = may_retry
+        self._budget = budget
         self._turn = itertools.count()
         self._shareless: dict[tuple[str, bool], dict[str, float]] = {}
 
@@ -111,6 +112,7 @@
         if not self._board.knows_group(stmt.group):
             done(NotRun(reason=Reason.UNKNOWN_GROUP))
             return
+        self._budget.first_try()
         now = self._reactor.now()
         holders = self._placement.holders(stmt.group)
         doubted = self._membership.avoided(holders, now)
@@ -157,7 +159,7 @@
         if isinstance(outcome, NotRun):
             if outcome.reason is Reason.NOT_HOLDER:
                 return True
-        return self._may_retry()
+        return self._budget.may_retry()
 
     def _note_share(self, stmt: Statement, vm: Vm, outcome: Outcome) -> None:
         if isinstance(outcome, NotRun):
--- a/bamboospring/holder.py
+++ b/bamboospring/holder.py
@@ -25,6 +25,7 @@
 from bamboospring.reactor import Reactor
 from bamboospring.reads import ReadRunner
 from bamboospring.rendezvous import Placement
+from bamboospring.retry_budget import RetryBudget
 from bamboospring.statements import Statement
 from bamboospring.statements import Step
 from bamboospring.tokens import TokenCodec
@@ -57,8 +58,10 @@
         pools: Pools,
         watcher: Watcher,
         codec: TokenCodec,
+        budget: RetryBudget | None = None,
     ) -> None:
         super().__init__()
+        self._budget = budget or RetryBudget()
         self._reactor = reactor
         self._board = board
         self._placement = placement
@@ -92,7 +95,7 @@
             pools=pools,
             exchange=exchange,
             confirmer=Confirmer(reactor=reactor, board=board),
-            may_retry=lambda: True,
+            may_retry=self._budget.may_retry,
             doubt=self._doubt,
         )
 
@@ -121,6 +124,7 @@
             self._run_new(stmt, finished)
 
     def _run_new(self, stmt: Statement, done: OnOutcome) -> None:
+        self._budget.first_try()
         group = self._board.groups.get(stmt.group)
         if self._board.starting:
             done(_not_here(Reason.NOT_HOLDER))
--- a/bamboospring/server.py
+++ b/bamboospring/server.py
@@ -27,6 +27,7 @@
 from bamboospring.reactor import Reactor
 from bamboospring.rendezvous import bucket_of
 from bamboospring.rendezvous import Placement
+from bamboospring.retry_budget import RetryBudget
 from bamboospring.rotation import Rotation
 from bamboospring.server_metrics import watch_process
 from bamboospring.settings import Settings
@@ -103,6 +104,7 @@
             pools=self.pools,
             watcher=self.watcher,
             codec=self.codec,
+            budget=RetryBudget(percent=cfg.limits.retry_percent),
         ).register(self)
         StatementServer(
             reactor=self.reactor, peers=self.peers, holder=self.holder
@@ -116,6 +118,7 @@
             codec=self.codec,
             membership=self.membership,
             listen=cfg.callers.listen,
+            budget=RetryBudget(percent=cfg.limits.retry_percent),
             on_answered=self.metrics.answered,
         ).register(self)
         self.facts = Facts(
--- a/bench/unbounded_serve.py
+++ b/bench/unbounded_serve.py
@@ -1,25 +1,20 @@
 """`serve` without admission, as the baseline of bench/overload.py.
 
 Every statement waits in order of arrival until its deadline; nothing is
-refused by estimate, by caller or by length.
+refused by estimate or by caller, and retries have no budget.
 """
 
 import sys
 
-from bamboospring.admission import Admission
+from bamboospring import admission
 from bamboospring import cli
+from bamboospring.retry_budget import RetryBudget
 
-Admission._refusal = lambda self, ticket, now: None
-
-
-def _place(self, ticket):
-    ticket.number = next(self._numbers)
-    ticket.round = 0
-    ticket.deadline += 0.0
-
-
-Admission._place = _place
-Admission._comes_too_late = lambda self, ticket, now: False
+admission.START_RESERVE = 0.0
+admission.Admission._refusal = lambda self, ticket, now: None
+admission.Admission._refuse_hopeless = lambda self, now: []
+admission.Ticket.key = property(lambda self: (0, 0.0, self.number))
+RetryBudget.may_retry = lambda self: True
 
 
 def main() -> None:
