Say no_holder, not unknown_group, while an entry does not know all groups

It does not know all names until a watcher or the platform has told it once. Change: the blackboard says whether its names are complete; before that the refusal is no_holder with a time to come back. The soak also kills a primary whose newest entries no replica has yet.

--- a/bamboospring/blackboard.py
+++ b/bamboospring/blackboard.py
@@ -184,8 +184,9 @@
     """The one view of the world that all controllers of a process share.
 
     `groups` has the records of the groups that this VM holds or may lead;
-    `group_names` has the names of all groups. While `starting`, the facts are
-    not yet as new as an earlier life of this process may have had them.
+    `group_names` has the names of all groups once `names_complete`; before, a
+    name that is not there may still be a group's. While `starting`, the facts
+    are not yet as new as an earlier life of this process may have had them.
     """
 
     me: Vm
@@ -194,6 +195,7 @@
     vms_seen_at: float = -1e9
     groups: dict[str, Group] = field(default_factory=dict)
     group_names: set[str] = field(default_factory=set)
+    names_complete: bool = False
     table: dict[int, TableShard] = field(default_factory=dict)
     leases: dict[int, Lease] = field(default_factory=dict)
     starting: bool = False
--- a/bamboospring/forwarding.py
+++ b/bamboospring/forwarding.py
@@ -109,7 +109,7 @@
             self._forward_step(stmt, done)
             return
         if not self._board.knows_group(stmt.group):
-            done(NotRun(reason=Reason.UNKNOWN_GROUP))
+            done(self._no_such_group())
             return
         now = self._reactor.now()
         holders = self._placement.holders(stmt.group)
@@ -122,6 +122,16 @@
         )
         self._try(stmt, order[:MAX_TRIES], done)
 
+    def _no_such_group(self) -> Outcome:
+        """Refuse a group that is not known.
+
+        An entry that has just started does not know all groups. Told that
+        there is no such group, a caller would give up for good.
+        """
+        if self._board.names_complete:
+            return NotRun(reason=Reason.UNKNOWN_GROUP)
+        return _no_holder()
+
     # New work: any holder will do.
 
     def _try(
--- a/bamboospring/group_sync.py
+++ b/bamboospring/group_sync.py
@@ -103,7 +103,7 @@
 
     def take_objects(self, objects: Iterable[Found]) -> None:
         """Take records that the platform has told this watcher of."""
-        self.synced = True
+        self._synced()
         for item in objects:
             if self._learn(item.name, item.version, item.value):
                 self._send_to_needing(item.name)
@@ -159,6 +159,10 @@
         message = _message(self._question())
         self._peers.ask(vm.address, message, ASK_TIMEOUT, answered)
 
+    def _synced(self) -> None:
+        self.synced = True
+        self._board.names_complete = True
+
     # What is known.
 
     def _take_needed(self) -> None:
@@ -277,7 +281,7 @@
             self._learn(item["name"], item["version"], item["value"])
         self._board.group_names.update(body.get("names", ()))
         if body["complete"]:
-            self.synced = True
+            self._synced()
         else:
             # One that has just started knows less than another may.
             self._turn += 1
--- a/bamboospring/holder.py
+++ b/bamboospring/holder.py
@@ -125,9 +125,8 @@
         if self._board.starting:
             done(_not_here(Reason.NOT_HOLDER))
         elif group is None:
-            known = self._board.knows_group(stmt.group)
-            reason = Reason.NOT_HOLDER if known else Reason.UNKNOWN_GROUP
-            done(_not_here(reason))
+            # The entry knew the group, so the record is on its way.
+            done(_not_here(Reason.NOT_HOLDER))
         elif stmt.write or stmt.step is Step.BEGIN:
             self.writes.run(stmt, group, done)
         else:
--- a/bamboospring/testing/soak.py
+++ b/bamboospring/testing/soak.py
@@ -222,13 +222,14 @@
                 "platform-down",
                 "platform-loses",
                 "lag",
+                "lose-unsent",
             )
         )
         group = self.random.choice(self.fleet.estate.groups)
         vm = self.random.choice(sorted(self.fleet.vms))
         if kind.endswith("primary"):
             name = self.fleet.primary(group) or f"{group}-m1"
-        elif kind.endswith(("replica", "target")) or kind == "lag":
+        elif kind.endswith(("replica", "target", "lag", "unsent")):
             members = [t.name for t in self.fleet.members(group)]
             name = self.random.choice(members)
         else:
@@ -260,15 +261,43 @@
             case "platform-loses":
                 fleet.set_platform_faults(lose_answers=3)
                 return lambda: fleet.set_platform_faults(lose_answers=0)
+            case "lose-unsent":
+                return self.lose_unsent(name)
             case _:
                 return self.lag(name)
 
-    def lag(self, name: str) -> Any:
+    def lose_unsent(self, name: str) -> Any:
+        """Kill a primary whose newest entries no replica has.
+
+        Its answers to these must not have been passed on.
+        """
+        fleet = self.fleet
+        group = name.rsplit("-m", 1)[0]
+        primary = fleet.primary(group)
+        for other in fleet.members(group):
+            self.quietly(other.name, receive_lag_ms=400)
+        time.sleep(0.3)
+        if primary:
+            fleet.kill(primary)
+
+        def undo() -> None:
+            if primary:
+                fleet.restart(primary)
+            for other in fleet.members(group):
+                self.quietly(other.name, receive_lag_ms=0)
+
+        return undo
+
+    def quietly(self, name: str, **knobs: Any) -> None:
+        """Set a target's knobs if it can be reached."""
         try:
-            self.fleet.set_target(name, apply_lag_ms=800)
+            self.fleet.set_target(name, **knobs)
         except OSError:
-            return lambda: None
-        return lambda: self.fleet.set_target(name, apply_lag_ms=0)
+            pass
+
+    def lag(self, name: str) -> Any:
+        self.quietly(name, apply_lag_ms=800)
+        return lambda: self.quietly(name, apply_lag_ms=0)
 
 
 def check_books(fleet: Fleet, books: Books) -> list[str]:
