--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -19,6 +19,7 @@
 import sys
 import tempfile
 import time
+from typing import Any
 
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
@@ -135,7 +136,7 @@
         Result(
             name=f"{name}: {each['name']}",
             passed=each["status"] == "passed",
-            output="" if each["status"] == "passed" else output,
+            output=_why(each, output),
             seconds=_seconds(each),
         )
         for feature in features
@@ -144,6 +145,20 @@
     ]
 
 
+def _why(scenario: dict[str, Any], output: str) -> str:
+    """Return the failed step with its error, after the run's output."""
+    if scenario["status"] == "passed":
+        return ""
+    lines = []
+    for step in scenario["steps"]:
+        result = step.get("result", {})
+        if result.get("status") not in (None, "passed", "skipped"):
+            error = result.get("error_message", "")
+            text = error if isinstance(error, str) else "\n".join(error)
+            lines.append(f"failed step: {step['name']}\n{text}")
+    return "\n".join([output, *lines])
+
+
 def _seconds(scenario: dict[str, list[dict[str, dict[str, float]]]]) -> float:
     return sum(
         step.get("result", {}).get("duration", 0.0)
