Explore leases with answers that come after a pause; search longer for seeded faults

Four times the examples are now allowed for a seeded fault, and a rule pauses a holder between a renewal's effect and its answer.

--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -322,9 +322,7 @@
 @when("the answers of the platform to one watcher are held back")
 def when_held_back(context: Any) -> None:
     context.away = ["vm-4"]
-    context.fleet.link(
-        "platform:vm-4", mode="freeze", direction="to_client"
-    )
+    context.fleet.link("platform:vm-4", mode="freeze", direction="to_client")
 
 
 @when("another VM is frozen")
--- a/features/steps/configuration_support.py
+++ b/features/steps/configuration_support.py
@@ -287,5 +287,3 @@
     names = (f"{group}-{number}" for number in itertools.count())
     shared = (name for name in names if shard_of(name) == shard_of(group))
     return list(itertools.islice(shared, count))
-
-
--- a/features/steps/exploration_steps.py
+++ b/features/steps/exploration_steps.py
@@ -4,18 +4,13 @@
 
 from collections.abc import Callable
 import os
-from pathlib import Path
-import sys
 from typing import Any
 
 from behave import then
 from behave import when
 
-# Behave loads step files without making their directory importable.
-sys.path.insert(0, str(Path(__file__).parent))
-
-from lease_machine import explore_leases  # noqa: E402
-from promotion_machine import explore  # noqa: E402
+from lease_machine import explore_leases
+from promotion_machine import explore
 
 # Enough for each seeded fault to be found; more by hand.
 EXAMPLES = int(os.environ.get("BAMBOOSPRING_EXAMPLES", "100"))
@@ -37,7 +32,8 @@
 
 @when("primary changes are explored with the fault {fault}")
 def explore_fault(context: Any, fault: str) -> None:
-    context.found = _found(lambda: explore(fault, examples=EXAMPLES, steps=25))
+    found = _found(lambda: explore(fault, examples=4 * EXAMPLES, steps=25))
+    context.found = found
 
 
 @when("leases are explored")
@@ -47,7 +43,8 @@
 
 @when("leases are explored with the fault {fault}")
 def explore_lease_fault(context: Any, fault: str) -> None:
-    context.found = _found(lambda: explore_leases(fault, examples=EXAMPLES))
+    found = _found(lambda: explore_leases(fault, examples=4 * EXAMPLES))
+    context.found = found
 
 
 @then("the exploration of primary changes finds nothing")
--- a/features/steps/lease_machine.py
+++ b/features/steps/lease_machine.py
@@ -178,6 +178,23 @@
         last.paused = True
         self.run_smoothly(45)
 
+    @rule(rounds=st.integers(20, 34))
+    def wake_to_late_answer(self, rounds: int) -> None:
+        """Pause the holder between a renewal's effect and its answer."""
+        self.run_smoothly(10)
+        for _ in range(12):
+            self._advance(0.1)
+            for call in list(self.calls):
+                if not isinstance(call.action, WriteLease):
+                    self._finish(call, effect=True, answer=True)
+                    continue
+                self._effect(call)
+                call.vm.paused = True
+        self.run_smoothly(rounds)
+        for vm in self.vms:
+            vm.paused = False
+        self.run_smoothly(10)
+
     def _advance(self, seconds: float) -> None:
         self.now += seconds
         for vm in self.vms:
