--- a/bamboospring/settings.py
+++ b/bamboospring/settings.py
@@ -25,6 +25,7 @@
 from pydantic import BaseModel
 from pydantic import ConfigDict
 from pydantic import Field
+from pydantic import field_validator
 from pydantic import model_validator
 from pydantic import ValidationError
 
@@ -339,6 +340,21 @@
         "Time without an answer after which a pooled "
         "connection is taken for dead.",
     )
+    share_grace_ms: int = _milliseconds(
+        10_000,
+        100,
+        600_000,
+        "Time for which a VM that has left the platform's list counts as "
+        "running; its share of targets' limits is not used by others before.",
+    )
+    share_isolation_ms: int = _milliseconds(
+        4_000,
+        50,
+        300_000,
+        "Time after which a VM that hears neither the platform nor other VMs "
+        "gives up its share. With the lag of the platform's list it must "
+        "stay below `share_grace_ms`.",
+    )
     probe_ms: int = _milliseconds(
         200, 10, 60_000, "Interval of a holder's probes of a target."
     )
@@ -563,19 +579,25 @@
         description="Service-level objectives.",
     )
 
-    @model_validator(mode="after")
-    def _pairs(self) -> "Settings":
-        ids = [key.id for key in self.token_keys]
-        if len(set(ids)) < len(ids):
-            raise ValueError("two token_keys have the same id")
-        listens = [
-            each.listen
-            for each in (self.callers, self.peers, self.operators)
-            if not each.listen.endswith(":0")
+    @field_validator("peers", "operators")
+    @classmethod
+    def _has_own_address(cls, value: _Listener, info: Any) -> _Listener:
+        taken = [
+            info.data[name].listen
+            for name in ("callers", "peers")
+            if name in info.data
         ]
-        if len(set(listens)) < len(listens):
-            raise ValueError("two listeners have the same address")
-        return self
+        if value.listen in taken and not value.listen.endswith(":0"):
+            raise ValueError(f"another listener has {value.listen} already")
+        return value
+
+    @field_validator("token_keys")
+    @classmethod
+    def _has_own_ids(cls, keys: list[TokenKey]) -> list[TokenKey]:
+        ids = [key.id for key in keys]
+        if len(set(ids)) < len(ids):
+            raise ValueError("two keys have the same id")
+        return keys
 
 
 def load(path: str | Path) -> Settings:
