--- a/bamboospring/cli.py
+++ b/bamboospring/cli.py
@@ -67,7 +67,7 @@
 def _leave_archive() -> None:
     """Go on without the code that unpacked this program, if any did.
 
-    It and the archive's directory would stay in memory, 8 MB of 62. The
+    It and the archive's directory would stay in memory, 4 MB of 62. The
     process stays the same one; it only loads the interpreter anew.
     """
     loader = getattr(sys.modules["__main__"], "__loader__", None)
