--- a/features/routing.feature
+++ b/features/routing.feature
@@ -33,10 +33,12 @@
     And within 8 seconds routed reads are served by both replicas
 
   Scenario: A replica that leaves
-    # The member itself says that it is leaving. Nothing new is sent there.
+    # The member itself says that it is leaving and refuses new work. Soon
+    # none is sent there, so that nothing has to be refused any more.
     Given a routing fleet without weights
     When the second member says that it is leaving
     Then within 5 seconds routed reads are all served by the third member
+    And 60 routed reads later the second member was sent nothing more
 
   Scenario: The table's limit on age binds reads that state none
     # Replicas are 5 s behind and the row allows 500 ms. A caller that says
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -164,6 +164,18 @@
     wait_until(settled, seconds=seconds, what="reads at both replicas")
 
 
+@then("{count:d} routed reads later the second member was sent nothing more")
+def then_nothing_sent(context: Any, count: int) -> None:
+    def sent() -> int:
+        found = context.fleet.counters(SECOND)
+        return int(found["executed"]) + found.get("refused_leaving", 0)
+
+    before = sent()
+    answers = read_some(context, count)
+    assert all(answer.done for answer in answers), answers
+    assert sent() == before, (before, sent())
+
+
 @then("a routed read without a stated age shows the row")
 def then_shows(context: Any) -> None:
     for answer in read_some(context, 6):
--- a/features/steps/transaction_steps.py
+++ b/features/steps/transaction_steps.py
@@ -368,3 +368,63 @@
         )
 
     wait_until(good, seconds=10, what="all reads to be answered")
+
+
+@when(
+    "{count:d} callers write with a deadline of {seconds:d} seconds while the"
+    " primary freezes"
+)
+def when_primary_freezes(context: Any, count: int, seconds: int) -> None:
+    fleet = context.fleet
+    end = time.monotonic() + 3.0
+    primary = fleet.primary(GROUP)
+
+    def work(number: int) -> list[tuple[float, CallerAnswer]]:
+        caller = Caller(
+            entries=fleet.entries(),
+            at=number,
+            deadline_ms=seconds * 1000,
+            name=f"writer {number}",
+        )
+        answers = []
+        while time.monotonic() < end:
+            began = time.monotonic()
+            answers.append((began, caller.write(GROUP, INSERT, ["freeze"])))
+            time.sleep(0.02)
+        return answers
+
+    def freeze() -> list[tuple[float, CallerAnswer]]:
+        time.sleep(0.5)
+        fleet.freeze(primary)
+        context.frozen_at = time.monotonic()
+        return []
+
+    works: list[Any] = [
+        lambda n=n: work(n) for n in range(count)  # type: ignore[misc]
+    ]
+    results = in_threads([freeze, *works])
+    context.timed = [pair for some in results for pair in some]
+
+
+@then("each of those writes was done or unknown")
+def then_done_or_unknown(context: Any) -> None:
+    outcomes = {answer.outcome for _, answer in context.timed}
+    bad = [a for _, a in context.timed if a.outcome not in ("done", "unknown")]
+    assert outcomes <= {"done", "unknown"}, (len(bad), bad[:3])
+
+
+@then("unknown writes were answered within {seconds:d} seconds")
+def then_unknown_soon(context: Any, seconds: int) -> None:
+    for _, answer in context.timed:
+        if answer.outcome == "unknown":
+            assert answer.seconds < seconds, answer
+
+
+@then("writes that began during the change were done after it")
+def then_went_on(context: Any) -> None:
+    waited = [
+        answer
+        for began, answer in context.timed
+        if began > context.frozen_at and answer.done and answer.seconds > 0.5
+    ]
+    assert waited, "no write waited for the new primary and went on"
--- a/features/transaction.feature
+++ b/features/transaction.feature
@@ -86,3 +86,14 @@
     When targets answer 400 ms late to callers that wait 150 ms
     Then every answered read has its own number
     And reads work again once the delay ends
+
+  Scenario: Writes go on after a change of primary
+    # The primary freezes while callers write. What surely was not run waits
+    # for the next primary and goes on; what was sent can't be known, and is
+    # told so when the new term is known, long before the callers' deadline.
+    # No write is refused.
+    Given a transaction fleet
+    When 12 callers write with a deadline of 15 seconds while the primary freezes
+    Then each of those writes was done or unknown
+    And unknown writes were answered within 8 seconds
+    And writes that began during the change were done after it
