--- a/bamboospring/connections.py
+++ b/bamboospring/connections.py
@@ -34,11 +34,16 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ConnectionTiming:
-    """Times in seconds. `pace` is the shortest time between two openings."""
+    """Times in seconds.
+
+    `pace` is the usual time between two openings, `forgotten` how long a
+    connection that went silent counts as open at the target.
+    """
 
     pace: float = 0.02
     heartbeat: float = 1.0
     heartbeat_timeout: float = 1.0
+    forgotten: float = 60.0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -51,6 +56,7 @@
     open: int = 0
     _idle: list[T] = field(default_factory=list)
     _next_open_at: float = NEVER
+    _silent: list[float] = field(default_factory=list)
 
     @property
     def total(self) -> int:
@@ -86,9 +92,14 @@
         self._idle.append(conn)
         return True
 
-    def lost(self) -> None:
-        """Note that a connection in use or under check has ended."""
+    def lost(self, *, silent_at: float | None = None) -> None:
+        """Note that a connection in use or under check has ended.
+
+        With `silent_at` it was given up because nothing was heard on it.
+        """
         self.open -= 1
+        if silent_at is not None:
+            self._silent.append(silent_at)
 
     def wait_to_open(self, now: float, missing: int) -> float | None:
         """Return the seconds until one may be opened, None if none may.
@@ -97,8 +108,19 @@
         """
         if self.opening >= missing or self.total >= self.limit:
             return None
+        if self.total > 0 and self._with_silent(now) >= self.limit:
+            return None
         return max(0.0, self._next_open_at - now)
 
+    def _with_silent(self, now: float) -> int:
+        # The target still counts a connection that something between has
+        # forgotten; it has not seen it closed. With all of the share open
+        # beside those, it would be over its limit and refuse the rest. One
+        # connection is always allowed, or nothing could run at all.
+        oldest = now - self.timing.forgotten
+        self._silent = [at for at in self._silent if at > oldest]
+        return self.total + len(self._silent)
+
     def opening_one(self, now: float, *, draw: float) -> None:
         """Note that one is being opened; `draw` is from 0 up to 1."""
         self.opening += 1
--- a/bamboospring/pool.py
+++ b/bamboospring/pool.py
@@ -197,6 +197,8 @@
             if not keep:
                 leased.conn.close()
         else:
+            # A statement may be late at a target that is well, so only a
+            # heartbeat without an answer counts as a silent connection.
             self._connections.lost()
             leased.conn.close()
         if leased.silent:
@@ -472,9 +474,11 @@
         def answered(answer: HttpAnswer | HttpLost) -> None:
             if isinstance(answer, HttpLost):
                 self.counters.dead += 1
-                self._connections.lost()
+                silent = answer.reason == "timeout"
+                now = self._reactor.now()
+                self._connections.lost(silent_at=now if silent else None)
                 leased.conn.close()
-                if answer.reason == "timeout":
+                if silent:
                     self._suspect()
             else:
                 leased.heard_at = self._reactor.now()
--- a/bamboospring/testing/fleet.py
+++ b/bamboospring/testing/fleet.py
@@ -430,9 +430,12 @@
             parts.append(f"--- {name} (exit {process.exit_code})\n{text}")
         return "\n".join(parts)
 
-    def publish_vms(self, leaving: Iterable[str] = ()) -> None:
-        """Write the list of VMs, some of them as leaving."""
+    def publish_vms(
+        self, leaving: Iterable[str] = (), *, without: Iterable[str] = ()
+    ) -> None:
+        """Write the list of VMs, some as leaving, some not at all."""
         gone = set(leaving)
+        hidden = set(without)
         vms = [
             {
                 "name": vm.name,
@@ -442,6 +445,7 @@
                 "state": "leaving" if vm.name in gone else "live",
             }
             for vm in self.vms.values()
+            if vm.name not in hidden
         ]
         call_json(self._platform_address, "PUT", "/vms", {"vms": vms})
 
--- a/bamboospring/testing/target_engine.py
+++ b/bamboospring/testing/target_engine.py
@@ -300,6 +300,7 @@
             self.counters["refused_connections"] += 1
             return False
         self.sessions.add(session)
+        self.counters["opened_connections"] += 1
         self._peak("peak_connections", len(self.sessions))
         return True
 
--- /dev/null
+++ b/features/limits.feature
@@ -0,0 +1,20 @@
+Feature: A target's limits hold, whoever holds its connections
+
+  Scenario: VMs leave, die and come back under load
+    # Callers read and write all the time. One holder leaves the list, another
+    # is killed and taken off it, then both come back. Each time other VMs
+    # become holders and take over shares. No target ever refuses a slot or a
+    # connection, and work goes on, because nobody uses what another one has
+    # not given up.
+    Given a limits fleet of 5 VMs with 2 slots and 7 connections
+    When there is load while holders leave, die and come back
+    Then no target has refused a slot or a connection
+    And no target has had more than 2 slots or 7 connections in use
+    And statements were done after the last change
+
+  Scenario: The operators' limit is below the target's
+    # The table's row allows one slot and three connections. The target would
+    # take more, and counts what it gets.
+    Given a limits fleet whose row allows 1 slot and 3 connections
+    When there is load for 3 seconds
+    Then no target has had more than 1 slots or 3 connections in use
--- /dev/null
+++ b/features/silent_connections.feature
@@ -0,0 +1,21 @@
+Feature: Connections that went silent are replaced without a storm
+
+  Scenario: Something between holders and a replica forgets all connections
+    # From one moment on nothing passes on any connection that stands, while
+    # new ones work. Reads go on at once elsewhere or after one lost exchange.
+    # Idle connections are found by their heartbeat and replaced one by one;
+    # the target itself is well and is not taken for dead.
+    Given a silent fleet under a light load
+    When all connections to a replica go silent
+    Then that replica serves reads again within 10 seconds
+    And it got at most 14 new connections for it
+    And the group's term is still the same
+
+  Scenario: The same at the primary
+    # Writes under way on a forgotten connection end as unknown at their
+    # deadline; later ones are done on new connections. (A transaction that is
+    # open on such a connection keeps its lock until the target drops it.)
+    Given a silent fleet under a light load
+    When all connections to the primary go silent
+    Then writes are done again within 10 seconds
+    And it got at most 14 new connections for it
