--- a/bamboospring/pool.py
+++ b/bamboospring/pool.py
@@ -342,8 +342,6 @@
     def _supply(self) -> None:
         """Give waiting statements open connections, and open new ones."""
         now = self._reactor.now()
-        if self._needing and self._connections.idle:
-            self._check_idle()
         while self._needing:
             leased = self._connections.take(now)
             if leased is None:
@@ -353,6 +351,7 @@
                 continue
             self._hand(self._needing.popleft(), leased)
         if self._needing:
+            self._check_idle()
             self._open_or_wait(now)
 
     def _needed_too_long(self, asking: _Asking) -> None:
--- a/features/silent_connections.feature
+++ b/features/silent_connections.feature
@@ -19,3 +19,11 @@
     When all connections to the primary go silent
     Then writes are done again within 10 seconds
     And it got at most 14 new connections for it
+
+  Scenario: Idle connections go silent while nobody calls
+    # No statement meets the silence. The heartbeats find it, and the first
+    # write through each VM afterwards is done on a connection that works; no
+    # caller hears anything of it.
+    Given a silent fleet under a light load
+    When the load stops and all connections to the primary go silent
+    Then 4 seconds later the first write through each VM is done
--- a/features/steps/limits_steps.py
+++ b/features/steps/limits_steps.py
@@ -280,6 +280,21 @@
     fleet.link(f"target:{name}", "silent")
 
 
+@when("the load stops and all connections to the primary go silent")
+def when_idle_silent(context: Any) -> None:
+    context.load.stop()
+    when_silent(context, "the primary")
+
+
+@then("{seconds:d} seconds later the first write through each VM is done")
+def then_first_writes(context: Any, seconds: int) -> None:
+    time.sleep(seconds)
+    for name in context.fleet.vms:
+        caller = caller_at(context.fleet, name, deadline_ms=1000)
+        answer = caller.write(GROUP, WRITE, ["z"])
+        assert answer.done, (name, answer)
+
+
 @then("that replica serves reads again within {seconds:d} seconds")
 def then_serves_again(context: Any, seconds: int) -> None:
     def served() -> bool:
