Have a target end the connections that a holder gave up

A connection with an open transaction had gone silent: the holder closed its end, the target saw nothing of it and kept the write lock. Ruled out: the primary change (the record was right, the steward heard the primary), the pool (statements reached the target and waited for the lock there). A VM that loses power leaves the same behind.

Change: a connection has a number at the target; for each one given up in doubt the holder orders the target, over a fresh control connection, to end it. For a holder that is gone itself, the target ends transactions that are idle for longer than the holder's own limit. The target's wait for the lock ends a little before the holder's, so that its true not_run arrives instead of an unknown.

--- a/bamboospring/exchange.py
+++ b/bamboospring/exchange.py
@@ -29,6 +29,8 @@
 ]
 
 RETRY_SOON_MS = 100
+# Seconds.
+ANSWER_MARGIN = 0.1
 
 OnTargetAnswer = Callable[[TargetAnswer | HttpLost], None]
 
@@ -71,8 +73,11 @@
             on_answer(HttpLost(sent=False, reason="deadline"))
             return
         number = next(self._numbers)
+        # The target gives up its wait for a lock a little before we do, so
+        # that its "nothing ran" arrives; else the caller is told "unknown".
+        left = timeout - min(ANSWER_MARGIN, timeout / 4)
         body = encode_execute(
-            stmt, number=number, term=term, min_index=min_index, left=timeout
+            stmt, number=number, term=term, min_index=min_index, left=left
         )
 
         def answered(answer: HttpAnswer | HttpLost) -> None:
--- a/bamboospring/peers.py
+++ b/bamboospring/peers.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Iterable
 from dataclasses import dataclass
 from dataclasses import field
 import itertools
@@ -94,6 +95,13 @@
         for link in [*self._links.values(), *self._accepted]:
             link.send(data)
 
+    def send_all(self, addresses: Iterable[str], message: Any) -> None:
+        """Send the same to several; it is encoded once."""
+        message.id = 0
+        data = message.to_bytes()
+        for address in addresses:
+            self._link(address).send(data)
+
     def ask(
         self,
         address: str,
--- a/bamboospring/pool.py
+++ b/bamboospring/pool.py
@@ -41,6 +41,7 @@
 from bamboospring.reactor import Reactor
 from bamboospring.reactor import Timer
 from bamboospring.shares import Units
+from bamboospring.terminations import Terminations
 
 __all__ = ["Leased", "Pool", "PoolCounters", "PoolTiming", "Pools"]
 
@@ -53,6 +54,7 @@
     """Times of all pools, in seconds."""
 
     tick: float = 0.25
+    idle_transaction: float = 35.0
     connect_timeout: float = CONNECT_TIMEOUT
     connections: ConnectionTiming = field(default_factory=ConnectionTiming)
 
@@ -72,8 +74,9 @@
     """A statement connection in the hands of one statement.
 
     `slot` and `gate` are the tickets that it holds, `heard_at` is when the
-    connection was last seen alive. Whoever gets no answer in time sets
-    `silent` before the connection is given back.
+    connection was last seen alive, `number` is what the target calls it.
+    Whoever gets no answer in time sets `silent` before the connection is
+    given back.
     """
 
     target: Target
@@ -83,6 +86,7 @@
     slot: Ticket | None = None
     gate: Ticket | None = None
     silent: bool = False
+    number: int = 0
 
 
 OnReady = Callable[[Leased | NotRun | Overloaded], None]
@@ -129,6 +133,11 @@
         self._leased: set[Leased] = set()
         self._pinned: set[Leased] = set()
         self._opener: Timer | None = None
+        self._terminations = Terminations(
+            reactor=reactor,
+            address=target.address,
+            on_ended=self._on_ended,
+        )
 
     @property
     def used(self) -> Units:
@@ -198,7 +207,7 @@
                 leased.conn.close()
         else:
             self._connections.lost()
-            leased.conn.close()
+            self._give_up(leased)
         if leased.silent:
             self._suspect()
         self._apply_share()
@@ -235,6 +244,14 @@
         for leased in list(self._leased):
             leased.conn.close()
 
+    def _give_up(self, leased: Leased) -> None:
+        """Close a connection in doubt, at the target as well."""
+        leased.conn.close()
+        self._terminations.end(leased.number)
+
+    def _on_ended(self, count: int) -> None:
+        self._serve()
+
     # Slots.
 
     def _apply_share(self) -> None:
@@ -407,7 +424,7 @@
             if not ok:
                 self._open_failed()
                 return
-            body = orjson.dumps({"id": 0, "holder": self._vm})
+            body = self._hello()
             conn.request("POST", "/connect", body, timeout, answered)
 
         def answered(answer: HttpAnswer | HttpLost) -> None:
@@ -415,15 +432,22 @@
                 conn.close()
                 self._open_failed()
                 return
-            self._opened(conn)
+            self._opened(conn, _number(answer))
 
         conn.connect(timeout, opened)
 
-    def _opened(self, conn: HttpConnection) -> None:
+    def _hello(self) -> bytes:
+        idle_tx_ms = int(self._timing.idle_transaction * 1000)
+        body = {"id": 0, "holder": self._vm, "idle_tx_ms": idle_tx_ms}
+        return orjson.dumps(body)
+
+    def _opened(self, conn: HttpConnection, number: int) -> None:
         now = self._reactor.now()
         self.counters.opened += 1
         self.breaker.opened(now)
-        leased = Leased(target=self.target, conn=conn, heard_at=now)
+        leased = Leased(
+            target=self.target, conn=conn, heard_at=now, number=number
+        )
         if not self._connections.opened(leased):
             conn.close()
         self._apply_share()
@@ -473,7 +497,7 @@
             if isinstance(answer, HttpLost):
                 self.counters.dead += 1
                 self._connections.lost()
-                leased.conn.close()
+                self._give_up(leased)
                 if answer.reason == "timeout":
                     self._suspect()
             else:
@@ -485,6 +509,14 @@
         leased.conn.request("GET", "/probe", b"", timeout, answered)
 
 
+def _number(answer: HttpAnswer) -> int:
+    """Return the connection's number at the target, 0 if it gave none."""
+    try:
+        return int(orjson.loads(answer.body).get("connection", 0))
+    except (ValueError, TypeError, AttributeError):
+        return 0
+
+
 class Pools:
     """All pools of this process, made when first asked for."""
 
--- a/bamboospring/server.py
+++ b/bamboospring/server.py
@@ -236,6 +236,8 @@
 def _pool_timing(cfg: Settings) -> PoolTiming:
     return PoolTiming(
         connect_timeout=cfg.timing.connect_timeout_ms / 1000,
+        # After the holder itself has given the transaction up.
+        idle_transaction=cfg.timing.transaction_idle_ms / 1000 + 5,
         connections=ConnectionTiming(
             pace=cfg.timing.connect_interval_ms / 1000,
             heartbeat=cfg.timing.target_heartbeat_ms / 1000,
--- a/bamboospring/steward.py
+++ b/bamboospring/steward.py
@@ -154,11 +154,12 @@
         body.availabilityZone = self._board.me.availability_zone
         body.suspected = verdict.suspected
         body.silentMs = min(int(verdict.silent * 1000), 2**32 - 1)
-        for vm in self._placement.candidates(self._bucket(group)):
-            if vm.name == self._board.me.name:
-                self._take_suspicion(body)
-            else:
-                self._peers.send(vm.address, message)
+        me = self._board.me.name
+        candidates = self._placement.candidates(self._bucket(group))
+        others = [vm.address for vm in candidates if vm.name != me]
+        self._peers.send_all(others, message)
+        if len(others) < len(candidates):
+            self._take_suspicion(body)
 
     def _on_suspicion(self, message: Any, reply: Reply) -> None:
         self._take_suspicion(message.suspicion)
--- a/bamboospring/testing/soak.py
+++ b/bamboospring/testing/soak.py
@@ -350,10 +350,10 @@
     caller = Caller(entries=fleet.entries(), name="settle")
     for group in fleet.estate.groups:
         if not fleet.primary(group):
-            return False
+            raise ValueError(f"{group} has no primary")
         answer = caller.write(group, "UPDATE soak_account SET id = id")
         if not answer.done:
-            return False
+            raise ValueError(f"{group}: {answer}")
     return True
 
 
--- a/bamboospring/testing/target_engine.py
+++ b/bamboospring/testing/target_engine.py
@@ -86,7 +86,11 @@
 
     holder: str
     close: Callable[[], None]
+    abort: Callable[[], None]
+    idle_tx_ms: int = 0
+    number: int = 0
     transaction: Transaction | None = None
+    idle: asyncio.TimerHandle | None = None
 
 
 class Refused(Exception):
@@ -161,10 +165,13 @@
         self.counters: Counter[str] = Counter()
         self.busy_slots = 0
         self._watchers: set[asyncio.Future[None]] = set()
-        self._pauser = Session(holder="", close=lambda: None)
+        self._pauser = Session(
+            holder="", close=lambda: None, abort=lambda: None
+        )
         self._pause_end: asyncio.TimerHandle | None = None
 
-    # Notices of change.
+        # Notices of change.
+        self._session_numbers = 0
 
     def changed(self) -> None:
         """Wake all that wait for a change of position, term or role."""
@@ -300,11 +307,34 @@
             self.counters["refused_connections"] += 1
             return False
         self.sessions.add(session)
+        self._session_numbers += 1
+        session.number = self._session_numbers
         self._peak("peak_connections", len(self.sessions))
         return True
 
+    def terminate(self, numbers: list[int]) -> int:
+        """End the connections of these numbers; return how many there were."""
+        found = [each for each in self.sessions if each.number in numbers]
+        for session in found:
+            session.abort()
+        return len(found)
+
+    def _watch_idle(self, session: Session) -> None:
+        """End the connection if its open transaction does nothing for long."""
+        if session.transaction is not None and session.idle_tx_ms:
+            loop = asyncio.get_running_loop()
+            session.idle = loop.call_later(
+                session.idle_tx_ms / 1000, session.abort
+            )
+
+    def _stop_watch(self, session: Session) -> None:
+        if session.idle is not None:
+            session.idle.cancel()
+            session.idle = None
+
     def close_session(self, session: Session) -> None:
         """Roll back what is open and forget the connection."""
+        self._stop_watch(session)
         self.roll_back(session)
         self.lock.release(session)
         self.sessions.discard(session)
@@ -342,6 +372,7 @@
         self, session: Session, stmt: Statement
     ) -> dict[str, Any]:
         """Run a statement that may have to wait."""
+        self._stop_watch(session)
         held = self._wants_lock(session, stmt)
         try:
             self._check(session, stmt)
@@ -355,6 +386,7 @@
         except Refused as exc:
             if held:
                 self.lock.release(session)
+            self._watch_idle(session)
             return self._refused(stmt, exc)
         except asyncio.CancelledError:
             # The lock may have been handed over in the very step in which
@@ -370,10 +402,12 @@
 
     def execute_now(self, session: Session, stmt: Statement) -> dict[str, Any]:
         """Run a statement for which `must_wait` was False."""
+        self._stop_watch(session)
         try:
             self._check(session, stmt)
             self._take_slot()
         except Refused as exc:
+            self._watch_idle(session)
             return self._refused(stmt, exc)
         try:
             if self._wants_lock(session, stmt):
@@ -387,6 +421,7 @@
         tx = session.transaction
         if tx is None or tx.read_only:
             self.lock.release(session)
+        self._watch_idle(session)
 
     def _take_slot(self) -> None:
         if self.busy_slots >= self.knobs.slots:
--- a/bamboospring/testing/target_server.py
+++ b/bamboospring/testing/target_server.py
@@ -206,6 +206,8 @@
                 return 200, dict(self.engine.counters)
             case "POST", "/settings":
                 return self._settings(parse_object(body))
+            case "POST", "/terminate":
+                return self._terminate(parse_object(body))
             case "POST", "/pause":
                 return self._pause(parse_object(body))
             case (
@@ -216,6 +218,12 @@
             case _:
                 return 404, {"reason": "not_found"}
 
+    def _terminate(self, data: dict[str, Any]) -> Answer:
+        numbers = data.get("connections")
+        if not isinstance(numbers, list):
+            raise BadRequest("connections is a list of numbers")
+        return 200, {"ended": self.engine.terminate(numbers)}
+
     def _execute(self, body: bytes) -> Answer | Awaitable[Answer]:
         stmt = parse_statement(body)
         session = self.session
@@ -234,13 +242,20 @@
         if self.session is not None:
             raise BadRequest("connected before")
         session = Session(
-            holder=str(data.get("holder", "")), close=self._close
+            holder=str(data.get("holder", "")),
+            close=self._close,
+            abort=self._abort,
+            idle_tx_ms=int(data.get("idle_tx_ms", 0)),
         )
         if not self.engine.open_session(session):
             return 503, {"id": data.get("id"), "reason": "connections"}
         self.session = session
         await asyncio.sleep(self.engine.knobs.connect_ms / 1000)
-        return 200, {"id": data.get("id"), **self.engine.probe()}
+        return 200, {
+            "id": data.get("id"),
+            "connection": session.number,
+            **self.engine.probe(),
+        }
 
     async def _positions(self, query: dict[str, str]) -> Answer:
         try:
