--- a/bamboospring/steward.py
+++ b/bamboospring/steward.py
@@ -213,10 +213,39 @@
         order = Order(kind=OrderKind.PROBE, target=target)
         send_order(self._reactor, order, answered)
 
-    # Orders of operators.
+    # Hand-overs: operators' orders, and holders' hints that one is due.
+
+    def hint_leaving(self, group: str, term: int) -> None:
+        """Tell the candidates that a group's primary says it leaves."""
+        message = envelope()
+        body = message.init("handOver")
+        body.group = group
+        body.term = term
+        for vm in self._placement.candidates(self._bucket(group)):
+            if vm.name == self._board.me.name:
+                self._take_hint(group, term)
+            else:
+                self._peers.send(vm.address, message)
 
     def _on_hand_over(self, message: Any, reply: Reply) -> None:
-        self.hand_over(message.handOver.group, message.handOver.target)
+        body = message.handOver
+        if body.term:
+            self._take_hint(body.group, body.term)
+        else:
+            self.hand_over(body.group, body.target)
+
+    def _take_hint(self, name: str, term: int) -> None:
+        """Ask the targets now instead of at the next round.
+
+        A hint is no order: one that comes late, after the change that it
+        asks for, must not cause another.
+        """
+        group = self._board.groups.get(name)
+        if group is None or group.record.term != term:
+            return
+        care = self._care_of(name)
+        if self.leads(name) and care.change is None:
+            self._ask_round(group, care)
 
     def hand_over(self, group: str, target: str) -> bool:
         """Take an order to change the primary; empty: choose a target.
--- a/bamboospring/testing/target_server.py
+++ b/bamboospring/testing/target_server.py
@@ -253,13 +253,15 @@
         known = (
             int(query.get("term", store.term)),
             query.get("role", store.role.value),
+            self.engine.knobs.leaving,
         )
         loop = asyncio.get_running_loop()
         end = loop.time() + wait
         while loop.time() < end:
             if store.received > received or store.applied > applied:
                 break
-            if (store.term, store.role.value) != known:
+            leaving = self.engine.knobs.leaving
+            if (store.term, store.role.value, leaving) != known:
                 break
             await self.engine.wait_change(end - loop.time())
         return 200, self.engine.probe()
--- a/bamboospring/watcher.py
+++ b/bamboospring/watcher.py
@@ -77,6 +77,7 @@
     primary: str = ""
     suspected: bool = False
     report_at: float = -1e9
+    leaving_told_at: float = -1e9
 
 
 class Watcher(BaseComponent):
@@ -100,6 +101,8 @@
         self._watched: dict[str, _Watched] = {}
         self._awake = AwakeClock(pause=timing.pause)
         self.on_verdict: OnVerdict | None = None
+        # Gets the group and term whose primary says that it leaves.
+        self.on_leaving: Callable[[str, int], None] | None = None
 
     def wait_majority(
         self,
@@ -144,6 +147,9 @@
         state.leaving = probe.leaving
         state.asked_at = asked_at
         state.seen_at = self._reactor.now()
+        record = watched.group.record
+        if probe.leaving and target == record.primary:
+            self._tell_leaving(group, watched)
         self._judge_freshness(watched, target, asked_at)
         self._release(watched)
 
@@ -172,6 +178,17 @@
             watched.report_at = now + REPEAT_REPORT
             self.on_verdict(name, record.primary, record.term, verdict)
 
+    def _tell_leaving(self, name: str, watched: _Watched) -> None:
+        """Tell at once, and slowly again, that a primary leaves.
+
+        It refuses new work already, so each moment until the hand-over is
+        one without writes.
+        """
+        now = self._reactor.now()
+        if self.on_leaving is not None and now >= watched.leaving_told_at:
+            watched.leaving_told_at = now + REPEAT_REPORT
+            self.on_leaving(name, watched.group.record.term)
+
     @handler("group_changed")
     def _on_group_changed(self, name: str) -> None:
         self._follow(name)
--- a/bamboospring/wire.capnp
+++ b/bamboospring/wire.capnp
@@ -122,4 +122,6 @@
 struct HandOver {
   group @0 :Text;
   target @1 :Text;            # empty: the steward chooses
+  term @2 :UInt64;            # 0: an order; else only a holder's hint that
+                              # the primary of this term says it leaves
 }
--- /dev/null
+++ b/features/steps/primary_change_steps.py
@@ -0,0 +1,380 @@
+"""Steps of primary changes under faults, with real processes."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import http.client
+import json
+import time
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+from fleet_support import caller_at
+from fleet_support import GROUP
+from fleet_support import start_fleet
+from primary_change_support import ChangeLoad
+
+from bamboospring.rendezvous import bucket_of
+from bamboospring.testing.fleet import call_json
+from bamboospring.testing.fleet import wait_until
+
+WRITE = "INSERT INTO entries VALUES (?, 'x')"
+
+
+@given("a change fleet at rest")
+def fleet_at_rest(context: Any) -> None:
+    fleet = start_fleet(context)
+    context.primary = fleet.primary(GROUP)
+    wait_until(leader_of(context), seconds=20, what="a steward")
+
+
+@given("a change fleet under writes")
+def fleet_under_writes(context: Any) -> None:
+    fleet_at_rest(context)
+    context.load = ChangeLoad(context.fleet)
+    context.add_cleanup(context.load.stop)
+    wait_until(
+        lambda: len(context.load.rows("done")) > 50,
+        seconds=20,
+        what="writes to be done",
+    )
+
+
+def leader_of(context: Any) -> Callable[[], str]:
+    """Return a function that names the VM with the group's lease."""
+    name = str(bucket_of(GROUP))
+    return lambda: context.fleet.object("lease", name)["value"]["vm"]
+
+
+def break_primary(context: Any) -> None:
+    """Note when the fault begins; writes after it count."""
+    context.broken_at = time.monotonic()
+
+
+@when("the primary is killed for the change")
+def kill_primary(context: Any) -> None:
+    context.fleet.kill(context.primary)
+    break_primary(context)
+
+
+@when("the primary is frozen for the change")
+def freeze_primary(context: Any) -> None:
+    context.fleet.freeze(context.primary)
+    break_primary(context)
+
+
+@when("the primary is cut off for the change")
+def cut_primary(context: Any) -> None:
+    context.fleet.link(f"target:{context.primary}", "cut")
+    break_primary(context)
+
+
+@when("the primary says that it leaves")
+def primary_leaves(context: Any) -> None:
+    context.fleet.set_target(context.primary, leaving=True)
+    break_primary(context)
+
+
+@when("the old primary leaves no more")
+def leaves_no_more(context: Any) -> None:
+    context.fleet.set_target(context.primary, leaving=False)
+
+
+@when("the primary is killed and the steward frozen with it")
+def kill_and_freeze_steward(context: Any) -> None:
+    context.steward = leader_of(context)()
+    context.fleet.kill(context.primary)
+    time.sleep(0.25)
+    context.fleet.freeze(context.steward)
+    break_primary(context)
+
+
+@when("the primary is killed and another member frozen with it")
+def kill_and_freeze_member(context: Any) -> None:
+    context.frozen = context.fleet.replicas(GROUP)[0]
+    context.fleet.freeze(context.frozen)
+    context.fleet.kill(context.primary)
+    break_primary(context)
+
+
+@when("the platform will lose its next answer about groups")
+def lose_answer(context: Any) -> None:
+    context.fleet.set_platform_faults(lose_answers=1, lose_kind="group")
+
+
+@when("the platform is down for the change")
+def platform_down(context: Any) -> None:
+    context.fleet.set_platform_faults(outage="refuse")
+
+
+@when("the platform is back for the change")
+def platform_back(context: Any) -> None:
+    context.fleet.set_platform_faults(outage="none")
+
+
+@when("a client beside the old primary commits there")
+def commit_beside(context: Any) -> None:
+    """Write to the primary directly, past the cut link."""
+    host, port = context.fleet.targets[context.primary].listen.split(":")
+    conn = http.client.HTTPConnection(host, int(port), timeout=5)
+    post(conn, "/connect", {"id": 0, "holder": "beside"})
+    body = {"id": 1, "term": 1, "kind": "write", "caller": "beside"}
+    for row in (-1, -2):
+        found = post(conn, "/execute", {**body, "sql": WRITE, "params": [row]})
+        assert found["outcome"] == "ok", found
+    conn.close()
+
+
+def post(conn: http.client.HTTPConnection, path: str, body: Any) -> Any:
+    """Make one exchange with a target."""
+    conn.request("POST", path, json.dumps(body))
+    return json.loads(conn.getresponse().read())
+
+
+@then("writes are done again at term 2")
+def done_at_two(context: Any) -> None:
+    done_again(context)
+    assert context.fleet.object("group", GROUP)["value"]["term"] == 2
+
+
+@then("writes are done again at a later term")
+def done_again(context: Any) -> None:
+    def fresh() -> bool:
+        found = context.load.done_since(context.broken_at)
+        return sum(record.term > 1 for record in found) > 20
+
+    wait_until(fresh, seconds=30, what="writes after the change")
+
+
+@when("the killed primary is started again")
+def start_killed(context: Any) -> None:
+    context.fleet.restart(context.primary)
+
+
+@when("the frozen primary wakes")
+def wake_primary(context: Any) -> None:
+    context.fleet.thaw(context.primary)
+
+
+@when("the frozen member wakes")
+def wake_member(context: Any) -> None:
+    context.fleet.thaw(context.frozen)
+
+
+@when("the frozen steward wakes")
+def wake_steward(context: Any) -> None:
+    context.fleet.thaw(context.steward)
+
+
+@when("the network of the old primary heals")
+def heal_primary(context: Any) -> None:
+    context.fleet.link(f"target:{context.primary}", "pass")
+
+
+def stored_rows(context: Any, target: str) -> set[int]:
+    """Return the rows that a member holds, asked past the proxy."""
+    rows = context.fleet.query(target, "SELECT id FROM entries")
+    return {row[0] for row in rows}
+
+
+def wait_level(context: Any, names: list[str]) -> None:
+    """Wait until members have the same term and the same log end."""
+
+    def level() -> bool:
+        found = [context.fleet.probe(name) for name in names]
+        ends = {(p["term"], p["received"], p["applied"]) for p in found}
+        return len(ends) == 1
+
+    wait_until(level, seconds=20, what="members to be level")
+
+
+def check_members(context: Any, names: list[str]) -> None:
+    context.load.stop()
+    wait_level(context, names)
+    for name in names:
+        stored = stored_rows(context, name)
+        context.load.check(stored)
+        assert not stored & {-1, -2}, "an entry of the old primary is left"
+
+
+@then("all members hold exactly the writes of the change and term 2")
+def all_hold(context: Any) -> None:
+    names = [t.name for t in context.fleet.members(GROUP)]
+    check_members(context, names)
+    assert {context.fleet.probe(name)["term"] for name in names} == {2}
+
+
+@then("all running members hold exactly the writes of the change")
+def running_hold(context: Any) -> None:
+    check_members(
+        context,
+        [
+            t.name
+            for t in context.fleet.members(GROUP)
+            if context.fleet.process(t.name).running
+        ],
+    )
+
+
+@then("no write of the change ended as unknown")
+def none_unknown(context: Any) -> None:
+    unknown = context.load.rows("unknown", "lost")
+    assert not unknown, f"unknown: {sorted(unknown)[:10]}"
+
+
+@then("the group keeps one primary and its term for 3 seconds")
+def keeps_primary(context: Any) -> None:
+    before = context.fleet.object("group", GROUP)["value"]
+    end = time.monotonic() + 3
+    while time.monotonic() < end:
+        names = [
+            t.name
+            for t in context.fleet.members(GROUP)
+            if context.fleet.process(t.name).running
+        ]
+        found = [context.fleet.probe(name) for name in names]
+        primaries = [p["target"] for p in found if p["role"] == "primary"]
+        assert primaries == [before["primary"]], found
+        time.sleep(0.1)
+    after = context.fleet.object("group", GROUP)["value"]
+    assert after == before, (before, after)
+
+
+@then("for 4 seconds no write is done and stale reads are")
+def no_writes_stale_reads(context: Any) -> None:
+    # Those under way at the kill may still be confirmed by the replicas.
+    time.sleep(1.0)
+    start = time.monotonic()
+    reader = caller_at(context.fleet, "vm-2", deadline_ms=1500)
+    while time.monotonic() < start + 3:
+        answer = reader.read(GROUP, "SELECT 1", staleness_ms=60_000)
+        assert answer.done and answer.at_replica, answer
+        time.sleep(0.1)
+    done = context.load.done_since(start)
+    assert not done, done[:3]
+
+
+@then("for 2 seconds no write is done at all")
+def no_writes(context: Any) -> None:
+    time.sleep(0.5)
+    start = time.monotonic()
+    time.sleep(1.5)
+    done = context.load.done_since(start)
+    assert not done, done[:3]
+
+
+@when("the platform is slow and the way to the primary is delayed")
+def slow_everything(context: Any) -> None:
+    context.fleet.set_platform_faults(slow_ms=200)
+    link = f"target:{context.primary}"
+    context.fleet.link(link, "delay", delay_ms=20)
+
+
+@when("each VM in turn is paused for 5 seconds")
+def pause_vms(context: Any) -> None:
+    for name in context.fleet.vms:
+        context.fleet.freeze(name)
+        time.sleep(5)
+        context.fleet.thaw(name)
+        time.sleep(1.5)
+
+
+@then("the group is still at term 1")
+def still_at_one(context: Any) -> None:
+    context.load.stop()
+    value = context.fleet.object("group", GROUP)["value"]
+    assert (value["term"], value["primary"]) == (1, context.primary), value
+    terms = {
+        context.fleet.probe(t.name)["term"]
+        for t in context.fleet.members(GROUP)
+    }
+    assert terms == {1}, terms
+
+
+# A VM cut off together with the primary.
+
+
+@when("vm-1 is cut off together with the primary")
+def cut_off_vm(context: Any) -> None:
+    fleet = context.fleet
+    fleet.link("platform:vm-1", "freeze")
+    fleet.link("peers:vm-1", "cut")
+    # The other VMs are on the far side of the cut; what they would do there
+    # is done by the next step, so they need not run.
+    for name in ("vm-2", "vm-3"):
+        fleet.freeze(name)
+    for name in fleet.replicas(GROUP):
+        fleet.link(f"target:{name}", "cut")
+
+
+@when("the other side changes its primary to term 2")
+def change_by_hand(context: Any) -> None:
+    fleet = context.fleet
+    found = fleet.object("group", GROUP)
+    value = {**found["value"], "term": 2, "primary": ""}
+    fleet.put_object("group", GROUP, value)
+    first, second = (fleet.targets[name] for name in fleet_others(context))
+    for target in (first, second):
+        call_json(target.listen, "POST", "/fence", {"term": 2})
+    best, other = sorted(
+        (first, second),
+        key=lambda t: fleet.probe(t.name)["received"],
+        reverse=True,
+    )
+    state = call_json(best.listen, "POST", "/promote", {"term": 2})
+    order = {"term": 2, "primary": best.address}
+    call_json(other.listen, "POST", "/follow", order)
+    starts = [*value["starts"], {"term": 2, "index": state["start"]}]
+    done = {**value, "primary": best.name, "starts": starts}
+    fleet.put_object("group", GROUP, done)
+
+
+def fleet_others(context: Any) -> list[str]:
+    """Return the members that are not the old primary."""
+    names = [t.name for t in context.fleet.members(GROUP)]
+    return [name for name in names if name != context.primary]
+
+
+@then("writes through vm-1 are not acknowledged")
+def not_acknowledged(context: Any) -> None:
+    context.rows = list(range(501, 506))
+    for row in context.rows:
+        caller = caller_at(context.fleet, "vm-1", deadline_ms=600)
+        answer = caller.write(GROUP, WRITE, [row])
+        assert answer.outcome in ("unknown", "not_run"), answer
+    stored = stored_rows(context, context.primary)
+    assert stored & set(context.rows), "the old primary took no write"
+
+
+@when("the network of vm-1 heals")
+def heal_vm(context: Any) -> None:
+    fleet = context.fleet
+    fleet.link("platform:vm-1", "pass")
+    fleet.link("peers:vm-1", "pass")
+    for name in fleet_others(context):
+        fleet.link(f"target:{name}", "pass")
+    for name in ("vm-2", "vm-3"):
+        fleet.thaw(name)
+
+
+@then("writes through vm-1 are done at term 2")
+def done_through_vm(context: Any) -> None:
+    caller = caller_at(context.fleet, "vm-1", deadline_ms=1000)
+    rows = iter(range(601, 700))
+
+    def done() -> bool:
+        answer = caller.write(GROUP, WRITE, [next(rows)])
+        return answer.done and answer.term == 2
+
+    wait_until(done, seconds=30, what="a write at term 2")
+
+
+@then("the writes that were not acknowledged are at no member")
+def at_no_member(context: Any) -> None:
+    names = [t.name for t in context.fleet.members(GROUP)]
+    wait_level(context, names)
+    for name in names:
+        left = stored_rows(context, name) & set(context.rows)
+        assert not left, (name, left)
--- /dev/null
+++ b/features/steps/primary_change_support.py
@@ -0,0 +1,90 @@
+"""Callers that write all the time, and what became of each write."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+import itertools
+import threading
+import time
+from typing import Any
+
+from fleet_support import GROUP
+
+from bamboospring.testing.caller import Caller
+from bamboospring.testing.fleet import Fleet
+
+__all__ = ["ChangeLoad", "WriteRecord"]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WriteRecord:
+    """One write: its row, when it ended, and how."""
+
+    row: int
+    at: float
+    outcome: str
+    term: int
+
+
+class ChangeLoad:
+    """Threads that write rows of their own through all VMs."""
+
+    def __init__(self, fleet: Fleet, *, threads: int = 4) -> None:
+        self.records: list[WriteRecord] = []
+        self._fleet = fleet
+        self._stop = threading.Event()
+        self._rows = itertools.count(1)
+        self._threads = [
+            threading.Thread(target=self._run, args=(place,), daemon=True)
+            for place in range(threads)
+        ]
+        for thread in self._threads:
+            thread.start()
+
+    def _run(self, place: int) -> None:
+        caller = Caller(
+            entries=self._fleet.entries(), at=place, deadline_ms=2000
+        )
+        while not self._stop.is_set():
+            row = next(self._rows)
+            record = self._write(caller, row)
+            self.records.append(record)
+            if record.outcome != "done":
+                caller.roam()
+                time.sleep(0.02)
+
+    def _write(self, caller: Caller, row: int) -> WriteRecord:
+        sql = "INSERT INTO entries VALUES (?, 'x')"
+        outcome, term = "lost", 0
+        try:
+            answer = caller.write(GROUP, sql, [row])
+            outcome, term = answer.outcome, answer.term
+        except OSError:
+            # No session could be opened, so nothing was sent.
+            outcome = "not_run"
+        return WriteRecord(
+            row=row, at=time.monotonic(), outcome=outcome, term=term
+        )
+
+    def stop(self) -> None:
+        """End the load and wait for the writes under way."""
+        self._stop.set()
+        for thread in self._threads:
+            thread.join()
+
+    def rows(self, *outcomes: str) -> set[int]:
+        """Return the rows whose writes ended so."""
+        return {r.row for r in self.records if r.outcome in outcomes}
+
+    def done_since(self, instant: float) -> list[WriteRecord]:
+        """Return the acknowledged writes that ended after an instant."""
+        return [
+            r for r in self.records if r.outcome == "done" and r.at > instant
+        ]
+
+    def check(self, stored: set[Any]) -> None:
+        """Compare what a member holds with what callers were told."""
+        lost = self.rows("done") - stored
+        assert not lost, f"acknowledged and lost: {sorted(lost)[:10]}"
+        ran = stored & self.rows("not_run", "overloaded")
+        assert not ran, f"told not run, but there: {sorted(ran)[:10]}"
