--- /dev/null
+++ b/bench/failover.py
@@ -0,0 +1,259 @@
+"""How long writes can't complete when a primary is replaced.
+
+    python bench/failover.py --runs 20 --out bench/results/failover.json
+
+Real processes on one machine, with each chunk to targets, peers and platform
+delayed by `--delay-ms` each way. Callers write all the time; a run's gap is
+the time from the last write acknowledged at the old term to the first one at
+the new term. The steps are those that the steward logs: `detect` lasts from
+the fault to the steward's beginning, `decide` until the term is asked for,
+then `win`, `fence`, `promote`, `record`; `spread` lasts until the first write
+is acknowledged.
+"""
+
+from __future__ import annotations
+
+import argparse
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import replace
+from datetime import datetime
+import itertools
+import json
+from pathlib import Path
+import re
+import statistics
+import threading
+import time
+from typing import Any
+
+from bamboospring.testing.caller import Caller
+from bamboospring.testing.estate import SMALL
+from bamboospring.testing.fleet import Fleet
+from bamboospring.testing.fleet import wait_until
+
+GROUP = "ledger"
+SCHEMA = "CREATE TABLE entries (id INTEGER PRIMARY KEY, body TEXT);"
+WRITE = "INSERT INTO entries VALUES (?, 'x')"
+WRITERS = 6
+SETTLE = 1.5
+STEPS = ("probe", "pause", "catch_up", "win", "fence", "promote", "record")
+FIELD = re.compile(r"(\w+)=(\S+)")
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Fault:
+    """How a primary is made to fail, and put right again."""
+
+    begin: Callable[[Fleet, str], None]
+    heal: Callable[[Fleet, str], None]
+
+
+class Writers:
+    """Threads that write rows of their own through all VMs."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.done: list[tuple[float, int]] = []
+        self.outcomes: dict[str, int] = {}
+        self.rows: set[int] = set()
+        self._fleet = fleet
+        self._numbers = itertools.count(1)
+        self._stop = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._run, args=(place,), daemon=True)
+            for place in range(WRITERS)
+        ]
+        for thread in self._threads:
+            thread.start()
+
+    def _run(self, place: int) -> None:
+        caller = Caller(
+            entries=self._fleet.entries(), at=place, deadline_ms=5000
+        )
+        while not self._stop.is_set():
+            row = next(self._numbers)
+            try:
+                answer = caller.write(GROUP, WRITE, [row])
+            except OSError:
+                continue
+            count = self.outcomes.get(answer.outcome, 0)
+            self.outcomes[answer.outcome] = count + 1
+            if answer.done:
+                self.rows.add(row)
+                self.done.append((time.time(), answer.term))
+            else:
+                time.sleep(0.005)
+
+    def stop(self) -> None:
+        """End the writers."""
+        self._stop.set()
+        for thread in self._threads:
+            thread.join()
+
+
+def main() -> None:
+    """Run all kinds of faults and write the result as JSON."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--runs", type=int, default=20)
+    parser.add_argument("--vms", type=int, default=5)
+    parser.add_argument("--delay-ms", type=int, default=1)
+    parser.add_argument("--kinds", nargs="*", default=[])
+    parser.add_argument("--out", type=Path)
+    args = parser.parse_args()
+    result: dict[str, Any] = {
+        "runs": args.runs,
+        "vms": args.vms,
+        "delay_ms": args.delay_ms,
+        "writers": WRITERS,
+    }
+    for kind in args.kinds or list(faults(0)):
+        result[kind] = run_kind(kind, args)
+        print(kind, json.dumps(result[kind]["summary"]), flush=True)
+    if args.out is not None:
+        args.out.parent.mkdir(parents=True, exist_ok=True)
+        args.out.write_text(json.dumps(result, indent=1) + "\n")
+
+
+def faults(delay_ms: int) -> dict[str, Fault]:
+    """Return the kinds of faults by name."""
+
+    def link(fleet: Fleet, target: str, mode: str) -> None:
+        fleet.link(f"target:{target}", mode, delay_ms=delay_ms)
+
+    normal = "delay" if delay_ms else "pass"
+    return {
+        "crash": Fault(begin=Fleet.kill, heal=Fleet.restart),
+        "freeze": Fault(begin=Fleet.freeze, heal=Fleet.thaw),
+        "partition": Fault(
+            begin=lambda fleet, name: link(fleet, name, "freeze"),
+            heal=lambda fleet, name: link(fleet, name, normal),
+        ),
+        "reset": Fault(
+            begin=lambda fleet, name: link(fleet, name, "cut"),
+            heal=lambda fleet, name: link(fleet, name, normal),
+        ),
+        "planned": Fault(
+            begin=lambda fleet, name: fleet.set_target(name, leaving=True),
+            heal=lambda fleet, name: fleet.set_target(name, leaving=False),
+        ),
+    }
+
+
+def run_kind(kind: str, args: argparse.Namespace) -> dict[str, Any]:
+    """Run one kind of fault again and again on one fleet."""
+    fault = faults(args.delay_ms)[kind]
+    estate = replace(SMALL, schema=SCHEMA)
+    with Fleet(estate=estate, links=True, vms=args.vms) as fleet:
+        fleet.wait_serving()
+        delay_links(fleet, args.delay_ms)
+        writers = Writers(fleet)
+        wait_until(lambda: len(writers.done) > 100, seconds=30, what="writes")
+        time.sleep(SETTLE)
+        runs = [run_once(fleet, writers, fault) for _ in range(args.runs)]
+        writers.stop()
+        lost = writers.rows - stored_rows(fleet)
+    return {
+        "summary": summarise(runs),
+        "acknowledged": len(writers.rows),
+        "acknowledged_and_lost": len(lost),
+        "outcomes": writers.outcomes,
+        "runs": runs,
+    }
+
+
+def delay_links(fleet: Fleet, delay_ms: int) -> None:
+    """Delay everything but the callers' own connections."""
+    if not delay_ms:
+        return
+    names = [f"target:{name}" for name in fleet.targets]
+    names += [f"peers:{name}" for name in fleet.vms]
+    names += [f"platform:{name}" for name in fleet.vms]
+    for name in names:
+        fleet.link(name, "delay", delay_ms=delay_ms)
+
+
+def run_once(fleet: Fleet, writers: Writers, fault: Fault) -> dict[str, float]:
+    """Break the primary once, measure, and put it right."""
+    value = fleet.object("group", GROUP)["value"]
+    term, primary = value["term"], value["primary"]
+    broken_at = time.time()
+    fault.begin(fleet, primary)
+    wait_until(
+        lambda: any(t > term for _, t in writers.done[-50:]),
+        seconds=30,
+        what="a write at a later term",
+    )
+    time.sleep(0.3)
+    done = list(writers.done)
+    last = max(at for at, t in done if t == term)
+    first, new_term = min((at, t) for at, t in done if t > term)
+    steps = logged_steps(fleet, new_term, broken_at, first)
+    fault.heal(fleet, primary)
+    wait_until(lambda: is_level(fleet), seconds=30, what="level members")
+    time.sleep(SETTLE)
+    gap = round((first - last) * 1000, 1)
+    return {"gap_ms": gap, "terms": new_term - term, **steps}
+
+
+def logged_steps(
+    fleet: Fleet, term: int, broken_at: float, first: float
+) -> dict[str, float]:
+    """Return the milliseconds of each step from the steward's log."""
+    for name in fleet.vms:
+        lines = fleet.process(name).tail(200).splitlines()
+        for line in reversed(lines):
+            fields = dict(FIELD.findall(line))
+            if fields.get("event") != "primary_changed":
+                continue
+            if fields["term"] != str(term):
+                continue
+            ended = datetime.fromisoformat(fields["time"]).timestamp()
+            steps = {s: float(fields.get(f"{s}_ms", 0)) for s in STEPS}
+            begun = ended - sum(steps.values()) / 1000
+            return {
+                "detect_ms": round((begun - broken_at) * 1000, 1),
+                "decide_ms": steps["probe"],
+                "pause_ms": steps["pause"] + steps["catch_up"],
+                "win_ms": steps["win"],
+                "fence_ms": steps["fence"],
+                "promote_ms": steps["promote"],
+                "record_ms": steps["record"],
+                "spread_ms": round((first - ended) * 1000, 1),
+            }
+    return {}
+
+
+def is_level(fleet: Fleet) -> bool:
+    """Tell whether all members are at one term and follow closely."""
+    found = [fleet.probe(name) for name in fleet.targets]
+    terms = {probe["term"] for probe in found}
+    last = {probe["last_term"] for probe in found}
+    roles = sorted(probe["role"] for probe in found)
+    return (
+        len(terms) == 1
+        and last == terms
+        and roles == ["primary", "replica", "replica"]
+    )
+
+
+def stored_rows(fleet: Fleet) -> set[int]:
+    """Return the rows that the primary holds."""
+    rows = fleet.query(fleet.primary(GROUP), "SELECT id FROM entries")
+    return {row[0] for row in rows}
+
+
+def summarise(runs: list[dict[str, float]]) -> dict[str, Any]:
+    """Return median and maximum of each figure."""
+    names = sorted({name for run in runs for name in run})
+    summary: dict[str, Any] = {"runs": len(runs)}
+    for name in names:
+        values = [run[name] for run in runs if name in run]
+        summary[name] = {
+            "median": round(statistics.median(values), 1),
+            "max": max(values),
+        }
+    return summary
+
+
+if __name__ == "__main__":
+    main()
