Prove suspicion and leases; hand over by write weight; burn no term without a majority

Seen failing: one zone's word enough, old reports counted, own pause counted, refused at once, no veto by the steward (suspicion.feature); no pause before a hand-over, no probe before the term is won, answer lost ends the change, no rejoin, acknowledgement without majority (primary_change.feature). The soak with paused VMs fails only when three safeguards go at once (one zone is enough, own pauses count, no veto); each alone is covered by suspicion.feature.

--- a/features/primary_change.feature
+++ b/features/primary_change.feature
@@ -103,6 +103,17 @@
     When the old primary leaves no more
     Then all members hold exactly the writes of the change and term 2
 
+  Scenario: The primary follows the write weight to the other site
+    # The operators of a move set the old site's write weight to 0. Nothing has
+    # failed and the old primary takes writes to the last moment: it is paused,
+    # the member at the new site catches up, and what waits goes on there.
+    Given a change fleet under writes
+    When an operator moves the write weight to the other site
+    Then writes are done again at term 2
+    And the primary is at the other site
+    And no write of the change ended as unknown
+    And all members hold exactly the writes of the change and term 2
+
   Scenario: Pauses of VMs and a slow platform move no primary
     # Each VM in turn is stopped for 5 seconds under load, while the platform
     # takes 200 ms for each call and the way to the primary 20 ms. Woken VMs
--- a/features/steps/primary_change_steps.py
+++ b/features/steps/primary_change_steps.py
@@ -17,6 +17,7 @@
 from primary_change_support import ChangeLoad
 
 from bamboospring.rendezvous import bucket_of
+from bamboospring.rendezvous import shard_of
 from bamboospring.testing.fleet import call_json
 from bamboospring.testing.fleet import wait_until
 
@@ -77,6 +78,21 @@
     break_primary(context)
 
 
+@when("an operator moves the write weight to the other site")
+def move_write_weight(context: Any) -> None:
+    fleet = context.fleet
+    row = {"group": GROUP, "write_weights": {"old": 0, "new": 100}}
+    shard = str(shard_of(GROUP))
+    break_primary(context)
+    fleet.put_object("table", shard, {"rows": {GROUP: row}})
+
+
+@then("the primary is at the other site")
+def at_other_site(context: Any) -> None:
+    name = context.fleet.primary(GROUP)
+    assert context.fleet.targets[name].site == "new", name
+
+
 @when("the old primary leaves no more")
 def leaves_no_more(context: Any) -> None:
     context.fleet.set_target(context.primary, leaving=False)
@@ -263,6 +279,9 @@
     time.sleep(1.5)
     done = context.load.done_since(start)
     assert not done, done[:3]
+    # A term won without a majority in reach would only prolong the gap.
+    value = context.fleet.object("group", GROUP)["value"]
+    assert (value["term"], value["primary"]) == (1, context.primary), value
 
 
 @when("the platform is slow and the way to the primary is delayed")
--- /dev/null
+++ b/features/steps/suspicion_steps.py
@@ -0,0 +1,179 @@
+"""Steps over the controllers of suspicion, with made-up times."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+
+from bamboospring.blackboard import Role
+from bamboospring.blackboard import Target
+from bamboospring.promotion import Cause
+from bamboospring.promotion import Change
+from bamboospring.promotion import GroupObject
+from bamboospring.promotion import Order
+from bamboospring.promotion import Phase
+from bamboospring.promotion import Plan
+from bamboospring.promotion import UpdateGroup
+from bamboospring.suspicion import AwakeClock
+from bamboospring.suspicion import Report
+from bamboospring.suspicion import Suspicions
+from bamboospring.suspicion import TargetWatch
+from bamboospring.suspicion import WatchTiming
+from bamboospring.target_api import Probe
+
+TIMING = WatchTiming()
+ZONES = ("zone-a", "zone-b", "zone-c")
+
+
+def report(vm: str, zone: str) -> Report:
+    """Return a suspicion of m1 at term 1, at second 10."""
+    return Report(
+        target="m1",
+        term=1,
+        vm=vm,
+        availability_zone=zone,
+        suspected=True,
+        silent=1.0,
+        at=10.0,
+    )
+
+
+@given("reports against a primary from 3 VMs of one zone")
+def one_zone(context: Any) -> None:
+    context.suspicions = Suspicions()
+    for vm in ("vm-1", "vm-2", "vm-3"):
+        context.suspicions.take(report(vm, "zone-a"))
+
+
+@given("reports against a primary from two zones")
+def two_zones(context: Any) -> None:
+    context.suspicions = Suspicions()
+    context.suspicions.take(report("vm-1", "zone-a"))
+    context.suspicions.take(report("vm-2", "zone-b"))
+
+
+@when("a VM of another zone reports against it too")
+def another_zone(context: Any) -> None:
+    context.suspicions.take(report("vm-4", "zone-b"))
+
+
+@then("the primary is not condemned")
+def not_condemned(context: Any) -> None:
+    assert not context.suspicions.condemned("m1", 1, 10.1, ZONES)
+
+
+@then("the primary is condemned")
+def condemned(context: Any) -> None:
+    assert context.suspicions.condemned("m1", 1, 10.1, ZONES)
+
+
+@then("it is not condemned at a later term, nor 4 seconds later")
+def not_later(context: Any) -> None:
+    assert not context.suspicions.condemned("m1", 2, 10.1, ZONES)
+    assert not context.suspicions.condemned("m1", 1, 14.0, ZONES)
+
+
+@given("a holder that hears a primary every 100 ms")
+def hears(context: Any) -> None:
+    context.now = 100.0
+    context.awake = AwakeClock(pause=TIMING.pause)
+    context.watch = TargetWatch(timing=TIMING, now=context.now)
+    for _ in range(20):
+        step(context)
+        context.watch.heard(context.now)
+
+
+def step(context: Any) -> bool:
+    """Let 100 ms pass and return whether the primary is suspected."""
+    context.now += 0.1
+    context.awake.tick(context.now)
+    verdict = context.watch.verdict(context.now, context.awake.since)
+    return bool(verdict.suspected)
+
+
+@when("the holder is paused for 5 seconds and wakes")
+def paused(context: Any) -> None:
+    context.now += 5.0
+    assert not step(context), "suspected at the moment of waking"
+
+
+@then("it does not suspect the primary for the next 700 ms")
+def quiet(context: Any) -> None:
+    assert not any([step(context) for _ in range(7)])
+
+
+@then("it suspects it after 900 ms without a word")
+def suspects_later(context: Any) -> None:
+    assert [step(context) for _ in range(2)][-1]
+
+
+@when("the primary's port refuses for 200 ms")
+def refuses(context: Any) -> None:
+    context.watch.refused(context.now)
+    context.suspected = [step(context) for _ in range(2)][-1]
+
+
+@then("it does not suspect the primary")
+def not_suspected(context: Any) -> None:
+    assert not context.suspected
+
+
+@then("it suspects the primary")
+def suspected(context: Any) -> None:
+    assert context.suspected
+
+
+@given("a change for a failed primary that answers the steward")
+def answered_change(context: Any) -> None:
+    targets = tuple(
+        Target(name=n, address=n, availability_zone=n, site="s")
+        for n in ("m1", "m2", "m3")
+    )
+    plan = Plan(cause=Cause.PRIMARY_FAILED, term=1, primary="m1")
+    change = Change(group="g", targets=targets, plan=plan, nonce="n")
+    value = {
+        "targets": [
+            {
+                "name": t.name,
+                "address": t.address,
+                "availability_zone": t.availability_zone,
+                "site": t.site,
+            }
+            for t in targets
+        ],
+        "term": 1,
+        "primary": "m1",
+        "starts": [{"term": 1, "index": 1}],
+    }
+    context.actions = change.begin(0.0)
+    orders = [a for a in context.actions if isinstance(a, Order)]
+    found = GroupObject(name="g", version=1, value=value)
+    context.actions += change.read(found, 0.01)
+    # The two others answer first; the change must wait for the primary.
+    for order in sorted(orders, key=lambda o: o.target.name, reverse=True):
+        probe = make_probe(order.target.name)
+        context.actions += change.answered(order, True, probe, 0.02)
+    context.change = change
+
+
+def make_probe(name: str) -> Probe:
+    """Return what a healthy member says of itself."""
+    return Probe(
+        target=name,
+        term=1,
+        role=Role.PRIMARY if name == "m1" else Role.REPLICA,
+        received=5,
+        applied=5,
+        last_term=1,
+        start=1,
+        leaving=False,
+    )
+
+
+@then("the change ends before the term is won")
+def ends(context: Any) -> None:
+    assert context.change.phase is Phase.ENDED, context.change.phase
+    assert not any(isinstance(a, UpdateGroup) for a in context.actions)
