Give leases up before a VM exits; read less while a lease is about to be free

A drain ended without waiting for the release of its leases. It now waits until they are stored as given up, or have lapsed.

--- a/bamboospring/lease.py
+++ b/bamboospring/lease.py
@@ -109,6 +109,11 @@
         """Tell whether this VM may act as the holder at this instant."""
         return now < self.valid_until - self._timing.margin
 
+    def blocks_others(self, now: float) -> bool:
+        """Tell whether others still wait for the end of our lease."""
+        lapsed_at = self._seen_at + self._seen.value.duration
+        return self._is_mine() and now < lapsed_at
+
     def as_lease(self) -> Lease:
         """Return what the blackboard shows."""
         return Lease(
@@ -148,9 +153,12 @@
         self.valid_until = NEVER
         if rank is None:
             return None
-        if now >= self._free_at() + rank * self._timing.stagger:
+        free_at = self._free_at()
+        if now >= free_at + rank * self._timing.stagger:
             return self._write(self._vm)
-        return self._read_now()
+        # While a better candidate has its head start there is nothing to
+        # read: the conditional update tells whether it came first.
+        return None if now >= free_at else self._read_now()
 
     def _free_at(self) -> float:
         """Return when the lease may be taken, if its version stays."""
@@ -230,7 +238,7 @@
         free_at = self._free_at()
         timing = self._timing
         look = now + timing.renew
-        return min(look, free_at) if free_at > now else now + timing.retry
+        return min(look, free_at) if free_at > now else now
 
     def _is_mine(self) -> bool:
         value = self._seen.value
--- a/bamboospring/lease_client.py
+++ b/bamboospring/lease_client.py
@@ -57,6 +57,11 @@
         """Tell whether this VM may act for a bucket at this instant."""
         return self._keepers[bucket].holds(self._reactor.now())
 
+    def count_held(self) -> int:
+        """Return how many leases others can't take yet because of us."""
+        now = self._reactor.now()
+        return sum(keeper.blocks_others(now) for keeper in self._keepers)
+
     def step(self, rank_of: Callable[[int], int | None]) -> None:
         """Make the calls that are due; `rank_of` gives our ranks."""
         for keeper in self._keepers:
--- a/bamboospring/server.py
+++ b/bamboospring/server.py
@@ -165,6 +165,7 @@
             limit=cfg.timing.drain_ms / 1000,
         ).register(self)
         self.drain.wait_for("statements", lambda: self.holder.busy)
+        self.drain.wait_for("leases", self.steward.leases.count_held)
         self.table_pages = TablePages(
             board=self.board,
             platform=self.platform,
--- a/features/lease.feature
+++ b/features/lease.feature
@@ -33,6 +33,13 @@
     When the platform is down for 5 seconds under the lease
     Then exactly one VM renews the lease afterwards
 
+  Scenario: A VM that is told to leave gives its leases up
+    # SIGTERM: the VM gives up what it leads before it exits, so that nobody
+    # has to wait until its leases lapse.
+    Given a lease fleet
+    When the lease's holder is told to leave
+    Then another VM takes the lease within 2.8 seconds
+
   Scenario: The platform sees a fixed number of calls for leases
     # 16 leases are renewed once a second, and two standby candidates of each
     # read it once a second: the same with 3 VMs as with 480.
--- a/features/steps/lease_steps.py
+++ b/features/steps/lease_steps.py
@@ -62,6 +62,21 @@
     context.stopped_at = time.monotonic()
 
 
+@when("the lease's holder is told to leave")
+def leave_holder(context: Any) -> None:
+    wait_renewal(context)
+    context.fleet.terminate(context.holder)
+
+
+@then("another VM takes the lease within 2.8 seconds")
+def taken_soon(context: Any) -> None:
+    wait_until(
+        lambda: holder(context) not in ("", context.holder),
+        seconds=2.8,
+        what="another holder",
+    )
+
+
 @then("another VM takes the lease, not before it lapsed")
 def another_takes(context: Any) -> None:
     wait_until(
