--- a/bamboospring/watcher.py
+++ b/bamboospring/watcher.py
@@ -42,7 +42,9 @@
 # silence counts; of a replica nothing depends on hearing it without a change.
 PRIMARY_POLL = 0.4
 REPLICA_POLL = 1.0
-POLL_MARGIN = 0.6
+# An answer that is this late means a dead connection first of all: another is
+# opened, and has been heard before the silence counts against the target.
+POLL_MARGIN = 0.3
 RETRY_DELAY = 0.1
 JUDGE_INTERVAL = 0.1
 REPEAT_REPORT = 1.0
