--- a/bamboospring/server.py
+++ b/bamboospring/server.py
@@ -154,6 +154,7 @@
             publish=self.facts.publish,
         ).register(self)
         self.watcher.on_verdict = self.steward.report
+        self.watcher.on_leaving = self.steward.hint_leaving
         self.drain = Drain(
             reactor=self.reactor,
             board=self.board,
@@ -164,6 +165,7 @@
             limit=cfg.timing.drain_ms / 1000,
         ).register(self)
         self.drain.wait_for("statements", lambda: self.holder.busy)
+        self.drain.wait_for("leases", self.steward.leases.count_held)
         self.table_pages = TablePages(
             board=self.board,
             platform=self.platform,
