--- a/bamboospring/group_sync.py
+++ b/bamboospring/group_sync.py
@@ -38,7 +38,7 @@
 from bamboospring.rendezvous import bucket_of
 from bamboospring.rendezvous import Placement
 
-__all__ = ["GroupSync", "needs_group"]
+__all__ = ["GroupSync", "digest_names", "needs_group"]
 
 ASK_TIMEOUT = 1.0
 REPAIR_INTERVAL = 4.0
@@ -246,7 +246,7 @@
         return {
             "vm": self._board.me.name,
             "have": have,
-            "names": _digest(self._board.group_names),
+            "names": digest_names(self._board.group_names),
             # A watcher that the platform does not answer copies the others.
             "all": self._is_watcher() and not self.synced,
         }
@@ -264,7 +264,7 @@
                 if version > self._version(name)
             ],
         }
-        if question["names"] != _digest(self._board.group_names):
+        if question["names"] != digest_names(self._board.group_names):
             answer["names"] = sorted(self._board.group_names)
         return answer
 
@@ -314,5 +314,6 @@
     return message
 
 
-def _digest(names: Iterable[str]) -> str:
+def digest_names(names: Iterable[str]) -> str:
+    """Return a short text that is the same for the same names."""
     return xxh64_hexdigest("\n".join(sorted(names)).encode())
--- a/bamboospring/platform_watch.py
+++ b/bamboospring/platform_watch.py
@@ -27,6 +27,10 @@
 # Own checks by the whole fleet, in calls of each kind a second.
 CHECKS_PER_SECOND = 4.0
 SHORTEST_CHECK = 10.0
+# The list of VMs comes whole, about 120 bytes for each VM, so that watchers
+# poll it the more seldom the larger it is: at 480 VMs each of the six every
+# 12 s at its own times, which are 5 kB/s for each and 2 s between polls.
+VM_LIST_POLLS = 40.0
 # The time until a call that failed with no wait of its own is made again.
 RETRY_DELAY = 0.1
 
@@ -186,7 +190,9 @@
         # Until the first list is here nobody can say who polls it.
         if self.is_watcher or self._board.vms_revision == 0:
             self.read_vms("vms")
-        wait = self._vm_list_interval * (0.75 + self._chance() / 2)
+        interval = len(self._board.vms) / VM_LIST_POLLS
+        interval = max(interval, self._vm_list_interval)
+        wait = interval * (0.75 + self._chance() / 2)
         self._reactor.call_later(wait, self._poll_vms)
 
     def _check_later(self) -> None:
