--- a/bamboospring/group_sync.py
+++ b/bamboospring/group_sync.py
@@ -12,6 +12,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 from dataclasses import dataclass
 import random
 from typing import Any
@@ -38,10 +39,13 @@
 from bamboospring.rendezvous import bucket_of
 from bamboospring.rendezvous import Placement
 
-__all__ = ["GroupSync", "digest_names", "needs_group"]
+__all__ = ["GroupSync", "digest_names", "digest_versions", "needs_group"]
 
 ASK_TIMEOUT = 1.0
 REPAIR_INTERVAL = 4.0
+# Questions of the whole fleet to its watchers, each second; in a large fleet
+# a VM asks the more seldom, since news comes by itself unless it was lost.
+QUESTIONS_PER_SECOND = 48.0
 FIRST_RETRY = 0.2
 
 
@@ -97,13 +101,15 @@
     def start(self) -> None:
         """Ask a watcher now, then at each interval."""
         self.ask()
-        wait = REPAIR_INTERVAL if self.synced else FIRST_RETRY
+        interval = len(self._board.vms) / QUESTIONS_PER_SECOND
+        interval = max(REPAIR_INTERVAL, interval)
+        wait = interval if self.synced else FIRST_RETRY
         wait *= 0.75 + self._chance() / 2
         self._reactor.call_later(wait, self.start)
 
     def take_objects(self, objects: Iterable[Found]) -> None:
         """Take records that the platform has told this watcher of."""
-        self._synced()
+        self._note_synced()
         for item in objects:
             if self._learn(item.name, item.version, item.value):
                 self._send_to_needing(item.name)
@@ -143,9 +149,11 @@
     def ask(self) -> None:
         """Ask a watcher for records that we need and lack."""
         watchers = self._other_watchers()
-        if self._asking or not watchers:
-            return
-        vm = watchers[self._turn % len(watchers)]
+        if not self._asking and watchers:
+            vm = watchers[self._turn % len(watchers)]
+            self._ask(vm, whole=not self.synced)
+
+    def _ask(self, vm: Vm, *, whole: bool) -> None:
         self._asking = True
 
         def answered(answer: Any) -> None:
@@ -154,15 +162,13 @@
                 self._turn += 1
                 return
             body = orjson.loads(answer.groupFact.record)
+            if body.get("same") is False:
+                self._ask(vm, whole=True)
             self._take_answer(vm, body)
 
-        message = _message(self._question())
+        message = _message(self._question(whole))
         self._peers.ask(vm.address, message, ASK_TIMEOUT, answered)
 
-    def _synced(self) -> None:
-        self.synced = True
-        self._board.names_complete = True
-
     # What is known.
 
     def _take_needed(self) -> None:
@@ -243,33 +249,56 @@
 
     # Questions and answers.
 
-    def _question(self) -> dict[str, Any]:
-        groups = self._board.groups.items()
-        have = {name: group.record.version for name, group in groups}
-        have |= {name: known.version for name, known in self._all.items()}
-        return {
+    def _question(self, whole: bool) -> dict[str, Any]:
+        """Return a question: by digest, or `whole` with all versions."""
+        have = self._have()
+        question: dict[str, Any] = {
             "vm": self._board.me.name,
-            "have": have,
             "names": digest_names(self._board.group_names),
             # A watcher that the platform does not answer copies the others.
             "all": self._is_watcher() and not self.synced,
         }
+        if whole:
+            question["have"] = have
+        else:
+            needed = self._needed_here(have)
+            question["digest"] = digest_versions(needed)
+        return question
+
+    def _note_synced(self) -> None:
+        self.synced = True
+        self._board.names_complete = True
+
+    def _have(self) -> dict[str, int]:
+        groups = self._board.groups.items()
+        have = {name: group.record.version for name, group in groups}
+        return have | {n: known.version for n, known in self._all.items()}
+
+    def _needed_here(self, have: dict[str, int]) -> dict[str, int]:
+        me = self._board.me.name
+        return {
+            name: version
+            for name, version in have.items()
+            if me in needs_group(self._placement, name)
+        }
 
     def _answer(self, question: dict[str, Any]) -> dict[str, Any]:
-        have = question["have"]
         needed = self._needed_by(question["vm"])
-        names = self._all if question["all"] else needed
-        answer: dict[str, Any] = {
-            "complete": self.synced,
-            "facts": self._facts(names, have),
-            "want": [
-                name
-                for name, version in have.items()
-                if version > self._version(name)
-            ],
-        }
+        answer: dict[str, Any] = {"complete": self.synced}
         if question["names"] != digest_names(self._board.group_names):
             answer["names"] = sorted(self._board.group_names)
+        if "digest" in question:
+            ours = {name: self._version(name) for name in needed}
+            answer["same"] = question["digest"] == digest_versions(ours)
+            return answer
+        have = question["have"]
+        names = self._all if question["all"] else needed
+        answer["facts"] = self._facts(names, have)
+        answer["want"] = [
+            name
+            for name, version in have.items()
+            if version > self._version(name)
+        ]
         return answer
 
     def _version(self, name: str) -> int:
@@ -277,15 +306,17 @@
         return known.version if known is not None else 0
 
     def _take_answer(self, vm: Vm, body: dict[str, Any]) -> None:
-        for item in body["facts"]:
+        for item in body.get("facts", ()):
             self._learn(item["name"], item["version"], item["value"])
         self._board.group_names.update(body.get("names", ()))
         if body["complete"]:
-            self._synced()
+            # An answer to a digest says nothing to one that knows nothing.
+            if "facts" in body:
+                self._note_synced()
         else:
             # One that has just started knows less than another may.
             self._turn += 1
-        if body["want"]:
+        if body.get("want"):
             facts = self._facts(body["want"], {})
             self._peers.send(vm.address, _message({"facts": facts}))
 
@@ -321,3 +352,8 @@
 def digest_names(names: Iterable[str]) -> str:
     """Return a short text that is the same for the same names."""
     return xxh64_hexdigest("\n".join(sorted(names)).encode())
+
+
+def digest_versions(versions: Mapping[str, int]) -> str:
+    """Return a short text that is the same for the same versions."""
+    return digest_names(f"{name} {versions[name]}" for name in versions)
--- a/bench/control.py
+++ b/bench/control.py
@@ -17,6 +17,8 @@
 from collections import Counter
 from dataclasses import asdict
 from dataclasses import dataclass
+from dataclasses import replace
+from functools import partial
 import json
 import os
 import pathlib
@@ -33,7 +35,10 @@
 
 from bamboospring.blackboard import Vm
 from bamboospring.group_sync import digest_names
+from bamboospring.group_sync import digest_versions
 from bamboospring.group_sync import needs_group
+from bamboospring.group_sync import QUESTIONS_PER_SECOND
+from bamboospring.group_sync import REPAIR_INTERVAL
 from bamboospring.peers import PROTOCOL
 from bamboospring.peers import schema
 from bamboospring.rendezvous import choose_neighbours
@@ -50,7 +55,6 @@
 ZONES = 4
 REGIONS = 2
 HEARTBEAT_SECONDS = 2.0
-ASK_SECONDS = 4.0
 SETTLE_SECONDS = 10.0
 EDIT_SECONDS = 30.0
 LENGTH = struct.Struct("<I")
@@ -153,7 +157,7 @@
 
 
 class FakeFleet:
-    """All other VMs behind one address."""
+    """All other VMs, each at a loopback address of its own."""
 
     def __init__(
         self, case: Case, vms: list[Vm], me: Vm, records: dict[str, Any]
@@ -165,18 +169,34 @@
         self._records = records
         self._placement = Placement(vms)
         self._versions: tuple[int, list[int]] = (1, [0] * SHARDS)
+        self._servers: list[asyncio.Server] = []
+
+    async def listen(self, vm: Vm) -> None:
+        """Be one VM at its address."""
+        host, _, port = vm.address.rpartition(":")
+        accepted = partial(self.accepted, vm.name)
+        server = await asyncio.start_server(accepted, host, int(port))
+        self._servers.append(server)
+
+    def close(self) -> None:
+        """Listen no more."""
+        for server in self._servers:
+            server.close()
 
     async def accepted(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        name: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
     ) -> None:
-        """Answer what the measured process asks."""
+        """Answer what the measured process asks one VM."""
         hello = schema.Envelope.new_message()
         hello.init("hello").protocol = PROTOCOL
         self._write(writer, hello)
         try:
             while True:
                 message = await self._read(reader)
-                self._answer(message, writer)
+                self._answer(name, message, writer)
         except (asyncio.IncompleteReadError, ConnectionError):
             writer.close()
 
@@ -212,7 +232,7 @@
         }
         body = {
             "vm": name,
-            "have": needed,
+            "digest": digest_versions(needed),
             "names": digest_names(self._records),
             "all": False,
         }
@@ -221,7 +241,7 @@
             message.id = 2
             message.init("groupFact").record = json.dumps(body).encode()
             self._write(writer, message)
-            await asyncio.sleep(ASK_SECONDS)
+            await asyncio.sleep(ask_interval(self._case.vms))
 
     async def _drain(self, reader: asyncio.StreamReader) -> None:
         while True:
@@ -239,7 +259,9 @@
         self.meter.bytes[message.which()] += LENGTH.size + len(data)
         writer.write(LENGTH.pack(len(data)) + data)
 
-    def _answer(self, message: Any, writer: asyncio.StreamWriter) -> None:
+    def _answer(
+        self, name: str, message: Any, writer: asyncio.StreamWriter
+    ) -> None:
         answer = schema.Envelope.new_message()
         answer.id = message.id
         match message.which():
@@ -247,10 +269,18 @@
                 beat = message.heartbeat
                 if not beat.draining:
                     self._versions = (beat.vmsRevision, list(beat.shards))
-                self._fill(answer.init("heartbeatAck"), "vm-1")
+                self._fill(answer.init("heartbeatAck"), name)
             case "groupFact":
                 record = self._group_answer(message.groupFact.record)
                 answer.init("groupFact").record = record
+            case "shareRequest":
+                # A VM that holds nothing, and will ask before it does.
+                out = answer.init("shareRelease")
+                out.group = message.shareRequest.group
+                out.vm = name
+                out.vmsRevision = 1
+                out.agrees = True
+                out.informed = True
             case _:
                 return
         if message.id:
@@ -258,7 +288,10 @@
 
     def _group_answer(self, record: bytes) -> bytes:
         question = json.loads(record)
-        have = question.get("have", {})
+        if "digest" in question:
+            same: dict[str, Any] = {"complete": True, "same": True}
+            return json.dumps(same).encode()
+        have = question["have"]
         facts = [
             {"name": name, "version": 1, "value": value}
             for name, value in self._records.items()
@@ -359,7 +392,7 @@
         relay = await asyncio.start_server(
             Relay(platform, meter).accepted, "127.0.0.1", 0
         )
-        vms, me, fleet, server = await self._make_fleet(records)
+        vms, me, fleet = await self._make_fleet(records)
         await self._fill_platform(platform, vms, records)
         child = start_serve(directory, me, listening_address(relay))
         tasks: list[asyncio.Task[None]] = []
@@ -374,43 +407,32 @@
                 task.cancel()
             child.kill()
             child.wait()
-            server.close()
+            fleet.close()
             relay.close()
             targets.close()
 
     async def _make_fleet(
         self, records: dict[str, Any]
-    ) -> tuple[list[Vm], Vm, FakeFleet, asyncio.Server]:
-        holder: list[FakeFleet] = []
-
-        async def accepted(
-            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-        ) -> None:
-            await holder[0].accepted(reader, writer)
-
-        server = await asyncio.start_server(accepted, "127.0.0.1", 0)
-        shared = listening_address(server)
+    ) -> tuple[list[Vm], Vm, FakeFleet]:
         own = free_address()
+        ports = [free_port(loopback(n)) for n in range(self._case.vms)]
         vms = [
             Vm(
                 name=f"vm-{number}",
-                address=shared,
+                address=f"{loopback(number)}:{ports[number]}",
                 availability_zone=f"zone-{number % ZONES}",
                 region=f"region-{number // ZONES % REGIONS}",
             )
             for number in range(self._case.vms)
         ]
         place = self._choose_measured(vms)
-        me = Vm(
-            name=vms[place].name,
-            address=own,
-            availability_zone=vms[place].availability_zone,
-            region=vms[place].region,
-        )
+        me = replace(vms[place], address=own)
         vms[place] = me
         fleet = FakeFleet(self._case, vms, me, records)
-        holder.append(fleet)
-        return vms, me, fleet, server
+        for vm in vms:
+            if vm != me:
+                await fleet.listen(vm)
+        return vms, me, fleet
 
     def _choose_measured(self, vms: list[Vm]) -> int:
         """Return a VM of the wanted role that holds a typical share."""
@@ -506,6 +528,11 @@
         )
 
 
+def ask_interval(vms: int) -> float:
+    """Return how often a VM asks a watcher, as the process does it."""
+    return max(REPAIR_INTERVAL, vms / QUESTIONS_PER_SECOND)
+
+
 def call_rates(
     before: dict[str, Any], after: dict[str, Any], seconds: float
 ) -> dict[str, float]:
@@ -532,11 +559,21 @@
     return child, line.split()[1]
 
 
-def free_address() -> str:
-    """Return an address that nobody listens on."""
+def loopback(number: int) -> str:
+    """Return a loopback address for each fake VM."""
+    return f"127.1.{number // 250}.{number % 250 + 1}"
+
+
+def free_port(host: str) -> int:
+    """Return a port that nobody listens on."""
     with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+        sock.bind((host, 0))
+        return int(sock.getsockname()[1])
+
+
+def free_address() -> str:
+    """Return an address for the measured process."""
+    return f"127.0.0.1:{free_port('127.0.0.1')}"
 
 
 def start_serve(
