--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -95,6 +95,15 @@
     Then no request of the load was cut
     And reads of sessions without writes are served at the new site
 
+  Scenario: The primary shifts to the new site under load
+    # An operator gives the new site the whole weight of writes. The steward
+    # hands the primary over; writes wait at their holders for the moment it
+    # takes, and no request and no transaction is cut.
+    Given a fleet of 5 VMs under load
+    When the weight of writes shifts from the old site to the new
+    Then within 15 s the primary is at the new site
+    And no request of the load was cut
+
   Scenario: Versions stay monotonic under any order of messages
     # Generated runs of the real controllers: edits, messages delivered late,
     # twice or never, watches that lag, restarts, outages.
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -418,6 +418,26 @@
         time.sleep(1.0)
 
 
+@when("the weight of writes shifts from the old site to the new")
+def when_writes_shift(context: Any) -> None:
+    time.sleep(1)
+    operator = Operator(fleet=context.fleet, vm="vm-1")
+    operator.set(GROUP, write_weights={"old": 0, "new": 100})
+
+
+@then("within {seconds:d} s the primary is at the new site")
+def then_primary_moved(context: Any, seconds: int) -> None:
+    fleet = context.fleet
+    sites = {target.name: target.site for target in fleet.members(GROUP)}
+
+    def moved() -> bool:
+        value = fleet.object("group", GROUP)["value"]
+        return sites.get(value["primary"]) == "new"
+
+    wait_until(moved, seconds=seconds, what="a primary at the new site")
+    time.sleep(2)
+
+
 @then("no request of the load was cut")
 def then_not_cut(context: Any) -> None:
     context.load.stop()
