--- a/bench/control.py
+++ b/bench/control.py
@@ -129,10 +129,11 @@
 
 
 class FakeTargets:
-    """All targets: they answer probes and long polls and change nothing."""
+    """All targets of a role: they answer probes and change nothing."""
 
-    def __init__(self, meter: Meter) -> None:
+    def __init__(self, meter: Meter, role: str) -> None:
         self._meter = meter
+        self._role = role
 
     async def handle(self, conn: Connection, request: Request) -> Reply:
         """Answer one request."""
@@ -140,7 +141,7 @@
         body = {
             "target": name,
             "term": 1,
-            "role": "replica",
+            "role": self._role,
             "received": 100,
             "applied": 100,
             "last_term": 1,
@@ -328,13 +329,13 @@
     return json.loads(data)
 
 
-def make_record(address: str, number: int) -> dict[str, Any]:
+def make_record(addresses: list[str], number: int) -> dict[str, Any]:
     """Return a group of three targets."""
     return {
         "targets": [
             {
                 "name": f"group-{number}-m{member}",
-                "address": address,
+                "address": addresses[min(member, 2) - 1],
                 "availability_zone": f"zone-{member}",
                 "site": "old" if member % 2 else "new",
                 "slots": 3,
@@ -384,9 +385,13 @@
 
     async def _measure(self, platform: str, directory: pathlib.Path) -> Result:
         meter = Meter()
-        targets = await serve_http("127.0.0.1:0", FakeTargets(meter).handle)
+        servers = [
+            await serve_http("127.0.0.1:0", FakeTargets(meter, role).handle)
+            for role in ("primary", "replica")
+        ]
+        addresses = [listening_address(server) for server in servers]
         records = {
-            name: make_record(listening_address(targets), number)
+            name: make_record(addresses, number)
             for number, name in enumerate(self._names)
         }
         relay = await asyncio.start_server(
@@ -409,7 +414,8 @@
             child.wait()
             fleet.close()
             relay.close()
-            targets.close()
+            for server in servers:
+                server.close()
 
     async def _make_fleet(
         self, records: dict[str, Any]
--- a/bench/edit_spread.py
+++ b/bench/edit_spread.py
@@ -45,7 +45,10 @@
         "author": "bench",
         "edits": [{"group": GROUP, "cells": {"max_staleness_ms": value}}],
     }
-    headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+    headers = {
+        "Authorization": f"Bearer {OPERATOR_TOKEN}",
+        "Content-Type": "application/json",
+    }
     conn.request("POST", "/table/edits", json.dumps(body), headers)
     report = json.loads(conn.getresponse().read())
     conn.close()
