--- a/bamboospring/membership.py
+++ b/bamboospring/membership.py
@@ -93,15 +93,6 @@
             vm.name for vm in vms if self.reachability(vm, now).rank > 0
         )
 
-    def order(self, vms: Iterable[Vm], now: float) -> list[Vm]:
-        """Return VMs in the order to try them; equals keep their order."""
-        return sorted(vms, key=lambda vm: self.reachability(vm, now).rank)
-
-    def heard_since(self, vm: str, instant: float) -> bool:
-        """Say whether a VM was heard at or after an instant."""
-        state = self._states.get(vm)
-        return state is not None and state.heard_at >= instant
-
     def keep_only(self, vms: Iterable[str]) -> None:
         """Forget VMs that the list no longer has."""
         names = set(vms)
--- a/bamboospring/platform_client.py
+++ b/bamboospring/platform_client.py
@@ -32,6 +32,7 @@
 __all__ = [
     "Backoff",
     "CallCounts",
+    "CallTiming",
     "Changes",
     "Conflict",
     "Found",
@@ -43,13 +44,12 @@
     "VmsFound",
 ]
 
-CALL_TIMEOUT = 2.0
-LIST_TIMEOUT = 5.0
+# A list is longer than one object and is asked for seldom.
+LIST_FACTOR = 2.5
 # A watch is answered at the end of its waiting time at the latest; the rest
 # is for the way there and back and a slow platform.
 WATCH_MARGIN = 3.0
 FIRST_BACKOFF = 0.1
-MAX_BACKOFF = 5.0
 # A steward that finds the platform back late loses its lease for nothing, and
 # an operator waits for an edit. There are few calls of both kinds.
 MAX_URGENT_BACKOFF = 2.0
@@ -146,6 +146,19 @@
     held: int = 0
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallTiming:
+    """Times of calls, in seconds.
+
+    `timeout` bounds a call from when it is sent; the pause after a failed
+    call starts at `first_backoff` and doubles up to `longest_backoff`.
+    """
+
+    timeout: float = 2.0
+    first_backoff: float = FIRST_BACKOFF
+    longest_backoff: float = 5.0
+
+
 @dataclass(slots=True, kw_only=True)
 class Backoff:
     """When the next call of a purpose may be sent.
@@ -155,7 +168,8 @@
     come back to it in step.
     """
 
-    limit: float = MAX_BACKOFF
+    limit: float = 5.0
+    first: float = FIRST_BACKOFF
     failures: int = 0
     until: float = -1e9
 
@@ -166,7 +180,7 @@
         """
         # Bounded, because a long outage must not overflow the power.
         doublings = min(self.failures, 16)
-        wait = min(self.limit, FIRST_BACKOFF * 2.0**doublings)
+        wait = min(self.limit, self.first * 2.0**doublings)
         wait *= 0.5 + chance / 2
         self.failures += 1
         self.until = now + wait
@@ -211,11 +225,13 @@
         *,
         reactor: Reactor,
         address: str,
+        timing: CallTiming = CallTiming(),
         chance: Callable[[], float] = random.random,
     ) -> None:
         self.counts: dict[str, CallCounts] = {}
         self._reactor = reactor
         self._address = address
+        self._timing = timing
         self._chance = chance
         self._lanes: dict[str, _Lane] = {}
 
@@ -226,7 +242,7 @@
         purpose: str,
         on_result: Callable[[Found | Missing | Unavailable], None],
         *,
-        timeout: float = CALL_TIMEOUT,
+        timeout: float | None = None,
     ) -> None:
         """Read one object."""
 
@@ -253,7 +269,7 @@
             [Stored | Conflict | Rejected | Unavailable], None
         ],
         *,
-        timeout: float = CALL_TIMEOUT,
+        timeout: float | None = None,
     ) -> None:
         """Store a value if the object is at `if_version` (0: create).
 
@@ -288,10 +304,11 @@
         purpose: str,
         on_result: Callable[[Changes | Unavailable], None],
         *,
-        timeout: float = LIST_TIMEOUT,
+        timeout: float | None = None,
     ) -> None:
         """Read all objects of a kind."""
         path = f"/objects/{kind}"
+        timeout = timeout or LIST_FACTOR * self._timing.timeout
         answered = _changes_to(on_result)
         self._call("GET", path, purpose, b"", timeout, answered)
 
@@ -319,7 +336,7 @@
         on_result: Callable[[VmsFound | Unavailable], None],
         *,
         purpose: str = "vms",
-        timeout: float = CALL_TIMEOUT,
+        timeout: float | None = None,
     ) -> None:
         """Read the list of VMs."""
 
@@ -345,9 +362,10 @@
         path: str,
         purpose: str,
         body: bytes,
-        timeout: float,
+        timeout: float | None,
         on_answer: OnAnswer,
     ) -> None:
+        limit = timeout or self._timing.timeout
         lane = self._lane(purpose)
         counts = self._counts(purpose)
 
@@ -365,7 +383,7 @@
         def send() -> None:
             counts.calls += 1
             header = f"X-Purpose: {_counted_as(purpose)}\r\n"
-            lane.client.request(method, path, body, timeout, answered, header)
+            lane.client.request(method, path, body, limit, answered, header)
 
         if len(lane.waiting) >= MAX_WAITING:
             refuse(_held(FIRST_BACKOFF))
@@ -412,14 +430,14 @@
     def _lane(self, purpose: str) -> _Lane:
         lane = self._lanes.get(purpose)
         if lane is None:
-            urgent = _counted_as(purpose) in URGENT
+            limit = self._timing.longest_backoff
+            if _counted_as(purpose) in URGENT:
+                limit = min(limit, MAX_URGENT_BACKOFF)
             lane = _Lane(
                 client=HttpClient(
                     reactor=self._reactor, address=self._address
                 ),
-                backoff=Backoff(
-                    limit=MAX_URGENT_BACKOFF if urgent else MAX_BACKOFF
-                ),
+                backoff=Backoff(limit=limit, first=self._timing.first_backoff),
             )
             self._lanes[purpose] = lane
         return lane
--- a/bamboospring/server.py
+++ b/bamboospring/server.py
@@ -21,6 +21,7 @@
 from bamboospring.operators import Operators
 from bamboospring.peers import envelope
 from bamboospring.peers import Peers
+from bamboospring.platform_client import CallTiming
 from bamboospring.platform_client import PlatformClient
 from bamboospring.pool import Pools
 from bamboospring.pool import PoolTiming
@@ -78,6 +79,11 @@
         self.platform = PlatformClient(
             reactor=self._secured(cfg.platform.tls, lambda s: s.platform.tls),
             address=cfg.platform.address,
+            timing=CallTiming(
+                timeout=cfg.timing.platform_timeout_ms / 1000,
+                first_backoff=cfg.timing.backoff_ms / 1000,
+                longest_backoff=cfg.timing.longest_backoff_ms / 1000,
+            ),
         )
         self.membership = Membership()
         self.metrics = Metrics(
