--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,699 @@
+"""Write docs/CAPACITY.md from the raw numbers in bench/results.
+
+    python bench/capacity.py > docs/CAPACITY.md
+
+Each figure is worked from a slope that was measured and from sizes that are
+given. What has no result file is listed as not measured, never filled in.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Sequence
+from dataclasses import dataclass
+import json
+from pathlib import Path
+from typing import Any
+
+from fits import fit
+
+RESULTS = Path(__file__).resolve().parent / "results"
+
+# Sizes to design for.
+VMS = 480
+GROUPS = 530
+CONNECTIONS = 4_200_000
+STATEMENTS = 880_000
+EDITS_A_DAY = 2_100
+PRIMARY_CHANGES_A_DAY = 2
+REPLACEMENTS_A_DAY = 72
+ZONES = 8
+BUCKETS = 16
+DAY = 86_400
+# Bounds for control on each VM.
+CPU_BOUND = 1.8
+MEMORY_BOUND = 64
+BYTES_BOUND = 9_000
+READ_SHARE = 0.8
+MEGABYTE = 1_000_000
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Row:
+    """One line of a role's table."""
+
+    what: str
+    figure: str
+    worked: str
+    mechanism: str
+    verdict: str = ""
+
+
+def load(name: str) -> Any:
+    """Return a result file's data, or None if there is none."""
+    path = RESULTS / f"{name}.json"
+    return json.loads(path.read_text()) if path.exists() else None
+
+
+MISSING: list[str] = []
+
+
+def need(name: str, what: str) -> Any:
+    """Return a result, noting what cannot be said without it."""
+    data = load(name)
+    if data is None:
+        MISSING.append(f"{what} (`bench/results/{name}.json` is not there)")
+    return data
+
+
+def verdict(value: float, bound: float) -> str:
+    """Say whether a figure is within a bound, and how far over if not."""
+    if value <= bound:
+        return f"holds ({value / bound:.0%} of the bound)"
+    return f"**does not hold: factor {value / bound:.1f}**"
+
+
+def main() -> None:
+    """Print the page."""
+    parts = [INTRODUCTION, sizes(), slopes(), entry(), holder(), steward()]
+    parts += [spread(), platform(), control(), events(), gaps()]
+    print("\n".join(parts))
+
+
+INTRODUCTION = """# Capacity
+
+Written by `python bench/capacity.py > docs/CAPACITY.md` from the raw numbers
+in `bench/results/`. Do not edit: change the measurement or the program, run it
+again.
+
+How to read it: a **slope** was measured on one machine (12 cores, shared with
+other work; Python 3.11), small, with its error; a **figure** is that slope at
+the size to design for; the **mechanism** is what makes the figure so. Where
+the design does not hold yet, the factor that is missing stands there.
+"""
+
+
+def sizes() -> str:
+    """Return what each VM gets at the size to design for."""
+    lines = [
+        "## Sizes",
+        "",
+        "| | in all | each of 480 VMs |",
+        "|---|---|---|",
+        f"| caller connections | {CONNECTIONS:,} | "
+        f"{CONNECTIONS / VMS:,.0f} |",
+        f"| statements a second | {STATEMENTS:,} | {STATEMENTS / VMS:,.0f} |",
+        f"| groups | {GROUPS} | {holder_mean():.2f} held (3 holders each) |",
+        f"| edits a day | {EDITS_A_DAY:,} | each reaches all |",
+        f"| changes of primary a day | {PRIMARY_CHANGES_A_DAY} | |",
+        f"| VMs replaced a day | {REPLACEMENTS_A_DAY} | |",
+        "",
+    ]
+    return "\n".join(lines)
+
+
+def holder_mean() -> float:
+    """Return the mean number of groups that a VM holds."""
+    return 3 * GROUPS / VMS
+
+
+# Slopes.
+
+
+def slopes() -> str:
+    """Return the table of all measured slopes."""
+    lines = [
+        "## Slopes",
+        "",
+        "| slope | value | error | by |",
+        "|---|---|---|---|",
+    ]
+    for source in (
+        statement_slopes,
+        connection_slopes,
+        metrics_slopes,
+        binary_slopes,
+        control_slopes,
+        overhead_slopes,
+    ):
+        lines.extend(source())
+    return "\n".join([*lines, ""])
+
+
+def statement_slopes() -> list[str]:
+    data = need("statement_cost", "processor time of each statement")
+    if data is None:
+        return []
+    lines = []
+    for kind in ("read", "write"):
+        points = len(data[kind]["points"])
+        for role, key in (("entry", "entry_us"), ("holder", "holder_us")):
+            found = data[kind][key]
+            name = "holders" if role == "holder" else role
+            r2 = data[kind]["fits"][name]["r2"]
+            lines.append(
+                f"| processor time of a {kind} at the {role} | "
+                f"{found['slope']:.0f} us | ± {found['error']:.0f} us "
+                f"({points} points, R² {r2:.3f}) | "
+                "`bench/statement_cost.py` |"
+            )
+    return lines
+
+
+def connection_slopes() -> list[str]:
+    data = need("connections", "memory of each caller connection")
+    if data is None:
+        return []
+    lines = []
+    for kind, name in (("plain", "plain"), ("tls", "TLS")):
+        found = data[kind]
+        lines.append(
+            f"| memory of an idle caller connection, {name} | "
+            f"{found['bytes_each']:,} B | ± {found['bytes_each_error']} B "
+            f"({found['fit']['points']} points, "
+            f"R² {found['fit']['r2']:.4f}) | `bench/connections.py` |"
+        )
+        opened = [point["open_us"] for point in found["points"][1:]]
+        lines.append(
+            f"| processor time to accept one with its first request, {name} "
+            f"| {sorted(opened)[len(opened) // 2]:,} us | "
+            f"{min(opened):,} to {max(opened):,} us | "
+            "`bench/connections.py` |"
+        )
+    return lines
+
+
+def metrics_slopes() -> list[str]:
+    data = need("metrics_cost", "cost of counting")
+    if data is None:
+        return []
+    plain = data["plain_us"]
+    return [
+        f"| counting a statement | {plain['median']} us | {plain['least']} to "
+        f"{plain['most']} us ({data['rounds']} rounds) | "
+        "`bench/metrics_cost.py` |",
+        f"| a scrape, {data['scrape_groups']} groups served | "
+        f"{data['scrape_ms']} ms, {data['scrape_gzip_bytes']:,} B compressed "
+        "| one run | `bench/metrics_cost.py` |",
+    ]
+
+
+def binary_slopes() -> list[str]:
+    data = need("binary", "memory of the program")
+    if data is None:
+        return []
+    return [
+        f"| resident memory of an idle process | "
+        f"{data['resident_kb'] / 1000:.1f} MB | one run | "
+        "`bench/binary.py` |",
+        f"| file and unpacked program in memory | "
+        f"{(data['file_bytes'] + data['unpacked_bytes']) / MEGABYTE:.1f} MB | "
+        "exact | `bench/binary.py` |",
+    ]
+
+
+def control_slopes() -> list[str]:
+    runs = need("control", "control's slopes against groups and VMs")
+    if runs is None:
+        return []
+    lines = []
+    for run in runs:
+        role = "a watcher of the platform" if run["watcher"] else "a VM"
+        lines.append(
+            f"| control of {role}, {run['groups']} groups, {run['vms']} VMs, "
+            f"{run['held_groups']} held | {run['cpu_percent']:.2f} % of a "
+            f"core, {run['resident_mb']:.1f} MB, "
+            f"{control_bytes(run) / 1000:.2f} KB/s | one run of "
+            f"{run['seconds']:.0f} s | `bench/control.py` |"
+        )
+    return lines
+
+
+def control_bytes(run: dict[str, Any]) -> float:
+    """Return all bytes of control a second of one run."""
+    return float(
+        run["peer_bytes"] + run["platform_bytes"] + run["target_bytes"]
+    )
+
+
+def overhead_slopes() -> list[str]:
+    data = load("overhead")
+    if data is None:
+        return []
+    added = data["added_over_direct"]["entry_and_holder"]
+    return [
+        f"| latency added through entry and holder, against a direct call | "
+        f"{added['p50']} times at p50, {added['p99']} times at p99 | one run "
+        "| `bench/overhead.py` |",
+    ]
+
+
+# Roles.
+
+
+def table(title: str, state: str, rows: Sequence[Row]) -> str:
+    """Return a role's section."""
+    lines = [f"## {title}", "", f"State: {state}", ""]
+    lines += [
+        "| | figure | worked from | mechanism | |",
+        "|---|---|---|---|---|",
+    ]
+    lines += [
+        f"| {row.what} | {row.figure} | {row.worked} | {row.mechanism} | "
+        f"{row.verdict} |"
+        for row in rows
+    ]
+    return "\n".join([*lines, ""])
+
+
+def mixed_us(data: Any, role: str) -> tuple[float, float]:
+    """Return a statement's cost in us and its error, 4 reads to 1 write."""
+    read = data["read"][role]
+    write = data["write"][role]
+    value = READ_SHARE * read["slope"] + (1 - READ_SHARE) * write["slope"]
+    error = READ_SHARE * read["error"] + (1 - READ_SHARE) * write["error"]
+    return value, error
+
+
+def entry() -> str:
+    """Return the entry's section."""
+    rows = []
+    rate = STATEMENTS / VMS
+    data = load("statement_cost")
+    if data is not None:
+        value, error = mixed_us(data, "entry_us")
+        cores = value * rate / 1e6
+        rows.append(
+            Row(
+                what="processor time",
+                figure=f"{cores:.2f} ± {error * rate / 1e6:.2f} cores",
+                worked=f"{value:.0f} us x {rate:,.0f}/s, {READ_SHARE:.0%} "
+                "reads",
+                mechanism="one pass without events; httptools, Cap'n Proto",
+                verdict=verdict(cores, 1.0) + " against one process's core",
+            )
+        )
+    rows += connection_rows()
+    rows.append(
+        Row(
+            what="messages",
+            figure=f"{rate:,.0f} forwards/s and as many answers",
+            worked="3 of 480 VMs hold a group: 99.4 % are forwarded",
+            mechanism="one link for each pair of VMs that talk",
+        )
+    )
+    return table(
+        "Entry (every VM)",
+        "for each connection a parser and a socket; for each statement in "
+        "flight its token and deadline; nothing for a session.",
+        rows,
+    )
+
+
+def connection_rows() -> list[Row]:
+    data = load("connections")
+    if data is None:
+        return []
+    each = CONNECTIONS / VMS
+    rows = []
+    for kind, name in (("plain", "plain text"), ("tls", "TLS")):
+        size = data[kind]["bytes_each"]
+        total = size * each / MEGABYTE
+        error = data[kind]["bytes_each_error"] * each / MEGABYTE
+        rows.append(
+            Row(
+                what=f"memory of connections, {name}",
+                figure=f"{total:.0f} ± {error:.0f} MB",
+                worked=f"{size:,} B x {each:,.0f}",
+                mechanism=(
+                    "no buffer while idle; sessions are in tokens"
+                    if kind == "plain"
+                    else "TLS 1.3 by the standard library, no resumption"
+                ),
+                verdict=verdict(size, 8_000) + " of 8 KB each",
+            )
+        )
+    return rows
+
+
+def holder() -> str:
+    """Return the holder's section."""
+    rows = []
+    placement = need("placement", "shares at 480 VMs")
+    data = load("statement_cost")
+    rate = STATEMENTS / VMS
+    if placement is not None:
+        held = placement["held_groups"]
+        rows.append(
+            Row(
+                what="groups held",
+                figure=f"{held['mean']} on average, {held['most']} at most, "
+                f"none at {held['vms_with_none']} VMs",
+                worked="`bench/placement.py`, exact for one list of names",
+                mechanism="rendezvous hashing with spread over zones",
+                verdict=f"**uneven: the fullest VM has "
+                f"{held['most'] / held['mean']:.1f} times the average**",
+            )
+        )
+    if data is not None:
+        value, error = mixed_us(data, "holder_us")
+        cores = value * rate / 1e6
+        rows.append(
+            Row(
+                what="processor time, average VM",
+                figure=f"{cores:.2f} ± {error * rate / 1e6:.2f} cores",
+                worked=f"{value:.0f} us x {rate:,.0f}/s",
+                mechanism="the holder owns connections and waits for the "
+                "majority once for all callers",
+                verdict=verdict(cores, 1.0) + " against one process's core",
+            )
+        )
+        if placement is not None:
+            most = held["most"] / held["mean"]
+            rows.append(
+                Row(
+                    what="processor time, fullest VM",
+                    figure=f"{cores * most:.2f} cores",
+                    worked=f"the same x {most:.1f}",
+                    mechanism="none yet: holders are not weighed by load",
+                    verdict=verdict(cores * most, 1.0),
+                )
+            )
+    rows.append(
+        Row(
+            what="connections to targets",
+            figure="20 of each target, split among 3 holders",
+            worked="limits are split exactly (`shares.py`)",
+            mechanism="a new holder begins with what is surely free",
+        )
+    )
+    return table(
+        "Holder (3 VMs of each group)",
+        "for each held group its record, its targets' positions, its "
+        "connections, open transactions, waiting statements (bounded).",
+        rows,
+    )
+
+
+def steward() -> str:
+    """Return the steward's section."""
+    groups = GROUPS / BUCKETS
+    rows = [
+        Row(
+            what="groups led",
+            figure=f"{groups:.0f} in each of {BUCKETS} buckets",
+            worked=f"{GROUPS} / {BUCKETS}",
+            mechanism="leases for buckets: calls do not grow with groups "
+            "or VMs",
+        ),
+        Row(
+            what="probes of targets",
+            figure=f"{groups * 3 / 2:.0f}/s",
+            worked=f"{groups:.0f} groups x 3 targets, each every 2 s",
+            mechanism="only the steward and holders ask targets",
+        ),
+        Row(
+            what="zone lost: changes at once",
+            figure=f"{GROUPS / ZONES / BUCKETS:.1f} for each steward",
+            worked=f"{GROUPS} / {ZONES} zones / {BUCKETS} buckets, if "
+            "primaries are spread evenly",
+            mechanism="8 lanes to the platform, changes run side by side",
+        ),
+    ]
+    gap = need("failover", "the failover gap and its steps")
+    if gap is not None:
+        rows.append(
+            Row(
+                what="failover gap",
+                figure=json.dumps(gap)[:300],
+                worked="`bench/results/failover.json`",
+                mechanism="suspicion by several zones, lease, term, fence",
+            )
+        )
+    return table(
+        "Steward (the VM with a bucket's lease)",
+        "for each led group the last answers of its targets and suspicions; "
+        "a change under way.",
+        rows,
+    )
+
+
+def spread() -> str:
+    """Return the section on what goes from peer to peer."""
+    rows = []
+    placement = load("placement")
+    if placement is not None:
+        hops = placement["edit_hops"]
+        links = placement["links"]
+        lost = placement["edit_hops_zone_lost"]
+        rows = [
+            Row(
+                what="way of an edit",
+                figure=f"{hops['mean']} hops on average, {hops['most']} at "
+                f"most, all VMs reached",
+                worked="`bench/placement.py`: the real neighbours of 480 VMs",
+                mechanism="6 watchers of the platform, 4 neighbours each way "
+                "to choose",
+            ),
+            Row(
+                what="the same, a zone lost",
+                figure=f"{lost['mean']} and {lost['most']} hops, "
+                f"{lost['not_reached']} VMs not reached",
+                worked="the same without one zone",
+                mechanism="neighbours in own zone, another, another region",
+            ),
+            Row(
+                what="announcements for each edit",
+                figure=f"{links['mean']} at a VM on average, {links['most']} "
+                "at most",
+                worked="links of the neighbours' graph",
+                mechanism="versions are told, contents asked for once",
+            ),
+            Row(
+                what="edits a second",
+                figure=f"{EDITS_A_DAY / DAY:.3f}",
+                worked=f"{EDITS_A_DAY:,} a day",
+                mechanism="a shard of 16 is sent, not the table",
+            ),
+        ]
+    return table(
+        "Peer spread (every VM)",
+        "versions of 16 shards and the list of VMs; the whole table and list.",
+        rows,
+    )
+
+
+def platform() -> str:
+    """Return the platform's section."""
+    rows = []
+    runs = load("control")
+    if runs is not None:
+        rows += platform_rows(runs)
+    rows.append(
+        Row(
+            what="edits",
+            figure=f"{2 * EDITS_A_DAY / DAY:.3f} calls/s",
+            worked="a read and a conditional update for each",
+            mechanism="one object for each shard",
+        )
+    )
+    return table(
+        "Platform (the object API)",
+        "16 leases, 16 shards, 530 groups, the list of VMs.",
+        rows,
+    )
+
+
+def platform_rows(runs: list[dict[str, Any]]) -> list[Row]:
+    """Return calls a second of the fleet, from a watcher and another VM."""
+    rows = []
+    for watcher, count, name in (
+        (True, 6, "6 watchers"),
+        (False, VMS - 6, f"{VMS - 6} other VMs"),
+    ):
+        found = [run for run in runs if run["watcher"] == watcher]
+        if not found:
+            continue
+        run = max(found, key=lambda each: (each["vms"], each["groups"]))
+        total = sum(run["platform_calls"].values())
+        parts = ", ".join(
+            f"{purpose} {calls:.3f}"
+            for purpose, calls in sorted(run["platform_calls"].items())
+        )
+        rows.append(
+            Row(
+                what=f"calls of {name}",
+                figure=f"{total * count:.1f}/s",
+                worked=f"{total:.3f}/s each at {run['vms']} VMs ({parts})",
+                mechanism="few watch for all; one call in flight for each "
+                "purpose, backed off",
+                verdict=verdict(total * count, 2_000)
+                + " of 2,000 reads/s, were all of them reads",
+            )
+        )
+    return rows
+
+
+def control() -> str:
+    """Return control's cost on each VM against its bounds."""
+    runs = load("control")
+    lines = ["## Control on each VM", ""]
+    if runs is None:
+        return "\n".join([*lines, "Not measured yet.", ""])
+    lines += [
+        "| role | processor | memory | bytes |",
+        "|---|---|---|---|",
+    ]
+    for watcher in (False, True):
+        found = [run for run in runs if run["watcher"] == watcher]
+        if not found:
+            continue
+        run = max(found, key=lambda each: (each["vms"], each["groups"]))
+        name = "watcher of the platform" if watcher else "other VM"
+        rate = control_bytes(run)
+        lines.append(
+            f"| {name}, {run['groups']} groups, {run['vms']} VMs | "
+            f"{run['cpu_percent']:.2f} %: "
+            f"{verdict(run['cpu_percent'], CPU_BOUND)} | "
+            f"{run['resident_mb']:.1f} MB: "
+            f"{verdict(run['resident_mb'], MEMORY_BOUND)} | "
+            f"{rate / 1000:.2f} KB/s: {verdict(rate, BYTES_BOUND)} |"
+        )
+    lines += ["", *control_fits(runs), ""]
+    return "\n".join(lines)
+
+
+def control_fits(runs: list[dict[str, Any]]) -> list[str]:
+    """Return lines through runs that differ in groups only."""
+    lines = []
+    readers: list[tuple[str, str, Callable[[dict[str, Any]], float]]] = [
+        ("processor", "% of a core", lambda run: run["cpu_percent"]),
+        ("memory", "MB", lambda run: run["resident_mb"]),
+        ("bytes", "KB/s", lambda run: control_bytes(run) / 1000),
+    ]
+    plain = [run for run in runs if not run["watcher"]]
+    for key, word in (("groups", "vms"), ("vms", "groups")):
+        fixed = max((run[word] for run in plain), default=0)
+        same = [run for run in plain if run[word] == fixed]
+        if len({run[key] for run in same}) < 3:
+            continue
+        for name, unit, read in readers:
+            line = fit([run[key] for run in same], [read(run) for run in same])
+            lines.append(
+                f"- {name} against {key} at {fixed} {word}: "
+                f"{line.base:.3f} + {line.slope:.5f} x {key} {unit} "
+                f"(± {line.slope_error:.5f}, {line.points} points, "
+                f"R² {line.r2:.3f})"
+            )
+    return lines
+
+
+# Events.
+
+
+def events() -> str:
+    """Return what rare events cost."""
+    lines = [
+        "## Events",
+        "",
+        "| event | what it takes | mechanism |",
+        "|---|---|---|",
+    ]
+    left = VMS - VMS // ZONES
+    lost = CONNECTIONS / ZONES
+    data = load("connections")
+    if data is not None:
+        for kind, name in (("plain", "plain"), ("tls", "TLS")):
+            opened = sorted(p["open_us"] for p in data[kind]["points"][1:])
+            each = opened[len(opened) // 2]
+            lines.append(
+                f"| a zone lost, {name} | {lost:,.0f} connections come anew, "
+                f"{lost / left:,.0f} to each of {left} VMs: "
+                f"{lost / left * each / 1e6:.1f} s of a core there; after it "
+                f"each VM has {CONNECTIONS / left:,.0f} connections and "
+                f"{STATEMENTS / left:,.0f} statements/s, "
+                f"{VMS / left:.2f} times as many | "
+                "other zones' holders go on; callers are told when to come "
+                "back |"
+            )
+    placement = load("placement")
+    if placement is not None:
+        moved = placement["moved_by_one_vm"]
+        lines += [
+            f"| a VM replaced ({REPLACEMENTS_A_DAY} a day) | "
+            f"{moved['mean_share']:.3%} of holder places move (ideal "
+            f"{moved['ideal_share']:.3%}), each costs connections of 10 ms | "
+            "rendezvous hashing, graceful shutdown |",
+            f"| a zone lost | {placement['groups_without_holder_zone_lost']} "
+            f"of {GROUPS} groups are left without a holder | holders in "
+            "different zones |",
+        ]
+    lines += [
+        "| regions apart | a group writes on the side that has a majority of "
+        "its targets; the other side serves reads within stated staleness | "
+        "majority acknowledgement, terms |",
+        "",
+    ]
+    return "\n".join(lines)
+
+
+def gaps() -> str:
+    """Return where it does not hold, and what is not measured."""
+    lines = ["## Where the design does not hold yet", ""]
+    data = load("statement_cost")
+    rate = STATEMENTS / VMS
+    if data is not None:
+        whole = mixed_us(data, "entry_us")[0] + mixed_us(data, "holder_us")[0]
+        cores = whole * rate / 1e6
+        lines.append(
+            f"- **Processor time of statements**: entry and holder together "
+            f"take {whole:.0f} us, {cores:.1f} cores for {rate:,.0f} "
+            f"statements/s on each VM; one process has one core. Missing: a "
+            f"factor of {cores:.1f} on average, without room for peaks. "
+            "Several processes on a VM behind one port, each an entry and "
+            "holder of its own, would carry it on VMs with as many cores; "
+            "that is not built."
+        )
+        placement = load("placement")
+        if placement is not None:
+            held = placement["held_groups"]
+            share = held["most"] / held["mean"]
+            entry_us = mixed_us(data, "entry_us")[0]
+            holder_us = mixed_us(data, "holder_us")[0]
+            most = (entry_us + holder_us * share) * rate / 1e6
+            lines.append(
+                f"- **Uneven holders**: the VM with most groups "
+                f"({held['most']}) would need {most:.1f} cores, if groups "
+                "are alike. Missing: holders chosen by load, or up to six "
+                "holders for large groups. Not built."
+            )
+    connections = load("connections")
+    if connections is not None:
+        size = connections["tls"]["bytes_each"]
+        lines.append(
+            f"- **TLS to callers**: {size / 1000:.1f} KB for each connection, "
+            f"{size * CONNECTIONS / VMS / MEGABYTE:.0f} MB on each VM. It is "
+            "beside control's 64 MB, but has to be counted when VMs are "
+            "sized. Ending TLS at the balancer avoids it."
+        )
+    binary = load("binary")
+    if binary is not None:
+        total = binary["file_bytes"] + binary["unpacked_bytes"]
+        lines.append(
+            f"- **Memory of a VM without disks**: {total / MEGABYTE:.0f} MB "
+            "for file and unpacked program, beside the process."
+        )
+    lines += ["", "## Not measured", ""]
+    lines += [f"- {each}" for each in MISSING] or ["- (all files are there)"]
+    lines += [
+        "- anything on real VMs, over real networks, or with more than a "
+        "few hundred processes; latencies between zones and regions",
+        "- several processes on one VM",
+        "- callers that come back all at once after the loss of a zone",
+        "- regions apart, with real processes",
+    ]
+    return "\n".join(lines)
+
+
+if __name__ == "__main__":
+    main()
