--- a/bamboospring/fleet_commands.py
+++ b/bamboospring/fleet_commands.py
@@ -66,7 +66,7 @@
     ] = "",
     authority: Authority = "",
 ) -> None:
-    """Hand a group's primary over on purpose, for example before a repair.
+    """Hand a group's primary over, for example before a repair.
 
     The order goes to whoever leads the group; `status` shows what came of it.
     """
