--- a/bamboospring/holder.py
+++ b/bamboospring/holder.py
@@ -25,6 +25,7 @@
 from bamboospring.reactor import Reactor
 from bamboospring.reads import ReadRunner
 from bamboospring.rendezvous import Placement
+from bamboospring.statement_log import log_outcome
 from bamboospring.statements import Statement
 from bamboospring.statements import Step
 from bamboospring.tokens import TokenCodec
@@ -107,6 +108,7 @@
 
         def finished(outcome: Outcome) -> None:
             self._running -= 1
+            log_outcome("ran", stmt, outcome)
             done(outcome)
 
         if stmt.step in (Step.STATEMENT, Step.COMMIT, Step.ROLLBACK):
--- a/features/operators.feature
+++ b/features/operators.feature
@@ -39,6 +39,12 @@
     When the settings file is broken and read again
     Then the new operators' token is still taken
 
+  Scenario: A statement can be followed from entry to holder
+    Given a fleet with one VM that holds nothing
+    When its logs are set to debug on SIGHUP
+    And a write goes through an entry that does not hold its group
+    Then the entry and one holder log it under the same correlation id
+
   Scenario: Traffic between VMs is encrypted and strangers are refused
     # A program with a certificate of another authority, or with none, gets no
     # message through to a VM, while the fleet itself works.
--- a/features/steps/operators_steps.py
+++ b/features/steps/operators_steps.py
@@ -4,10 +4,12 @@
 
 import base64
 import dataclasses
+from functools import partial
 import http.client
 import json
 import os
 from pathlib import Path
+import re
 import signal
 import socket
 import ssl
@@ -36,9 +38,9 @@
 WRITE = "INSERT INTO entries (body) VALUES ('x')"
 
 
-def _start(context: Any, settings: dict[str, Any]) -> None:
+def _start(context: Any, settings: dict[str, Any], vms: int = 3) -> None:
     estate = dataclasses.replace(SMALL, schema=SCHEMA)
-    fleet = Fleet(estate=estate, settings=settings)
+    fleet = Fleet(estate=estate, settings=settings, vms=vms)
     context.fleet = fleet
     context.add_cleanup(fleet.close)
     fleet.start()
@@ -261,7 +263,7 @@
         data = json.loads(path.read_text())
         for key, value in changes.items():
             if isinstance(value, dict):
-                data[key] = {**data[key], **value}
+                data[key] = {**data.get(key, {}), **value}
             else:
                 data[key] = value
         path.write_text(json.dumps(data))
@@ -319,6 +321,57 @@
     assert status == 200, status
 
 
+# Logs.
+
+
+@given("a fleet with one VM that holds nothing")
+def step_four(context: Any) -> None:
+    _start(context, {}, vms=4)
+
+
+@when("its logs are set to debug on SIGHUP")
+def step_debug(context: Any) -> None:
+    _change_settings(context, {"logs": {"level": "debug"}})
+    for name in context.fleet.vms:
+        wait_until(
+            partial(_has_taken, context, name),
+            seconds=PATIENCE,
+            what="the level to be taken",
+        )
+
+
+def _has_taken(context: Any, name: str) -> bool:
+    return "settings_taken" in _log(context, name)
+
+
+def _log(context: Any, name: str) -> str:
+    return str(context.fleet.process(name).tail(500))
+
+
+@when("a write goes through an entry that does not hold its group")
+def step_far_write(context: Any) -> None:
+    context.entry = context.fleet.not_holders(GROUP)[0]
+    _work(context.fleet.vms[context.entry].entry, 1, 0)
+
+
+@then("the entry and one holder log it under the same correlation id")
+def step_followed(context: Any) -> None:
+    line = next(
+        each
+        for each in _log(context, context.entry).splitlines()
+        if " event=answered " in each and " kind=write " in each
+    )
+    trace = re.search(r" trace=(\S+) ", line)
+    assert trace is not None, line
+    wanted = f" event=ran vm={{}} trace={trace[1]} group={GROUP} "
+    ran = [
+        name
+        for name in context.fleet.holders(GROUP)
+        if wanted.format(name) in _log(context, name)
+    ]
+    assert len(ran) == 1, (line, ran)
+
+
 # TLS.
 
 
