--- a/bamboospring/demo.py
+++ b/bamboospring/demo.py
@@ -90,9 +90,10 @@
     print("at it, in another shell:")
     print(f'  export BAMBOOSPRING_VM="{addresses}"')
     print(f"  export BAMBOOSPRING_TOKEN={OPERATOR_TOKEN}")
+    print(f"  export BAMBOOSPRING_ENTRY={vms[0].entry}")
     print("  bamboospring status")
-    print(f"  http://{vms[0].operators_listen}/status (password: the token)")
-    print(f"  callers connect to http://{vms[0].entry}", flush=True)
+    print(f"In a browser: http://{vms[0].operators_listen}/status")
+    print("(any name, the token as password)", flush=True)
     try:
         time.sleep(seconds)
     except KeyboardInterrupt:
--- a/bamboospring/load_commands.py
+++ b/bamboospring/load_commands.py
@@ -27,7 +27,11 @@
 
 def load(
     entry: Annotated[
-        list[str], typer.Option(help="Callers' address of a VM; repeatable.")
+        list[str],
+        typer.Option(
+            envvar="BAMBOOSPRING_ENTRY",
+            help="Callers' address of a VM, ip:port; repeatable.",
+        ),
     ],
     group: Annotated[str, typer.Option(help="The group to send to.")],
     rate: Annotated[float, typer.Option(help="Statements a second.")] = 100.0,
--- a/bamboospring/report.py
+++ b/bamboospring/report.py
@@ -152,7 +152,7 @@
 def as_text(samples: Sequence[Sample], reports: Sequence[GroupReport]) -> str:
     """Return the reports to read in a terminal."""
     if not reports:
-        return "The series holds fewer than two samples with statements."
+        return f"No statement was counted over {len(samples)} samples."
     covered = samples[-1].at - samples[0].at
     lines = [f"{len(samples)} samples over {covered:.0f} s"]
     for report in reports:
