--- a/bamboospring/cli.py
+++ b/bamboospring/cli.py
@@ -56,11 +56,10 @@
 
     try:
         cfg = settings.load(path)
+        logs.configure(level=cfg.logs.level, vm=cfg.vm)
+        import_module("bamboospring.server").run(cfg, path)
     except BamboospringError as exc:
         return _complain(exc)
-    logs.configure(level=cfg.logs.level, vm=cfg.vm)
-
-    import_module("bamboospring.server").run(cfg, path)
     return ExitCode.DONE
 
 
--- a/bamboospring/errors.py
+++ b/bamboospring/errors.py
@@ -11,9 +11,7 @@
 __all__ = [
     "BamboospringError",
     "CommandError",
-    "InvariantError",
     "ListenError",
-    "ProtocolError",
     "SettingsError",
     "SourceError",
 ]
@@ -23,18 +21,10 @@
     """The root of every exception that this package raises."""
 
 
-class InvariantError(BamboospringError):
-    """Something that must always hold does not; the process stops."""
-
-
 class ListenError(BamboospringError):
     """An address of our own cannot be listened on."""
 
 
-class ProtocolError(BamboospringError):
-    """A peer sent bytes that are no message; its connection is closed."""
-
-
 class SourceError(BamboospringError):
     """A text in JSON with comments is malformed at a line and column.
 
--- a/bamboospring/server.py
+++ b/bamboospring/server.py
@@ -11,6 +11,7 @@
 from bamboospring.connections import ConnectionTiming
 from bamboospring.drain import Drain
 from bamboospring.entry import Entry
+from bamboospring.errors import ListenError
 from bamboospring.facts import Facts
 from bamboospring.fleet_view import FleetView
 from bamboospring.holder import Holder
@@ -263,7 +264,10 @@
 def run(cfg: Settings, path: str = "") -> None:
     """Serve until told to stop; `path` is where SIGHUP reads again."""
     logs.configure(level=cfg.logs.level, vm=cfg.vm)
-    server = Server(cfg, path)
+    try:
+        server = Server(cfg, path)
+    except OSError as exc:
+        raise ListenError(f"cannot listen: {exc}") from exc
     if path:
         server.rotation.install()
     logs.log_event(
--- a/bamboospring/tls.py
+++ b/bamboospring/tls.py
@@ -23,7 +23,8 @@
 
 __all__ = ["Keys", "secured"]
 
-READ_SIZE = 65536
+# The most that one record holds; each read sets aside so much.
+READ_SIZE = 16384
 # A connection that begins no handshake would hold its memory for ever.
 HANDSHAKE_TIMEOUT = 5.0
 
--- a/features/command_line.feature
+++ b/features/command_line.feature
@@ -23,6 +23,18 @@
       | record missing/series.jsonl --vm 127.0.0.1:1 --token none        | 2    | cannot be written      |
       | report missing.jsonl                                             | 2    | cannot be read         |
 
+  Scenario: A listener whose address is taken is named, without a traceback
+    Given settings whose operators' address is taken
+    When the command "serve" is run with these settings
+    Then it ends with 2
+    And it complains of "cannot listen"
+
+  Scenario: Keys that cannot be read are named, without a traceback
+    Given settings whose certificate is missing
+    When the command "serve" is run with these settings
+    Then it ends with 2
+    And it complains of "cannot be used for TLS"
+
   Scenario: Completion for a shell can be had
     When the command "--show-completion bash" is run
     Then it ends with 0
--- a/features/steps/command_line_steps.py
+++ b/features/steps/command_line_steps.py
@@ -2,19 +2,24 @@
 
 from __future__ import annotations
 
+import json
 import os
 from pathlib import Path
 import re
 import shlex
+import socket
 import subprocess
 import sys
+import tempfile
 from typing import Any
 
+from behave import given
 from behave import then
 from behave import when
 
 ROOT = Path(__file__).resolve().parents[2]
 COMMAND_SECONDS = 60.0
+FREE = "127.0.0.1:0"
 
 
 def run_command(
@@ -37,6 +42,43 @@
     context.done = run_command(text)
 
 
+@given("settings whose operators' address is taken")
+def step_taken(context: Any) -> None:
+    sock = socket.create_server(("127.0.0.1", 0))
+    context.add_cleanup(sock.close)
+    port = sock.getsockname()[1]
+    _write_settings(context, operators_listen=f"127.0.0.1:{port}")
+
+
+@given("settings whose certificate is missing")
+def step_no_certificate(context: Any) -> None:
+    missing = {"certificate": "missing.pem", "private_key": "missing.key"}
+    _write_settings(context, callers={"listen": FREE, "tls": missing})
+
+
+def _write_settings(
+    context: Any, *, operators_listen: str = "127.0.0.1:0", **more: Any
+) -> None:
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.settings_path = Path(folder.name) / "vm.json"
+    settings = {
+        "vm": "vm-1",
+        "availability_zone": "zone-a",
+        "callers": {"listen": FREE},
+        "peers": {"listen": FREE},
+        "operators": {"listen": operators_listen, "token": "x" * 16},
+        "platform": {"address": "127.0.0.1:1"},
+        "token_keys": [{"id": "k1", "secret": "0123456789abcdef"}],
+    }
+    context.settings_path.write_text(json.dumps({**settings, **more}))
+
+
+@when('the command "serve" is run with these settings')
+def step_serve(context: Any) -> None:
+    context.done = run_command(f"serve --settings {context.settings_path}")
+
+
 @then("it ends with {code:d}")
 def step_code(context: Any, code: int) -> None:
     assert context.done.returncode == code, context.done
