--- a/bamboospring/server.py
+++ b/bamboospring/server.py
@@ -11,6 +11,7 @@
 from bamboospring.connections import ConnectionTiming
 from bamboospring.drain import Drain
 from bamboospring.entry import Entry
+from bamboospring.errors import ListenError
 from bamboospring.facts import Facts
 from bamboospring.fleet_view import FleetView
 from bamboospring.holder import Holder
@@ -19,6 +20,7 @@
 from bamboospring.membership import Membership
 from bamboospring.metrics import Metrics
 from bamboospring.operators import Operators
+from bamboospring.outcomes import Outcome
 from bamboospring.peers import envelope
 from bamboospring.peers import Peers
 from bamboospring.platform_client import CallTiming
@@ -34,7 +36,9 @@
 from bamboospring.settings import Tls
 from bamboospring.share_keeper import ShareKeeper
 from bamboospring.shares import ShareTiming
+from bamboospring.statement_log import log_outcome
 from bamboospring.statement_server import StatementServer
+from bamboospring.statements import Statement
 from bamboospring.status_view import StatusView
 from bamboospring.steward import Steward
 from bamboospring.suspicion import WatchTiming
@@ -122,7 +126,7 @@
             codec=self.codec,
             membership=self.membership,
             listen=cfg.callers.listen,
-            on_answered=self.metrics.answered,
+            on_answered=self._answered,
         ).register(self)
         self.facts = Facts(
             reactor=self.reactor,
@@ -218,6 +222,12 @@
         self.rotation.add_keys(keys, find)
         return secured(self.reactor, keys)
 
+    def _answered(
+        self, stmt: Statement, outcome: Outcome, seconds: float, now: float
+    ) -> None:
+        self.metrics.answered(stmt, outcome, seconds, now)
+        log_outcome("answered", stmt, outcome)
+
     def _slow_after(self, group: str) -> float:
         objectives = self.cfg.objectives
         found = objectives.groups.get(group, objectives.default)
@@ -264,7 +274,10 @@
 def run(cfg: Settings, path: str = "") -> None:
     """Serve until told to stop; `path` is where SIGHUP reads again."""
     logs.configure(level=cfg.logs.level, vm=cfg.vm)
-    server = Server(cfg, path)
+    try:
+        server = Server(cfg, path)
+    except OSError as exc:
+        raise ListenError(f"cannot listen: {exc}") from exc
     if path:
         server.rotation.install()
     logs.log_event(
