--- a/bamboospring/forwarding.py
+++ b/bamboospring/forwarding.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import dataclasses
 import itertools
 from typing import Any
 
@@ -157,13 +158,32 @@
                     isinstance(answer, NotRun) and answer.reason in ELSEWHERE
                 )
             left = stmt.deadline - self._reactor.now()
-            if again and others and left > 0 and self._may_go_on(outcome):
+            if not again or left <= 0 or not self._may_go_on(outcome):
+                done(outcome)
+            elif others:
                 self._try(stmt, others, done)
             else:
-                done(outcome)
+                self._settle(stmt, outcome, done)
 
         self._ask(first, stmt, answered)
 
+    def _settle(
+        self, stmt: Statement, outcome: Outcome, done: OnOutcome
+    ) -> None:
+        """Let a read go to the primary: no holder has a replica for it."""
+        no_share = (
+            isinstance(outcome, NotRun) and outcome.reason is Reason.NOT_HOLDER
+        )
+        if stmt.write or stmt.settle or not no_share:
+            done(outcome)
+            return
+        holders = self._placement.holders(stmt.group)
+        self._try(
+            dataclasses.replace(stmt, settle=True),
+            list(holders[:MAX_TRIES]),
+            done,
+        )
+
     def _may_go_on(self, outcome: Outcome) -> bool:
         # Where nothing ran another try multiplies no work.
         return isinstance(outcome, NotRun) or self._budget.may_retry()
--- a/bamboospring/reads.py
+++ b/bamboospring/reads.py
@@ -94,6 +94,7 @@
         "_began",
         "_needs",
         "_rounds",
+        "_shareless",
         "_runner",
         "_stmt",
         "_tries",
@@ -113,6 +114,7 @@
         self._done = done
         self._tries = 0
         self._rounds = 0
+        self._shareless = False
         now = self._began = runner.reactor.now()
         row = runner.board.row(stmt.group, shard_of(stmt.group))
         self._needs = ReadNeeds(
@@ -183,6 +185,11 @@
         self._done(NotRun(reason=reason, retry_after_ms=RETRY_SOON_MS))
 
     def _acquire(self, choice: ReadAt) -> None:
+        if self._shareless and not choice.replica and not self._stmt.settle:
+            # Another holder has a share of a replica that would do, and the
+            # primary's connections are scarce.
+            self._refuse(Reason.NOT_HOLDER)
+            return
         state = self._group.state(choice.target.name)
         state.outstanding += 1
         self._tries += 1
@@ -192,6 +199,8 @@
                 self._send(choice, leased)
                 return
             state.outstanding -= 1
+            if choice.replica and leased.reason is Reason.NOT_HOLDER:
+                self._shareless = True
             if choice.replica or leased.reason is Reason.TARGET_UNREACHABLE:
                 # Nothing was sent, so going on costs no target anything; but
                 # work that one replica's queue refused must not all fall on
--- a/bamboospring/statements.py
+++ b/bamboospring/statements.py
@@ -32,7 +32,8 @@
 
     `params` is a JSON array as received. `staleness` is the age in seconds
     that the caller accepts, None if it states none. `deadline` is monotonic
-    time of this process in seconds.
+    time of this process in seconds. `settle` lets a read go to the primary at
+    a holder without a share of the replicas that would do.
     """
 
     group: str
@@ -47,3 +48,4 @@
     token: Position = Position()
     staleness: float | None = None
     trace: str = ""
+    settle: bool = False
--- a/bamboospring/wire.capnp
+++ b/bamboospring/wire.capnp
@@ -43,6 +43,7 @@
   stalenessStated @11 :Bool;
   deadlineMs @12 :UInt32;     # time left when sent
   trace @13 :Text;            # correlation id of the logs
+  settle @14 :Bool;           # read: take the primary though replicas would do
 }
 
 struct Answer {
--- a/bamboospring/wire.py
+++ b/bamboospring/wire.py
@@ -48,6 +48,7 @@
         out.stalenessMs = int(stmt.staleness * 1000)
     out.deadlineMs = max(0, int((stmt.deadline - now) * 1000))
     out.trace = stmt.trace
+    out.settle = stmt.settle
     return message
 
 
@@ -68,6 +69,7 @@
         token=Position(term=src.tokenTerm, index=src.tokenIndex),
         staleness=src.stalenessMs / 1000 if stated else None,
         trace=src.trace,
+        settle=src.settle,
     )
 
 
--- a/features/routing.feature
+++ b/features/routing.feature
@@ -54,3 +54,11 @@
     Given a routing fleet without weights
     When replicas fall 1500 ms behind and 3 callers write all the time
     Then routed reads that take an age of 4000 ms are served at replicas
+
+  Scenario: Fewer slots than holders, and one replica stopped
+    # Each member has 2 slots for 3 holders, so one holder has none at the
+    # only replica that runs. The reads of its entry go to the other holders,
+    # and none falls back on the primary.
+    Given a routing fleet with 2 slots at each target
+    When the second member is frozen under load
+    Then within 8 seconds routed reads are all served by the third member
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -211,3 +211,8 @@
     assert all(answer.done for answer in answers), answers
     at_replicas = sum(answer.at_replica for answer in answers)
     assert at_replicas >= 55, at_replicas
+
+
+@given("a routing fleet with {slots:d} slots at each target")
+def given_slots(context: Any, slots: int) -> None:
+    start_fleet(context, slots=slots)
