--- a/bamboospring/testing/fleet.py
+++ b/bamboospring/testing/fleet.py
@@ -22,9 +22,11 @@
 import os
 import pathlib
 import shutil
+import signal
 import socket
 import sys
 import tempfile
+import threading
 import time
 from types import TracebackType
 from typing import Any
@@ -41,6 +43,7 @@
 START_SECONDS = 20.0
 READY_SECONDS = 30.0
 STOP_SECONDS = 5.0
+TERMINATED = 128 + signal.SIGTERM
 CONTROL_TIMEOUT = 5.0
 PLATFORM = "platform"
 FAULT_PROXY = "fault-proxy"
@@ -164,6 +167,7 @@
         self._proxy_address = ""
         self._closed = False
         atexit.register(self.close)
+        _exit_on_sigterm()
 
     def __enter__(self) -> Fleet:
         try:
@@ -659,6 +663,18 @@
         return _merged(base, self.settings)
 
 
+def _exit_on_sigterm() -> None:
+    """Turn SIGTERM into an ordinary exit, so that `atexit` is heeded.
+
+    By default the signal ends this process at once and leaves the fleet's
+    processes running without a parent.
+    """
+    if threading.current_thread() is not threading.main_thread():
+        return
+    if signal.getsignal(signal.SIGTERM) is signal.SIG_DFL:
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(TERMINATED))
+
+
 def _merged(base: dict[str, Any], extra: dict[str, Any]) -> dict[str, Any]:
     """Return `base` with `extra` laid over it, section by section."""
     result = dict(base)
