--- a/bamboospring/forwarding.py
+++ b/bamboospring/forwarding.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import dataclasses
 import itertools
 from typing import Any
 
@@ -23,6 +24,7 @@
 from bamboospring.peers import Peers
 from bamboospring.reactor import Reactor
 from bamboospring.rendezvous import Placement
+from bamboospring.retry_budget import RetryBudget
 from bamboospring.statements import Statement
 from bamboospring.statements import Step
 from bamboospring.tokens import BadToken
@@ -90,7 +92,7 @@
         holder: Holder,
         codec: TokenCodec,
         membership: Membership,
-        may_retry: Callable[[], bool],
+        budget: RetryBudget,
     ) -> None:
         self._reactor = reactor
         self._board = board
@@ -99,12 +101,13 @@
         self._holder = holder
         self._codec = codec
         self._membership = membership
-        self._may_retry = may_retry
+        self._budget = budget
         self._turn = itertools.count()
         self._shareless: dict[tuple[str, bool], dict[str, float]] = {}
 
     def forward(self, stmt: Statement, done: OnOutcome) -> None:
         """Have a statement run and call back once."""
+        self._budget.first_try()
         if stmt.step in (Step.STATEMENT, Step.COMMIT, Step.ROLLBACK):
             self._forward_step(stmt, done)
             return
@@ -155,19 +158,35 @@
                     isinstance(answer, NotRun) and answer.reason in ELSEWHERE
                 )
             left = stmt.deadline - self._reactor.now()
-            if again and others and left > 0 and self._may_go_on(outcome):
+            if not again or left <= 0 or not self._may_go_on(outcome):
+                done(outcome)
+            elif others:
                 self._try(stmt, others, done)
             else:
-                done(outcome)
+                self._settle(stmt, outcome, done)
 
         self._ask(first, stmt, answered)
 
+    def _settle(
+        self, stmt: Statement, outcome: Outcome, done: OnOutcome
+    ) -> None:
+        """Let a read go to the primary: no holder has a replica for it."""
+        no_share = (
+            isinstance(outcome, NotRun) and outcome.reason is Reason.NOT_HOLDER
+        )
+        if stmt.write or stmt.settle or not no_share:
+            done(outcome)
+            return
+        holders = self._placement.holders(stmt.group)
+        self._try(
+            dataclasses.replace(stmt, settle=True),
+            list(holders[:MAX_TRIES]),
+            done,
+        )
+
     def _may_go_on(self, outcome: Outcome) -> bool:
-        # A holder without a share took nothing on, and is remembered.
-        if isinstance(outcome, NotRun):
-            if outcome.reason is Reason.NOT_HOLDER:
-                return True
-        return self._may_retry()
+        # Where nothing ran another try multiplies no work.
+        return isinstance(outcome, NotRun) or self._budget.may_retry()
 
     def _note_share(self, stmt: Statement, vm: Vm, outcome: Outcome) -> None:
         if isinstance(outcome, NotRun):
