--- a/bamboospring/forwarding.py
+++ b/bamboospring/forwarding.py
@@ -114,6 +114,7 @@
         if not self._board.knows_group(stmt.group):
             done(self._no_such_group())
             return
+        self._budget.first_try()
         now = self._reactor.now()
         holders = self._placement.holders(stmt.group)
         doubted = self._membership.avoided(holders, now)
--- a/bamboospring/server.py
+++ b/bamboospring/server.py
@@ -30,6 +30,7 @@
 from bamboospring.reactor import Reactor
 from bamboospring.rendezvous import bucket_of
 from bamboospring.rendezvous import Placement
+from bamboospring.retry_budget import RetryBudget
 from bamboospring.rotation import Rotation
 from bamboospring.server_metrics import watch_process
 from bamboospring.settings import Settings
@@ -113,6 +114,8 @@
             pools=self.pools,
             watcher=self.watcher,
             codec=self.codec,
+            transaction_idle=cfg.timing.transaction_idle_ms / 1000,
+            budget=RetryBudget(percent=cfg.limits.retry_percent),
         ).register(self)
         StatementServer(
             reactor=self.reactor, peers=self.peers, holder=self.holder
@@ -126,6 +129,7 @@
             codec=self.codec,
             membership=self.membership,
             listen=cfg.callers.listen,
+            budget=RetryBudget(percent=cfg.limits.retry_percent),
             on_answered=self._answered,
         ).register(self)
         self.facts = Facts(
