--- a/bamboospring/forwarding.py
+++ b/bamboospring/forwarding.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import dataclasses
 import itertools
 from typing import Any
 
@@ -106,6 +107,7 @@
 
     def forward(self, stmt: Statement, done: OnOutcome) -> None:
         """Have a statement run and call back once."""
+        self._budget.first_try()
         if stmt.step in (Step.STATEMENT, Step.COMMIT, Step.ROLLBACK):
             self._forward_step(stmt, done)
             return
@@ -157,19 +159,35 @@
                     isinstance(answer, NotRun) and answer.reason in ELSEWHERE
                 )
             left = stmt.deadline - self._reactor.now()
-            if again and others and left > 0 and self._may_go_on(outcome):
+            if not again or left <= 0 or not self._may_go_on(outcome):
+                done(outcome)
+            elif others:
                 self._try(stmt, others, done)
             else:
-                done(outcome)
+                self._settle(stmt, outcome, done)
 
         self._ask(first, stmt, answered)
 
+    def _settle(
+        self, stmt: Statement, outcome: Outcome, done: OnOutcome
+    ) -> None:
+        """Let a read go to the primary: no holder has a replica for it."""
+        no_share = (
+            isinstance(outcome, NotRun) and outcome.reason is Reason.NOT_HOLDER
+        )
+        if stmt.write or stmt.settle or not no_share:
+            done(outcome)
+            return
+        holders = self._placement.holders(stmt.group)
+        self._try(
+            dataclasses.replace(stmt, settle=True),
+            list(holders[:MAX_TRIES]),
+            done,
+        )
+
     def _may_go_on(self, outcome: Outcome) -> bool:
-        # A holder without a share took nothing on, and is remembered.
-        if isinstance(outcome, NotRun):
-            if outcome.reason is Reason.NOT_HOLDER:
-                return True
-        return self._budget.may_retry()
+        # Where nothing ran another try multiplies no work.
+        return isinstance(outcome, NotRun) or self._budget.may_retry()
 
     def _note_share(self, stmt: Statement, vm: Vm, outcome: Outcome) -> None:
         if isinstance(outcome, NotRun):
--- a/bamboospring/holder.py
+++ b/bamboospring/holder.py
@@ -26,6 +26,7 @@
 from bamboospring.reads import ReadRunner
 from bamboospring.rendezvous import Placement
 from bamboospring.retry_budget import RetryBudget
+from bamboospring.statement_log import log_outcome
 from bamboospring.statements import Statement
 from bamboospring.statements import Step
 from bamboospring.tokens import TokenCodec
@@ -58,6 +59,7 @@
         pools: Pools,
         watcher: Watcher,
         codec: TokenCodec,
+        transaction_idle: float,
         budget: RetryBudget | None = None,
     ) -> None:
         super().__init__()
@@ -67,6 +69,7 @@
         self._placement = placement
         self._doubted_at: dict[str, float] = {}
         self._running = 0
+        self._budget = RetryBudget()
         exchange = Exchange(reactor=reactor)
         self._flights = Flights()
         self.transactions = TransactionRunner(
@@ -78,6 +81,7 @@
             flights=self._flights,
             codec=codec,
             draw_number=lambda: secrets.randbits(NUMBER_BITS),
+            idle_seconds=transaction_idle,
         )
         self.writes = WriteRunner(
             reactor=reactor,
@@ -107,9 +111,11 @@
     def run(self, stmt: Statement, done: OnOutcome) -> None:
         """Run a statement and call back once with what became of it."""
         self._running += 1
+        self._budget.first_try()
 
         def finished(outcome: Outcome) -> None:
             self._running -= 1
+            log_outcome("ran", stmt, outcome)
             done(outcome)
 
         if stmt.step in (Step.STATEMENT, Step.COMMIT, Step.ROLLBACK):
--- a/bamboospring/watcher.py
+++ b/bamboospring/watcher.py
@@ -42,15 +42,18 @@
 # silence counts; of a replica nothing depends on hearing it without a change.
 PRIMARY_POLL = 0.4
 REPLICA_POLL = 1.0
-POLL_MARGIN = 0.6
+# An answer that is this late means a dead connection first of all: another is
+# opened, and has been heard before the silence counts against the target.
+POLL_MARGIN = 0.3
 RETRY_DELAY = 0.1
 JUDGE_INTERVAL = 0.1
 REPEAT_REPORT = 1.0
 # A failure that comes this fast is the other machine's word, not silence.
 PROMPT = 0.2
 # How many sightings of the primary's position are kept to tell how old a
-# replica's data is; at two a second this covers half a minute.
-SIGHTINGS = 64
+# replica's data is, and how far apart in seconds: they cover 6.4 s or more.
+SIGHTINGS = 128
+SIGHTING_INTERVAL = 0.05
 
 
 # Gets group, target, term and the judgement of that primary.
@@ -77,6 +80,7 @@
     primary: str = ""
     suspected: bool = False
     report_at: float = -1e9
+    leaving_told_at: float = -1e9
 
 
 class Watcher(BaseComponent):
@@ -100,6 +104,8 @@
         self._watched: dict[str, _Watched] = {}
         self._awake = AwakeClock(pause=timing.pause)
         self.on_verdict: OnVerdict | None = None
+        # Gets the group and term whose primary says that it leaves.
+        self.on_leaving: Callable[[str, int], None] | None = None
 
     def wait_majority(
         self,
@@ -144,6 +150,9 @@
         state.leaving = probe.leaving
         state.asked_at = asked_at
         state.seen_at = self._reactor.now()
+        record = watched.group.record
+        if probe.leaving and target == record.primary:
+            self._tell_leaving(group, watched)
         self._judge_freshness(watched, target, asked_at)
         self._release(watched)
 
@@ -172,6 +181,17 @@
             watched.report_at = now + REPEAT_REPORT
             self.on_verdict(name, record.primary, record.term, verdict)
 
+    def _tell_leaving(self, name: str, watched: _Watched) -> None:
+        """Tell at once, and slowly again, that a primary leaves.
+
+        It refuses new work already, so each moment until the hand-over is
+        one without writes.
+        """
+        now = self._reactor.now()
+        if self.on_leaving is not None and now >= watched.leaving_told_at:
+            watched.leaving_told_at = now + REPEAT_REPORT
+            self.on_leaving(name, watched.group.record.term)
+
     @handler("group_changed")
     def _on_group_changed(self, name: str) -> None:
         self._follow(name)
@@ -230,14 +250,23 @@
     ) -> None:
         group = watched.group
         if target == group.record.primary:
-            received = group.state(target).received
-            watched.sightings.append((asked_at, received))
+            self._note_sighting(watched, asked_at)
         for state in group.states.values():
             for seen_at, received in reversed(watched.sightings):
                 if state.applied >= received:
                     state.fresh_at = max(state.fresh_at, seen_at)
                     break
 
+    def _note_sighting(self, watched: _Watched, asked_at: float) -> None:
+        # A primary that writes all the time is seen hundreds of times a
+        # second. Kept all, the sightings would cover so short a time that a
+        # replica further behind would count as of unknown age.
+        sightings = watched.sightings
+        if sightings and asked_at - sightings[-1][0] < SIGHTING_INTERVAL:
+            return
+        state = watched.group.state(watched.group.record.primary)
+        sightings.append((asked_at, state.received))
+
     def _release(self, watched: _Watched) -> None:
         if not watched.waiting:
             return
