Drop cancelled timers from the heap once they are most of it

Cause: each statement sets about three timers with its deadline; the answer cancels them milliseconds later, but their entries stayed in the heap until they were due: 180 bytes each, 60 MB for 2,000 statements a second with a deadline of a minute, as much as a VM may use for control altogether. Change: cancelled ones are counted and dropped when they are most of the heap. Measured (bench/timers.py, 400,000 timers of 60 s, three runs of each tree in turn): 72,264 KB before, 228 KB after; 2.86, 3.02, 2.63 us for setting and cancelling one before, 1.90, 2.43, 1.96 after.

--- a/bamboospring/reactor.py
+++ b/bamboospring/reactor.py
@@ -33,6 +33,7 @@
 # When the process is out of descriptors, accept() fails at once and the
 # listening socket stays readable: without a pause the loop would spin.
 ACCEPT_PAUSE = 0.1
+MIN_CANCELLED = 1000
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -46,15 +47,20 @@
 class Timer:
     """A callback that is due once; `cancel` makes it do nothing."""
 
-    __slots__ = ("when", "callback")
+    __slots__ = ("_reactor", "callback", "when")
 
-    def __init__(self, *, when: float, callback: Callable[[], None]) -> None:
+    def __init__(
+        self, *, reactor: Reactor, when: float, callback: Callable[[], None]
+    ) -> None:
+        self._reactor = reactor
         self.when = when
         self.callback: Callable[[], None] | None = callback
 
     def cancel(self) -> None:
-        """Drop the callback; the heap's entry goes when it is due."""
-        self.callback = None
+        """Drop the callback."""
+        if self.callback is not None:
+            self.callback = None
+            self._reactor.timer_cancelled()
 
 
 class Stream:
@@ -253,6 +259,7 @@
         self._epoll = select.epoll()
         self._ready: dict[int, Callable[[int], None]] = {}
         self._timers: list[tuple[float, int, Timer]] = []
+        self._cancelled = 0
         self._sequence = itertools.count()
         self._wake_in, self._wake_out = os.pipe2(os.O_NONBLOCK | os.O_CLOEXEC)
         self._waiting = False
@@ -264,11 +271,29 @@
 
     def call_later(self, delay: float, callback: Callable[[], None]) -> Timer:
         """Call back once after `delay` seconds."""
-        timer = Timer(when=time.monotonic() + delay, callback=callback)
+        when = time.monotonic() + delay
+        timer = Timer(reactor=self, when=when, callback=callback)
         entry = (timer.when, next(self._sequence), timer)
         heapq.heappush(self._timers, entry)
         return timer
 
+    def timer_cancelled(self) -> None:
+        """Drop cancelled timers from the heap once they are most of it.
+
+        Nearly every timer is a statement's deadline and is cancelled long
+        before it is due. Kept until then they were 60 MB for a second's
+        2,000 statements with a deadline of a minute.
+        """
+        self._cancelled += 1
+        timers = self._timers
+        if self._cancelled > MIN_CANCELLED and (
+            self._cancelled > len(timers) // 2
+        ):
+            self._cancelled = 0
+            # In place: the loop may be looking at this very list.
+            timers[:] = [item for item in timers if item[2].callback]
+            heapq.heapify(timers)
+
     def listen(
         self, address: str, on_accept: Callable[[Stream], None]
     ) -> Listener:
@@ -339,7 +364,8 @@
         now = time.monotonic()
         timers = self._timers
         while timers and timers[0][0] <= now:
-            callback = heapq.heappop(timers)[2].callback
+            timer = heapq.heappop(timers)[2]
+            callback, timer.callback = timer.callback, None
             if callback is not None:
                 callback()
 
