--- a/bench/compare.py
+++ b/bench/compare.py
@@ -17,7 +17,7 @@
 
 import support
 
-ROUNDS = 3
+ROUNDS = 4
 CODE = """
 import json, overhead, support
 fleet = support.start(vms=4, slots=30, connections=60)
--- a/features/silent_connections.feature
+++ b/features/silent_connections.feature
@@ -27,3 +27,9 @@
     Given a silent fleet under a light load
     When the load stops and all connections to the primary go silent
     Then 4 seconds later the first write through each VM is done
+
+  Scenario: Many connections lost at once are opened again one by one
+    # Decisions only. All 6 connections of a share go at once while 20
+    # statements wait: the new ones come a pause apart and never beyond the
+    # share, whatever else ends or is opened meanwhile.
+    Then no explored loss opens connections faster than the pace or the share
--- a/features/steps/limits_steps.py
+++ b/features/steps/limits_steps.py
@@ -13,8 +13,13 @@
 from fleet_support import caller_at
 from fleet_support import GROUP
 from fleet_support import SCHEMA
+from hypothesis import given as for_all
+from hypothesis import settings
+from hypothesis import strategies as st
 
 
+from bamboospring.connections import Connections
+from bamboospring.connections import ConnectionTiming
 from bamboospring.testing.estate import SMALL
 from bamboospring.testing.fleet import Fleet
 from bamboospring.testing.fleet import wait_until
@@ -333,3 +338,50 @@
 def then_same_term(context: Any) -> None:
     now = context.fleet.object("group", GROUP)["value"]["term"]
     assert now == context.term, f"term {now}, was {context.term}"
+
+
+# Opening connections, decisions only.
+
+
+@dataclasses.dataclass
+class Conn:
+    heard_at: float
+
+
+def lose_and_reopen(events: list[tuple[str, float]]) -> None:
+    """Play losses and openings; check the share and the pace."""
+    timing = ConnectionTiming(pace=0.02)
+    connections = Connections[Conn](timing=timing, limit=6)
+    now, opened_at = 0.0, []
+    for kind, draw in [("wait", 0.5)] * 30 + events:
+        now += 0.004
+        while connections.wait_to_open(now, 20) == 0.0:
+            connections.opening_one(now, draw=draw)
+            opened_at.append(now)
+        if kind == "opened" and connections.opening:
+            connections.opened(Conn(now))
+        elif kind == "failed" and connections.opening:
+            connections.open_failed()
+        elif kind == "lost":
+            connections.take_idle()
+        elif kind == "smaller":
+            connections.set_limit(2)
+        elif kind == "larger":
+            connections.set_limit(6)
+        limit = max(connections.limit, connections.opening)
+        assert connections.total <= limit, connections
+    for first, second in zip(opened_at, opened_at[1:]):
+        assert second - first >= 0.01 - 1e-9, (first, second)
+
+
+@then("no explored loss opens connections faster than the pace or the share")
+def then_paced(context: Any) -> None:
+    kinds = ["opened", "opened", "failed", "lost", "wait", "smaller", "larger"]
+    event = st.tuples(st.sampled_from(kinds), st.floats(0.0, 1.0))
+
+    @settings(max_examples=200, derandomize=True, database=None, deadline=None)
+    @for_all(st.lists(event, min_size=20, max_size=120))
+    def check(events: list[tuple[str, float]]) -> None:
+        lose_and_reopen(events)
+
+    check()
