--- a/features/steps/configuration_support.py
+++ b/features/steps/configuration_support.py
@@ -12,6 +12,7 @@
 import subprocess
 import sys
 import threading
+import time
 from typing import Any
 import uuid
 
@@ -185,12 +186,15 @@
     """Callers that work all the time: reads, writes and transactions.
 
     Each is a session of its own that roams from entry to entry. Everything
-    that was not done is kept in `failures`.
+    that was not done is kept in `failures`. With `hold` only one caller runs
+    transactions, and each stays open for so many seconds: a transaction
+    keeps all other writers waiting.
     """
 
     fleet: Fleet
     callers: int = 4
     pause: float = 0.02
+    hold: float = 0.0
     entries: Sequence[str] = ()
     failures: list[str] = field(default_factory=list)
     done: int = 0
@@ -224,13 +228,13 @@
                 break
             caller.roam()
             try:
-                self._one(caller, turn)
+                self._one(caller, turn, self.hold == 0 or number == 0)
             except ConnectionError as exc:
                 self.failures.append(f"connect: {exc!r}")
         caller.close()
 
-    def _one(self, caller: Caller, turn: int) -> None:
-        if turn % 5 == 4:
+    def _one(self, caller: Caller, turn: int, transacts: bool) -> None:
+        if turn % 5 == 4 and transacts:
             self._transfer(caller)
         elif turn % 5 == 0:
             insert = "INSERT INTO entries (body) VALUES (?)"
@@ -242,6 +246,7 @@
         begun = caller.begin(GROUP)
         if not self._note("begin", begun):
             return
+        time.sleep(self.hold)
         handle = begun.transaction
         for sql in (
             "UPDATE balances SET amount = amount - 1 WHERE name = 'a'",
