--- a/bamboospring/server.py
+++ b/bamboospring/server.py
@@ -11,6 +11,7 @@
 from bamboospring.connections import ConnectionTiming
 from bamboospring.drain import Drain
 from bamboospring.entry import Entry
+from bamboospring.errors import ListenError
 from bamboospring.facts import Facts
 from bamboospring.fleet_view import FleetView
 from bamboospring.holder import Holder
@@ -19,6 +20,7 @@
 from bamboospring.membership import Membership
 from bamboospring.metrics import Metrics
 from bamboospring.operators import Operators
+from bamboospring.outcomes import Outcome
 from bamboospring.peers import envelope
 from bamboospring.peers import Peers
 from bamboospring.platform_client import CallTiming
@@ -28,13 +30,16 @@
 from bamboospring.reactor import Reactor
 from bamboospring.rendezvous import bucket_of
 from bamboospring.rendezvous import Placement
+from bamboospring.retry_budget import RetryBudget
 from bamboospring.rotation import Rotation
 from bamboospring.server_metrics import watch_process
 from bamboospring.settings import Settings
 from bamboospring.settings import Tls
 from bamboospring.share_keeper import ShareKeeper
 from bamboospring.shares import ShareTiming
+from bamboospring.statement_log import log_outcome
 from bamboospring.statement_server import StatementServer
+from bamboospring.statements import Statement
 from bamboospring.status_view import StatusView
 from bamboospring.steward import Steward
 from bamboospring.suspicion import WatchTiming
@@ -109,6 +114,8 @@
             pools=self.pools,
             watcher=self.watcher,
             codec=self.codec,
+            transaction_idle=cfg.timing.transaction_idle_ms / 1000,
+            budget=RetryBudget(percent=cfg.limits.retry_percent),
         ).register(self)
         StatementServer(
             reactor=self.reactor, peers=self.peers, holder=self.holder
@@ -122,7 +129,8 @@
             codec=self.codec,
             membership=self.membership,
             listen=cfg.callers.listen,
-            on_answered=self.metrics.answered,
+            budget=RetryBudget(percent=cfg.limits.retry_percent),
+            on_answered=self._answered,
         ).register(self)
         self.facts = Facts(
             reactor=self.reactor,
@@ -160,6 +168,7 @@
             publish=self.facts.publish,
         ).register(self)
         self.watcher.on_verdict = self.steward.report
+        self.watcher.on_leaving = self.steward.hint_leaving
         self.drain = Drain(
             reactor=self.reactor,
             board=self.board,
@@ -170,6 +179,7 @@
             limit=cfg.timing.drain_ms / 1000,
         ).register(self)
         self.drain.wait_for("statements", lambda: self.holder.busy)
+        self.drain.wait_for("leases", self.steward.leases.count_held)
         self.table_pages = TablePages(
             board=self.board,
             platform=self.platform,
@@ -216,6 +226,12 @@
         self.rotation.add_keys(keys, find)
         return secured(self.reactor, keys)
 
+    def _answered(
+        self, stmt: Statement, outcome: Outcome, seconds: float, now: float
+    ) -> None:
+        self.metrics.answered(stmt, outcome, seconds, now)
+        log_outcome("answered", stmt, outcome)
+
     def _slow_after(self, group: str) -> float:
         objectives = self.cfg.objectives
         found = objectives.groups.get(group, objectives.default)
@@ -242,6 +258,8 @@
 def _pool_timing(cfg: Settings) -> PoolTiming:
     return PoolTiming(
         connect_timeout=cfg.timing.connect_timeout_ms / 1000,
+        # After the holder itself has given the transaction up.
+        idle_transaction=cfg.timing.transaction_idle_ms / 1000 + 5,
         connections=ConnectionTiming(
             pace=cfg.timing.connect_interval_ms / 1000,
             heartbeat=cfg.timing.target_heartbeat_ms / 1000,
@@ -260,7 +278,10 @@
 def run(cfg: Settings, path: str = "") -> None:
     """Serve until told to stop; `path` is where SIGHUP reads again."""
     logs.configure(level=cfg.logs.level, vm=cfg.vm)
-    server = Server(cfg, path)
+    try:
+        server = Server(cfg, path)
+    except OSError as exc:
+        raise ListenError(f"cannot listen: {exc}") from exc
     if path:
         server.rotation.install()
     logs.log_event(
