--- a/features/membership.feature
+++ b/features/membership.feature
@@ -28,6 +28,15 @@
     Then the leaving VM ends by itself with exit code 0
     And no request of the membership load was cut
 
+  Scenario: A long transaction ends before its holder does
+    # A transaction is pinned to a connection of the VM that gets SIGTERM. It
+    # can't move. It goes on through another entry until long after the notice
+    # period, and commits; only then does its holder end.
+    Given a fleet of 5 VMs for membership
+    When a transaction begins at a holder that then gets SIGTERM
+    Then 4 s later a statement and the commit of the transaction are done
+    And the leaving VM ends by itself with exit code 0
+
   Scenario: All VMs are replaced one after the other
     # A roll-out: each VM gets SIGTERM, ends and is started again, while callers
     # work. Shares, leases and transactions move; nothing is cut.
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -158,6 +158,34 @@
     context.fleet.terminate(context.vm)
 
 
+@when("a transaction begins at a holder that then gets SIGTERM")
+def when_pinned(context: Any) -> None:
+    fleet = context.fleet
+    context.vm, other = holders(fleet)[:2]
+    # An entry that is a holder itself takes the statement.
+    entries = [fleet.vms[context.vm].entry, fleet.vms[other].entry]
+    context.caller = Caller(entries=entries)
+    context.begun = context.caller.begin(GROUP)
+    assert context.begun.done, context.begun
+    fleet.terminate(context.vm)
+    context.caller.roam()
+
+
+@then(
+    "{seconds:d} s later a statement and the commit of the transaction are "
+    "done"
+)
+def then_committed(context: Any, seconds: int) -> None:
+    time.sleep(seconds)
+    caller = context.caller
+    assert context.fleet.process(context.vm).running
+    sql = "INSERT INTO entries (body) VALUES ('kept')"
+    step = caller.statement(GROUP, context.begun.transaction, sql)
+    assert step.done, step
+    commit = caller.commit(GROUP, step.transaction)
+    assert commit.done, commit
+
+
 @then("the leaving VM ends by itself with exit code 0")
 def then_ends(context: Any) -> None:
     process = context.fleet.process(context.vm)
