--- a/bamboospring/commands.py
+++ b/bamboospring/commands.py
@@ -18,7 +18,7 @@
 from bamboospring import cli
 from bamboospring.errors import SettingsError
 from bamboospring import fleet_commands
-from bamboospring import load_commands
+from bamboospring import load_command
 from bamboospring import table_commands
 
 __all__ = ["app"]
@@ -52,7 +52,7 @@
     root.command()(version)
     root.add_typer(table_commands.app, name="table")
     fleet_commands.add_to(root)
-    load_commands.add_to(root)
+    load_command.add_to(root)
     return root
 
 
--- a/bamboospring/entry.py
+++ b/bamboospring/entry.py
@@ -33,6 +33,7 @@
 from bamboospring.responses import bad_request
 from bamboospring.responses import encode_outcome
 from bamboospring.responses import explain
+from bamboospring.statement_log import log_outcome
 from bamboospring.statements import Position
 from bamboospring.statements import Statement
 from bamboospring.statements import Step
@@ -168,6 +169,7 @@
         def done(outcome: Outcome) -> None:
             now = self._reactor.now()
             self._on_answered(stmt, outcome, now - begun_at, now)
+            log_outcome("answered", stmt, outcome)
             respond(self._respond(session, stmt, outcome))
 
         self._forwarder.forward(stmt, done)
--- a/bamboospring/server.py
+++ b/bamboospring/server.py
@@ -20,7 +20,6 @@
 from bamboospring.membership import Membership
 from bamboospring.metrics import Metrics
 from bamboospring.operators import Operators
-from bamboospring.outcomes import Outcome
 from bamboospring.peers import envelope
 from bamboospring.peers import Peers
 from bamboospring.platform_client import PlatformClient
@@ -35,9 +34,7 @@
 from bamboospring.settings import Tls
 from bamboospring.share_keeper import ShareKeeper
 from bamboospring.shares import ShareTiming
-from bamboospring.statement_log import log_outcome
 from bamboospring.statement_server import StatementServer
-from bamboospring.statements import Statement
 from bamboospring.status_view import StatusView
 from bamboospring.steward import Steward
 from bamboospring.suspicion import WatchTiming
@@ -120,7 +117,7 @@
             codec=self.codec,
             membership=self.membership,
             listen=cfg.callers.listen,
-            on_answered=self._answered,
+            on_answered=self.metrics.answered,
         ).register(self)
         self.facts = Facts(
             reactor=self.reactor,
@@ -214,12 +211,6 @@
         self.rotation.add_keys(keys, find)
         return secured(self.reactor, keys)
 
-    def _answered(
-        self, stmt: Statement, outcome: Outcome, seconds: float, now: float
-    ) -> None:
-        self.metrics.answered(stmt, outcome, seconds, now)
-        log_outcome("answered", stmt, outcome)
-
     def _slow_after(self, group: str) -> float:
         objectives = self.cfg.objectives
         found = objectives.groups.get(group, objectives.default)
--- a/bamboospring/settings.py
+++ b/bamboospring/settings.py
@@ -301,6 +301,19 @@
         600_000,
         "Interval at which the platform's list of VMs is read.",
     )
+    platform_timeout_ms: int = _milliseconds(
+        2_000, 10, 60_000, "Longest time for a call to the platform."
+    )
+    backoff_ms: int = _milliseconds(
+        100,
+        1,
+        60_000,
+        "First pause after a failed call to the platform; it doubles with "
+        "each failure.",
+    )
+    longest_backoff_ms: int = _milliseconds(
+        5_000, 1, 600_000, "Longest pause after failed calls."
+    )
     watch_ms: int = _milliseconds(
         20_000, 100, 600_000, "Longest time that a watch waits for a change."
     )
@@ -333,6 +346,7 @@
 
     @model_validator(mode="after")
     def _pairs(self) -> "Timing":
+        _ordered(self, "backoff_ms", "longest_backoff_ms")
         _ordered(self, "share_isolation_ms", "share_grace_ms")
         _ordered(self, "drain_notice_ms", "drain_ms")
         return self
