--- a/bamboospring/server.py
+++ b/bamboospring/server.py
@@ -22,6 +22,7 @@
 from bamboospring.operators import Operators
 from bamboospring.peers import envelope
 from bamboospring.peers import Peers
+from bamboospring.platform_client import CallTiming
 from bamboospring.platform_client import PlatformClient
 from bamboospring.pool import Pools
 from bamboospring.pool import PoolTiming
@@ -79,6 +80,11 @@
         self.platform = PlatformClient(
             reactor=self._secured(cfg.platform.tls, lambda s: s.platform.tls),
             address=cfg.platform.address,
+            timing=CallTiming(
+                timeout=cfg.timing.platform_timeout_ms / 1000,
+                first_backoff=cfg.timing.backoff_ms / 1000,
+                longest_backoff=cfg.timing.longest_backoff_ms / 1000,
+            ),
         )
         self.membership = Membership()
         self.metrics = Metrics(
@@ -155,6 +161,7 @@
             publish=self.facts.publish,
         ).register(self)
         self.watcher.on_verdict = self.steward.report
+        self.watcher.on_leaving = self.steward.hint_leaving
         self.drain = Drain(
             reactor=self.reactor,
             board=self.board,
@@ -165,6 +172,7 @@
             limit=cfg.timing.drain_ms / 1000,
         ).register(self)
         self.drain.wait_for("statements", lambda: self.holder.busy)
+        self.drain.wait_for("leases", self.steward.leases.count_held)
         self.table_pages = TablePages(
             board=self.board,
             platform=self.platform,
@@ -237,6 +245,8 @@
 def _pool_timing(cfg: Settings) -> PoolTiming:
     return PoolTiming(
         connect_timeout=cfg.timing.connect_timeout_ms / 1000,
+        # After the holder itself has given the transaction up.
+        idle_transaction=cfg.timing.transaction_idle_ms / 1000 + 5,
         connections=ConnectionTiming(
             pace=cfg.timing.connect_interval_ms / 1000,
             heartbeat=cfg.timing.target_heartbeat_ms / 1000,
--- a/bamboospring/wire.capnp
+++ b/bamboospring/wire.capnp
@@ -43,6 +43,7 @@
   stalenessStated @11 :Bool;
   deadlineMs @12 :UInt32;     # time left when sent
   trace @13 :Text;            # correlation id of the logs
+  settle @14 :Bool;           # read: take the primary though replicas would do
 }
 
 struct Answer {
@@ -122,4 +123,6 @@
 struct HandOver {
   group @0 :Text;
   target @1 :Text;            # empty: the steward chooses
+  term @2 :UInt64;            # 0: an order; else only a holder's hint that
+                              # the primary of this term says it leaves
 }
