--- a/bamboospring/settings.py
+++ b/bamboospring/settings.py
@@ -251,6 +251,12 @@
 class Timing(_Section):
     """How long things may take, and how often they are done."""
 
+    transaction_idle_ms: int = _milliseconds(
+        30_000,
+        100,
+        3_600_000,
+        "Idle time after which an open transaction is rolled back.",
+    )
     connect_timeout_ms: int = _milliseconds(
         1_000, 10, 60_000, "Longest time to open a connection."
     )
