--- a/bamboospring/holder.py
+++ b/bamboospring/holder.py
@@ -59,8 +59,11 @@
         pools: Pools,
         watcher: Watcher,
         codec: TokenCodec,
+        transaction_idle: float,
+        budget: RetryBudget | None = None,
     ) -> None:
         super().__init__()
+        self._budget = budget or RetryBudget()
         self._reactor = reactor
         self._board = board
         self._placement = placement
@@ -78,6 +81,7 @@
             flights=self._flights,
             codec=codec,
             draw_number=lambda: secrets.randbits(NUMBER_BITS),
+            idle_seconds=transaction_idle,
         )
         self.writes = WriteRunner(
             reactor=reactor,
@@ -126,6 +130,7 @@
             self._run_new(stmt, finished)
 
     def _run_new(self, stmt: Statement, done: OnOutcome) -> None:
+        self._budget.first_try()
         group = self._board.groups.get(stmt.group)
         if self._board.starting:
             done(_not_here(Reason.NOT_HOLDER))
--- a/bamboospring/settings.py
+++ b/bamboospring/settings.py
@@ -251,12 +251,6 @@
 class Timing(_Section):
     """How long things may take, and how often they are done."""
 
-    transaction_idle_ms: int = _milliseconds(
-        30_000,
-        100,
-        3_600_000,
-        "Idle time after which an open transaction is rolled back.",
-    )
     connect_timeout_ms: int = _milliseconds(
         1_000, 10, 60_000, "Longest time to open a connection."
     )
@@ -307,6 +301,13 @@
         600_000,
         "Interval at which the platform's list of VMs is read.",
     )
+    transaction_idle_ms: int = _milliseconds(
+        5_000,
+        100,
+        3_600_000,
+        "Idle time after which an open transaction is rolled back. Meanwhile "
+        "it may keep a lock that other writes of the group wait for.",
+    )
     platform_timeout_ms: int = _milliseconds(
         2_000, 10, 60_000, "Longest time for a call to the platform."
     )
@@ -314,8 +315,8 @@
         100,
         1,
         60_000,
-        "First pause after a failed call to the platform; it doubles with "
-        "each failure.",
+        "First pause after a failed call to the platform; "
+        "it doubles with each failure.",
     )
     longest_backoff_ms: int = _milliseconds(
         5_000, 1, 600_000, "Longest pause after failed calls."
--- a/bamboospring/testing/target_engine.py
+++ b/bamboospring/testing/target_engine.py
@@ -309,6 +309,7 @@
         self.sessions.add(session)
         self._session_numbers += 1
         session.number = self._session_numbers
+        self.counters["opened_connections"] += 1
         self._peak("peak_connections", len(self.sessions))
         return True
 
--- a/bamboospring/transaction_runner.py
+++ b/bamboospring/transaction_runner.py
@@ -37,10 +37,6 @@
 
 __all__ = ["TransactionRunner"]
 
-# An open transaction holds a connection and its target's write lock. If its
-# caller is gone nobody ends it, and all other writes of the group wait.
-IDLE_SECONDS = 5.0
-
 OnOutcome = Callable[[Outcome], None]
 
 
@@ -58,6 +54,7 @@
         flights: Flights,
         codec: TokenCodec,
         draw_number: Callable[[], int],
+        idle_seconds: float,
     ) -> None:
         self.reactor = reactor
         self.pools = pools
@@ -65,6 +62,7 @@
         self.watcher = watcher
         self.flights = flights
         self.table = TransactionTable(vm=vm)
+        self._idle_seconds = idle_seconds
         self._codec = codec
         self._draw_number = draw_number
 
@@ -146,8 +144,11 @@
         return self._codec.encode_transaction(self.table.handle(transaction))
 
     def _wait_idle(self, transaction: Transaction) -> None:
+        # An open transaction holds a connection and its target's write lock.
+        # If its caller is gone nobody ends it, and all other writes of the
+        # group wait.
         transaction.idle = self.reactor.call_later(
-            IDLE_SECONDS, lambda: self.drop(transaction)
+            self._idle_seconds, lambda: self.drop(transaction)
         )
 
     def _stop_idle(self, transaction: Transaction) -> None:
