--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -131,6 +131,7 @@
     for source in (
         statement_slopes,
         connection_slopes,
+        idle_slopes,
         metrics_slopes,
         binary_slopes,
         control_slopes,
@@ -168,7 +169,8 @@
     for kind, name in (("plain", "plain"), ("tls", "TLS")):
         found = data[kind]
         lines.append(
-            f"| memory of an idle caller connection, {name} | "
+            f"| memory of an idle caller connection, {name}, up to "
+            f"{found['points'][-1]['connections']:,} | "
             f"{found['bytes_each']:,} B | ± {found['bytes_each_error']} B "
             f"({found['fit']['points']} points, "
             f"R² {found['fit']['r2']:.4f}) | `bench/connections.py` |"
@@ -183,6 +185,23 @@
     return lines
 
 
+def idle_slopes() -> list[str]:
+    data = need("idle_connections", "memory up to 16,000 connections")
+    if data is None:
+        return []
+    steps = data["steps"]
+    line = fit(
+        [step["connections"] for step in steps],
+        [step["VmRSS"] for step in steps],
+    )
+    return [
+        f"| the same, plain, up to {steps[-1]['connections']:,} | "
+        f"{line.slope * 1024:,.0f} B | ± {line.slope_error * 1024:.0f} B "
+        f"({line.points} points, R² {line.r2:.4f}) | "
+        "`bench/idle_connections.py` |"
+    ]
+
+
 def metrics_slopes() -> list[str]:
     data = need("metrics_cost", "cost of counting")
     if data is None:
