--- a/bamboospring/exchange.py
+++ b/bamboospring/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 import itertools
 
 from bamboospring.http_codec import HttpAnswer
@@ -15,6 +16,7 @@
 from bamboospring.pool import Leased
 from bamboospring.reactor import Reactor
 from bamboospring.statements import Statement
+from bamboospring.statements import Step
 from bamboospring.target_api import decode_answer
 from bamboospring.target_api import encode_execute
 from bamboospring.target_api import TargetAnswer
@@ -29,6 +31,9 @@
 ]
 
 RETRY_SOON_MS = 100
+# In bytes of a target's answer. A frame between VMs has a limit too, and one
+# that is over it ends the link with all that is under way on it.
+MAX_RESULT = 2 * 1024 * 1024
 
 OnTargetAnswer = Callable[[TargetAnswer | HttpLost], None]
 
@@ -88,11 +93,33 @@
                 leased.conn.close()
                 on_answer(HttpLost(sent=True, reason="crossed"))
                 return
+            if len(answer.body) > MAX_RESULT:
+                _refuse_result(stmt, leased, decoded, on_answer)
+                return
             on_answer(decoded)
 
         leased.conn.request("POST", "/execute", body, timeout, answered)
 
 
+def _refuse_result(
+    stmt: Statement,
+    leased: Leased,
+    answer: TargetAnswer,
+    on_answer: OnTargetAnswer,
+) -> None:
+    """Report a result that is too large to be passed on whole.
+
+    A lone read has failed. What else ran is reported as lost: a transaction
+    is rolled back with its connection, a write is unknown to its caller.
+    """
+    if stmt.write or stmt.step is not Step.AUTOCOMMIT:
+        leased.conn.close()
+        on_answer(HttpLost(sent=True, reason="size"))
+        return
+    message = f"the result is too large: over {MAX_RESULT} bytes"
+    on_answer(replace(answer, outcome="failed", message=message, rows=()))
+
+
 def done_from(
     answer: TargetAnswer, *, at_replica: bool = False, transaction: str = ""
 ) -> Done:
--- a/features/bad_input.feature
+++ b/features/bad_input.feature
@@ -86,3 +86,12 @@
     Given a bad-input fleet
     When a caller closes in the middle of its body
     Then no target ran anything, and the VM serves the next caller
+
+  Scenario: A result that is too large harms nobody else
+    # A read gives 5 MB. Sent on, it would break the link between the VMs, and
+    # with it every statement under way there. It is refused by its holder,
+    # while others' reads through the same VM go on.
+    Given a bad-input fleet with VMs that only forward
+    When a caller reads 5 MB while others read through the same VM
+    Then that read failed and its message says that the result is too large
+    And no other read was disturbed
--- a/features/steps/bad_input_steps.py
+++ b/features/steps/bad_input_steps.py
@@ -10,13 +10,16 @@
 from behave import given
 from behave import then
 from behave import when
+from fleet_support import caller_at
 from fleet_support import GROUP
+from fleet_support import in_threads
 from fleet_support import start_fleet
 from hypothesis import given as for_all
 from hypothesis import settings
 from hypothesis import strategies as st
 
 from bamboospring.testing.caller import Caller
+from bamboospring.testing.caller import CallerAnswer
 from bamboospring.testing.fleet import TOKEN_KEYS
 from bamboospring.tokens import Session
 from bamboospring.tokens import TokenCodec
@@ -429,3 +432,46 @@
     conn = RawConnection(context.vm)
     conn.send(head(100) + b'{"token": ')
     conn.close()
+
+
+@given("a bad-input fleet with VMs that only forward")
+def given_forwarding_fleet(context: Any) -> None:
+    start_fleet(context, vms=5)
+
+
+@when("a caller reads 5 MB while others read through the same VM")
+def when_large(context: Any) -> None:
+    fleet = context.fleet
+    entry = fleet.not_holders(GROUP)[0]
+
+    def read_small(number: int) -> list[CallerAnswer]:
+        caller = caller_at(fleet, entry, name=f"other {number}")
+        answers = []
+        for _ in range(60):
+            answers.append(caller.read(GROUP, "SELECT ?", [number]))
+            time.sleep(0.01)
+        return answers
+
+    def read_large() -> list[CallerAnswer]:
+        caller = caller_at(fleet, entry)
+        sql = "SELECT hex(zeroblob(2500000))"
+        return [caller.read(GROUP, sql) for _ in range(5)]
+
+    others: list[Any] = [
+        lambda n=n: read_small(n) for n in range(4)  # type: ignore[misc]
+    ]
+    context.large, *context.small = in_threads([read_large, *others])
+
+
+@then("that read failed and its message says that the result is too large")
+def then_too_large(context: Any) -> None:
+    for answer in context.large:
+        assert answer.outcome == "failed", str(answer)[:300]
+        assert "too large" in answer.message, answer
+
+
+@then("no other read was disturbed")
+def then_undisturbed(context: Any) -> None:
+    for number, answers in enumerate(context.small):
+        for answer in answers:
+            assert answer.done and answer.rows == ((number,),), answer
