--- a/bamboospring/exchange.py
+++ b/bamboospring/exchange.py
@@ -34,6 +34,8 @@
 # In bytes of a target's answer. A frame between VMs has a limit too, and one
 # that is over it ends the link with all that is under way on it.
 MAX_RESULT = 2 * 1024 * 1024
+# Seconds.
+ANSWER_MARGIN = 0.1
 
 OnTargetAnswer = Callable[[TargetAnswer | HttpLost], None]
 
@@ -76,8 +78,11 @@
             on_answer(HttpLost(sent=False, reason="deadline"))
             return
         number = next(self._numbers)
+        # The target gives up its wait for a lock a little before we do, so
+        # that its "nothing ran" arrives; else the caller is told "unknown".
+        left = timeout - min(ANSWER_MARGIN, timeout / 4)
         body = encode_execute(
-            stmt, number=number, term=term, min_index=min_index, left=timeout
+            stmt, number=number, term=term, min_index=min_index, left=left
         )
 
         def answered(answer: HttpAnswer | HttpLost) -> None:
--- a/bamboospring/holder.py
+++ b/bamboospring/holder.py
@@ -26,6 +26,7 @@
 from bamboospring.reads import ReadRunner
 from bamboospring.rendezvous import Placement
 from bamboospring.retry_budget import RetryBudget
+from bamboospring.statement_log import log_outcome
 from bamboospring.statements import Statement
 from bamboospring.statements import Step
 from bamboospring.tokens import TokenCodec
@@ -110,6 +111,7 @@
 
         def finished(outcome: Outcome) -> None:
             self._running -= 1
+            log_outcome("ran", stmt, outcome)
             done(outcome)
 
         if stmt.step in (Step.STATEMENT, Step.COMMIT, Step.ROLLBACK):
--- a/bamboospring/server.py
+++ b/bamboospring/server.py
@@ -11,6 +11,7 @@
 from bamboospring.connections import ConnectionTiming
 from bamboospring.drain import Drain
 from bamboospring.entry import Entry
+from bamboospring.errors import ListenError
 from bamboospring.facts import Facts
 from bamboospring.fleet_view import FleetView
 from bamboospring.holder import Holder
@@ -19,8 +20,10 @@
 from bamboospring.membership import Membership
 from bamboospring.metrics import Metrics
 from bamboospring.operators import Operators
+from bamboospring.outcomes import Outcome
 from bamboospring.peers import envelope
 from bamboospring.peers import Peers
+from bamboospring.platform_client import CallTiming
 from bamboospring.platform_client import PlatformClient
 from bamboospring.pool import Pools
 from bamboospring.pool import PoolTiming
@@ -33,7 +36,9 @@
 from bamboospring.settings import Tls
 from bamboospring.share_keeper import ShareKeeper
 from bamboospring.shares import ShareTiming
+from bamboospring.statement_log import log_outcome
 from bamboospring.statement_server import StatementServer
+from bamboospring.statements import Statement
 from bamboospring.status_view import StatusView
 from bamboospring.steward import Steward
 from bamboospring.suspicion import WatchTiming
@@ -78,6 +83,11 @@
         self.platform = PlatformClient(
             reactor=self._secured(cfg.platform.tls, lambda s: s.platform.tls),
             address=cfg.platform.address,
+            timing=CallTiming(
+                timeout=cfg.timing.platform_timeout_ms / 1000,
+                first_backoff=cfg.timing.backoff_ms / 1000,
+                longest_backoff=cfg.timing.longest_backoff_ms / 1000,
+            ),
         )
         self.membership = Membership()
         self.metrics = Metrics(
@@ -116,7 +126,7 @@
             codec=self.codec,
             membership=self.membership,
             listen=cfg.callers.listen,
-            on_answered=self.metrics.answered,
+            on_answered=self._answered,
         ).register(self)
         self.facts = Facts(
             reactor=self.reactor,
@@ -154,6 +164,7 @@
             publish=self.facts.publish,
         ).register(self)
         self.watcher.on_verdict = self.steward.report
+        self.watcher.on_leaving = self.steward.hint_leaving
         self.drain = Drain(
             reactor=self.reactor,
             board=self.board,
@@ -164,6 +175,7 @@
             limit=cfg.timing.drain_ms / 1000,
         ).register(self)
         self.drain.wait_for("statements", lambda: self.holder.busy)
+        self.drain.wait_for("leases", self.steward.leases.count_held)
         self.table_pages = TablePages(
             board=self.board,
             platform=self.platform,
@@ -210,6 +222,12 @@
         self.rotation.add_keys(keys, find)
         return secured(self.reactor, keys)
 
+    def _answered(
+        self, stmt: Statement, outcome: Outcome, seconds: float, now: float
+    ) -> None:
+        self.metrics.answered(stmt, outcome, seconds, now)
+        log_outcome("answered", stmt, outcome)
+
     def _slow_after(self, group: str) -> float:
         objectives = self.cfg.objectives
         found = objectives.groups.get(group, objectives.default)
@@ -236,6 +254,8 @@
 def _pool_timing(cfg: Settings) -> PoolTiming:
     return PoolTiming(
         connect_timeout=cfg.timing.connect_timeout_ms / 1000,
+        # After the holder itself has given the transaction up.
+        idle_transaction=cfg.timing.transaction_idle_ms / 1000 + 5,
         connections=ConnectionTiming(
             pace=cfg.timing.connect_interval_ms / 1000,
             heartbeat=cfg.timing.target_heartbeat_ms / 1000,
@@ -254,7 +274,10 @@
 def run(cfg: Settings, path: str = "") -> None:
     """Serve until told to stop; `path` is where SIGHUP reads again."""
     logs.configure(level=cfg.logs.level, vm=cfg.vm)
-    server = Server(cfg, path)
+    try:
+        server = Server(cfg, path)
+    except OSError as exc:
+        raise ListenError(f"cannot listen: {exc}") from exc
     if path:
         server.rotation.install()
     logs.log_event(
