--- a/bamboospring/entry.py
+++ b/bamboospring/entry.py
@@ -74,6 +74,7 @@
         codec: TokenCodec,
         membership: Membership,
         listen: str,
+        budget: RetryBudget | None = None,
         on_answered: OnAnswered = lambda *_: None,
     ) -> None:
         super().__init__()
@@ -90,7 +91,7 @@
             holder=holder,
             codec=codec,
             membership=membership,
-            budget=RetryBudget(),
+            budget=budget or RetryBudget(),
         )
         self._routes: dict[str, Callable[[bytes, Respond], None]] = {
             "/v1/sessions": self._open_session,
