Open a new connection in the test caller where the entry closed the idle one

Each loss was on a kept connection that the caller had last used before its entry ended; the entry closed it with nothing under way, as HTTP allows, and came back on the same address. The caller sent on it without looking. Ruled out: the shutdown itself (drain_ended says 0 callers, 0 statements each time). Change: the caller looks whether the other end has closed before it sends, as HTTP clients do. A connection closed after sending still counts as lost.

--- a/bamboospring/testing/caller.py
+++ b/bamboospring/testing/caller.py
@@ -12,6 +12,7 @@
 from dataclasses import field
 import http.client
 import json
+import select
 import socket
 import time
 from typing import Any
@@ -222,6 +223,11 @@
 
     def _conn(self) -> http.client.HTTPConnection:
         conn = self._conns.get(self.entry)
+        if conn is not None and _is_closed(conn):
+            # Closed by the entry while nothing was under way, as HTTP allows
+            # at any time. Sending on it would lose a request that nobody cut.
+            self._drop()
+            conn = None
         if conn is None:
             host, port = self.entry.rsplit(":", 1)
             timeout = self.deadline_ms / 1000 + GRACE_SECONDS
@@ -237,6 +243,14 @@
             conn.close()
 
 
+def _is_closed(conn: http.client.HTTPConnection) -> bool:
+    """Tell whether the other end has closed an idle connection."""
+    if conn.sock is None:
+        return True
+    ready, _, _ = select.select([conn.sock], [], [], 0)
+    return bool(ready)
+
+
 def _answer(data: dict[str, Any], status: int, seconds: float) -> CallerAnswer:
     return CallerAnswer(
         outcome=data.get("outcome") or ("done" if status == 200 else ""),
