--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -160,6 +160,21 @@
     return "\n".join([output, *lines])
 
 
+def _part(output: str, scenario: dict[str, str]) -> str:
+    """Return what behave printed of one scenario, or all if not found."""
+    lines = output.splitlines()
+    title = f": {scenario['name']}".rstrip()
+    for begin, line in enumerate(lines):
+        if line.startswith("  Scenario") and line.rstrip().endswith(title):
+            break
+    else:
+        return output
+    end = begin + 1
+    while end < len(lines) and not lines[end].startswith("  Scenario"):
+        end += 1
+    return "\n".join(lines[begin:end])
+
+
 def _seconds(scenario: dict[str, list[dict[str, dict[str, float]]]]) -> float:
     return sum(
         step.get("result", {}).get("duration", 0.0)
