--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -678,20 +678,40 @@
     return "\n".join(lines)
 
 
-def control_fits(runs: list[dict[str, Any]]) -> list[str]:
-    """Return what a held group costs, and the fullest VM."""
-    same = [
+CONTROL: tuple[tuple[str, float, Callable[[Any], float]], ...] = (
+    ("processor, % of a core", CPU_BOUND, lambda r: r["cpu_percent"]),
+    ("memory, MB", MEMORY_BOUND, lambda r: r["resident_mb"]),
+    ("KB/s", BYTES_BOUND / 1000, lambda r: control_bytes(r) / 1000),
+)
+
+
+def held_runs(runs: list[dict[str, Any]]) -> list[dict[str, Any]]:
+    """Return the runs through which a line over held groups goes."""
+    found = [
         run for run in runs if not run["watcher"] and run["vms"] >= LARGE_FLEET
     ]
-    if len({run["held_groups"] for run in same}) < 3:
-        return []
+    return found if len({run["held_groups"] for run in found}) > 2 else []
+
+
+def held_line(
+    runs: list[dict[str, Any]], read: Callable[[Any], float]
+) -> Line:
+    """Return a cost of control over held groups."""
+    return fit([run["held_groups"] for run in runs], [read(r) for r in runs])
+
+
+def most_held() -> int:
+    """Return the groups that the fullest VM holds."""
     placement = load("placement")
-    most = placement["held_groups"]["most"] if placement else 0
-    readers: list[tuple[str, float, Callable[[Any], float]]] = [
-        ("processor, % of a core", CPU_BOUND, lambda r: r["cpu_percent"]),
-        ("memory, MB", MEMORY_BOUND, lambda r: r["resident_mb"]),
-        ("KB/s", BYTES_BOUND / 1000, lambda r: control_bytes(r) / 1000),
-    ]
+    return placement["held_groups"]["most"] if placement else 0
+
+
+def control_fits(runs: list[dict[str, Any]]) -> list[str]:
+    """Return what a held group costs, and the fullest VM."""
+    same = held_runs(runs)
+    if not same:
+        return []
+    most = most_held()
     lines = [
         f"Against held groups, runs of at least {LARGE_FLEET} VMs:",
         "",
@@ -699,10 +719,8 @@
         f"the fullest VM ({most} held) |",
         "|---|---|---|---|---|",
     ]
-    for name, bound, read in readers:
-        line = fit(
-            [run["held_groups"] for run in same], [read(r) for r in same]
-        )
+    for name, bound, read in CONTROL:
+        line = held_line(same, read)
         value = line.base + line.slope * most
         lines.append(
             f"| {name} | {line.base:.2f} | {line.slope:.3f} ± "
@@ -775,6 +793,18 @@
                 f"what is allowed ({run['held_groups']} groups held). "
                 "Missing: fewer questions of other VMs to the same few."
             )
+    same = held_runs(load("control") or [])
+    most = most_held()
+    for name, bound, read in CONTROL if same else ():
+        line = held_line(same, read)
+        value = line.base + line.slope * most
+        if value > bound:
+            lines.append(
+                f"- **Control of the fullest VM**: with {most} held groups "
+                f"{value:.1f} {name}, {value / bound:.1f} times what is "
+                "allowed. Missing: an even share of groups, or fewer polls "
+                "of targets."
+            )
     return lines
 
 
