--- a/bamboospring/settings.py
+++ b/bamboospring/settings.py
@@ -12,13 +12,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
-import difflib
 import ipaddress
 from pathlib import Path
 from typing import Annotated
 from typing import Any
-from typing import get_args
 from typing import Literal
 
 from pydantic import AfterValidator
@@ -32,6 +29,7 @@
 from bamboospring.errors import SettingsError
 from bamboospring.errors import SourceError
 from bamboospring import json_source
+from bamboospring.settings_faults import first_fault
 
 __all__ = [
     "Callers",
@@ -54,7 +52,6 @@
 ]
 
 SHORTEST_SECRET = 16
-NEAR_ENOUGH = 0.6
 
 
 def split_address(text: str) -> tuple[str, int]:
@@ -529,7 +526,7 @@
     try:
         return Settings.model_validate(data)
     except ValidationError as exc:
-        raise _first(_faults(exc, data, name)) from exc
+        raise first_fault(exc, data, name=name, model=Settings) from exc
 
 
 def _check_plain_text(address: str, tls: Tls | None, plain: bool) -> None:
@@ -549,86 +546,3 @@
     most = getattr(section, high)
     if least > most:
         raise ValueError(f"{low} ({least}) is more than {high} ({most})")
-
-
-def _first(faults: Sequence[SettingsError]) -> SettingsError:
-    first, *others = sorted(faults, key=lambda each: (each.line, each.column))
-    first.others = tuple(others)
-    return first
-
-
-def _faults(exc: ValidationError, data: Any, name: str) -> list[SettingsError]:
-    faults = []
-    for error in exc.errors(include_url=False):
-        path = error["loc"]
-        where = json_source.position(data, path)
-        faults.append(
-            SettingsError(
-                _message(path, error),
-                name=name,
-                line=where.line,
-                column=where.column,
-            )
-        )
-    return faults
-
-
-def _message(path: Sequence[str | int], error: Any) -> str:
-    dotted = ".".join(str(step) for step in path)
-    match error["type"]:
-        case "extra_forbidden":
-            return f"unknown key {dotted}{_suggestion(path)}"
-        case "missing":
-            return f"{dotted} is missing"
-        case "value_error":
-            text = str(error["ctx"]["error"])
-            return f"{dotted}: {text}" if dotted else text
-        case "int_type" | "float_type" | "int_from_float":
-            unit = _unit(str(path[-1]))
-            return f"{dotted} must be a number{unit}, not {error['input']!r}"
-        case _:
-            text = error["msg"]
-            return f"{dotted}: {text[:1].lower()}{text[1:]}"
-
-
-def _unit(key: str) -> str:
-    if key.endswith("_ms"):
-        return " of milliseconds without a unit"
-    if key.endswith("_bytes"):
-        return " of bytes without a unit"
-    if key.endswith("_percent"):
-        return " of percent without a unit"
-    return ""
-
-
-def _suggestion(path: Sequence[str | int]) -> str:
-    known = _known_keys(path[:-1])
-    near = difflib.get_close_matches(
-        str(path[-1]), known, n=1, cutoff=NEAR_ENOUGH
-    )
-    if not near:
-        return ""
-    unit = _unit(near[0]).replace(" of", ", in").replace(" without a unit", "")
-    return f"; is {near[0]}{unit} meant?"
-
-
-def _known_keys(path: Sequence[str | int]) -> list[str]:
-    model: type[BaseModel] = Settings
-    for step in path:
-        field = model.model_fields.get(str(step))
-        if field is None:
-            continue
-        inner = _model_in(field.annotation)
-        if inner is not None:
-            model = inner
-    return list(model.model_fields)
-
-
-def _model_in(annotation: Any) -> type[BaseModel] | None:
-    if isinstance(annotation, type) and issubclass(annotation, BaseModel):
-        return annotation
-    for part in get_args(annotation):
-        found = _model_in(part)
-        if found is not None:
-            return found
-    return None
--- a/bamboospring/settings_reference.py
+++ b/bamboospring/settings_reference.py
@@ -17,6 +17,7 @@
 from pydantic_core import PydanticUndefined
 
 from bamboospring.settings import Settings
+from bamboospring.settings_faults import model_in
 
 __all__ = ["page"]
 
@@ -51,7 +52,7 @@
     inner = []
     for name, field in model.model_fields.items():
         yield _row(name, field)
-        below = _model_in(field.annotation)
+        below = model_in(field.annotation)
         if below is not None:
             inner.append((below, _path(prefix, name, field)))
     yield ""
@@ -127,7 +128,7 @@
 
 
 def _type_name(annotation: Any) -> str:
-    model = _model_in(annotation)
+    model = model_in(annotation)
     origin = get_origin(annotation)
     if origin is list:
         return "list of sections"
@@ -141,13 +142,3 @@
         return " \\| ".join(f"`{each}`" for each in choices)
     names = {str: "text", int: "whole number", float: "number", bool: "yes/no"}
     return names.get(annotation, "text")
-
-
-def _model_in(annotation: Any) -> type[BaseModel] | None:
-    if isinstance(annotation, type) and issubclass(annotation, BaseModel):
-        return annotation
-    for part in get_args(annotation):
-        found = _model_in(part)
-        if found is not None:
-            return found
-    return None
--- a/features/settings.feature
+++ b/features/settings.feature
@@ -15,7 +15,7 @@
 
     Examples:
       | line | column | text                                                      | message                                                                      |
-      | 8    | 14     | "timing": {"suspect_s": 2},                               | unknown key timing.suspect_s; is suspect_ms, in milliseconds meant?          |
+      | 8    | 14     | "timing": {"suspect_s": 2},                               | unknown key timing.suspect_s; is suspect_ms meant, a number of milliseconds  |
       | 8    | 14     | "timing": {"suspect_ms": "2 s"},                          | timing.suspect_ms must be a number of milliseconds without a unit, not '2 s' |
       | 8    | 14     | "timing": {"suspect_ms": 0},                              | timing.suspect_ms: input should be greater than or equal to 20               |
       | 8    | 3      | "timing": {"drain_ms": 900},                              | timing: drain_notice_ms (5000) is more than drain_ms (900)                   |
