Make the test of two failures at once see lost and doubled writes

Cause: without a lag in receiving, what the frozen primary had alone was dropped as a whole, and the test passed also with keys not sent (seen). Change: replicas take 100 ms to receive.

--- a/features/at_most_once.feature
+++ b/features/at_most_once.feature
@@ -55,9 +55,10 @@
     And every keyed write has 1 row at every living target
 
   Scenario: The primary freezes and a holder dies at the same time
-    # Both go at once under load; a new primary is found without them. Later
-    # the old one runs again, still thinking itself primary, with entries that
-    # were never acknowledged. It rejoins and has what all others have.
+    # Both go at once under load, while replicas take 100 ms to receive a
+    # write: some writes under way are at the old primary only, some are at a
+    # replica and nobody was told. A new primary is found; callers try again.
+    # Later the old one runs again, still thinking itself primary, and rejoins.
     Given an at-most-once fleet
     When 8 callers write 25 keyed rows each while primary and holder fail
     Then all keyed writes were acknowledged
--- a/features/steps/at_most_once_steps.py
+++ b/features/steps/at_most_once_steps.py
@@ -238,9 +238,11 @@
     fleet = context.fleet
     primary = fleet.primary(GROUP)
     holder = fleet.holders(GROUP)[0]
+    for target in fleet.targets:
+        fleet.set_target(target, receive_lag_ms=100)
 
     def trouble() -> None:
-        time.sleep(0.5)
+        time.sleep(1.0)
         fleet.freeze(primary)
         fleet.kill(holder)
         time.sleep(4.0)
