--- a/bamboospring/entry.py
+++ b/bamboospring/entry.py
@@ -34,6 +34,7 @@
 from bamboospring.responses import encode_outcome
 from bamboospring.responses import explain
 from bamboospring.retry_budget import RetryBudget
+from bamboospring.statement_log import log_outcome
 from bamboospring.statements import Position
 from bamboospring.statements import Statement
 from bamboospring.statements import Step
@@ -170,6 +171,7 @@
         def done(outcome: Outcome) -> None:
             now = self._reactor.now()
             self._on_answered(stmt, outcome, now - begun_at, now)
+            log_outcome("answered", stmt, outcome)
             respond(self._respond(session, stmt, outcome))
 
         self._forwarder.forward(stmt, done)
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -19,6 +19,7 @@
 from configuration_support import run_table_command
 from configuration_support import same_shard_names
 from configuration_support import start_estate
+import editor_properties
 
 from bamboospring.blackboard import Vm
 from bamboospring.rendezvous import choose_watchers
@@ -395,8 +396,11 @@
     # The observer remembers what was in force before; ask afresh as well.
     for name in names:
         operator = Operator(fleet=context.fleet, vm=name)
-        found = wait_until(operator.in_force, seconds=seconds, what=name)
-        assert found["shards"][str(SHARD)] >= last, (name, found)
+        wait_until(
+            lambda: operator.in_force()["shards"][str(SHARD)] >= last,
+            seconds=seconds,
+            what=f"version {last} in force at {name}",
+        )
 
 
 # Load.
@@ -478,3 +482,8 @@
 def then_converges(context: Any) -> None:
     # Checked at the end of each of the runs above.
     assert configuration_properties.converged_runs > 0
+
+
+@then("in {count:d} generated races every report is true in the end")
+def then_true(context: Any, count: int) -> None:
+    editor_properties.check_edits(runs=count)
