--- a/features/steps/shares_steps.py
+++ b/features/steps/shares_steps.py
@@ -106,7 +106,7 @@
         seen = max(process.seen, newest)
         process.seen = seen
         listed = self.lists[seen]
-        process.watch.see(now=self.now, revision=seen, listed=listed)
+        process.watch.see(now=self.now, revision=seen + 1, listed=listed)
         process.shares.see(
             now=self.now,
             holders=tuple(sorted(listed, reverse=True))[:HOLDERS],
