Hear of leaving also when it comes between two long polls

In 6 of 20 planned changes the gap was 470 to 570 ms: the target began to leave between two polls of the holder, and the next poll, seeing nothing new, waited for its whole 400 ms.

--- a/bamboospring/testing/target_server.py
+++ b/bamboospring/testing/target_server.py
@@ -253,14 +253,14 @@
         known = (
             int(query.get("term", store.term)),
             query.get("role", store.role.value),
-            self.engine.knobs.leaving,
+            int(query.get("leaving", self.engine.knobs.leaving)),
         )
         loop = asyncio.get_running_loop()
         end = loop.time() + wait
         while loop.time() < end:
             if store.received > received or store.applied > applied:
                 break
-            leaving = self.engine.knobs.leaving
+            leaving = int(self.engine.knobs.leaving)
             if (store.term, store.role.value, leaving) != known:
                 break
             await self.engine.wait_change(end - loop.time())
--- a/bamboospring/watcher.py
+++ b/bamboospring/watcher.py
@@ -346,6 +346,7 @@
         self._ask(
             f"/positions?received={probe.received}&applied={probe.applied}"
             f"&term={probe.term}&role={probe.role.value}"
+            f"&leaving={int(probe.leaving)}"
             f"&wait_ms={int(self._wait() * 1000)}"
         )
 
