--- a/features/operators.feature
+++ b/features/operators.feature
@@ -55,3 +55,10 @@
     When the keys are replaced by new ones on SIGHUP
     Then the peers' listener shows the new certificate
     And a caller does 3 writes and 3 reads through every entry
+
+  Scenario: Callers and operators are served under TLS, and not without it
+    Given a small fleet whose callers and operators use TLS
+    Then a caller under TLS soon gets a read done
+    And a caller in plain text gets no answer
+    And "bamboospring status" with the authority's certificate soon ends with 0
+    But without it "bamboospring status" ends with 3
--- a/features/steps/operators_steps.py
+++ b/features/steps/operators_steps.py
@@ -38,13 +38,20 @@
 WRITE = "INSERT INTO entries (body) VALUES ('x')"
 
 
-def _start(context: Any, settings: dict[str, Any], vms: int = 3) -> None:
+def _start(
+    context: Any,
+    settings: dict[str, Any],
+    *,
+    vms: int = 3,
+    serving: bool = True,
+) -> None:
     estate = dataclasses.replace(SMALL, schema=SCHEMA)
     fleet = Fleet(estate=estate, settings=settings, vms=vms)
     context.fleet = fleet
     context.add_cleanup(fleet.close)
     fleet.start()
-    fleet.wait_serving()
+    if serving:
+        fleet.wait_serving()
     context.token = OPERATOR_TOKEN
     context.vm = next(iter(fleet.vms.values()))
 
@@ -439,3 +446,71 @@
         seconds=PATIENCE,
         what="the new certificate",
     )
+
+
+@given("a small fleet whose callers and operators use TLS")
+def step_tls_outside(context: Any) -> None:
+    keys = {
+        "certificate": str(KEYS / "vm.pem"),
+        "private_key": str(KEYS / "vm.key"),
+    }
+    settings = {"callers": {"tls": keys}, "operators": {"tls": keys}}
+    _start(context, settings, serving=False)
+
+
+def _https(context: Any, path: str, body: dict[str, Any]) -> dict[str, Any]:
+    host, port = context.vm.entry.rsplit(":", 1)
+    tls = ssl.create_default_context(cafile=str(KEYS / "authority.pem"))
+    conn = http.client.HTTPSConnection(
+        host, int(port), timeout=10, context=tls
+    )
+    try:
+        conn.request("POST", path, json.dumps(body))
+        answer: dict[str, Any] = json.loads(conn.getresponse().read())
+        return answer
+    finally:
+        conn.close()
+
+
+@then("a caller under TLS soon gets a read done")
+def step_tls_read(context: Any) -> None:
+    def done() -> bool:
+        session = _https(context, "/v1/sessions", {"caller": "tls"})
+        body = {
+            "token": session["token"],
+            "group": GROUP,
+            "kind": "read",
+            "sql": READ,
+            "params": [],
+        }
+        answer = _https(context, "/v1/statements", body)
+        return bool(answer["outcome"] == "done")
+
+    wait_until(done, seconds=PATIENCE, what="a read under TLS")
+
+
+@then("a caller in plain text gets no answer")
+def step_plain_caller(context: Any) -> None:
+    try:
+        token = Caller(entries=[context.vm.entry]).open()
+    except ConnectionError:
+        return
+    raise AssertionError(f"it got a session: {token}")
+
+
+@then(
+    '"bamboospring status" with the authority\'s certificate soon ends with 0'
+)
+def step_tls_status(context: Any) -> None:
+    command = f"status --authority {KEYS / 'authority.pem'}"
+    wait_until(
+        lambda: _command(context, command).returncode == 0,
+        seconds=PATIENCE,
+        what="the fleet's status under TLS",
+    )
+
+
+@then('without it "bamboospring status" ends with 3')
+def step_no_authority(context: Any) -> None:
+    done = _command(context, "status")
+    assert done.returncode == 3, done
