--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -29,7 +29,7 @@
 # four-core machine bears without timing out.
 AT_ONCE = int(os.environ.get("AT_ONCE", "4"))
 FEATURE_TIMEOUT = 420.0
-TAIL = 60
+TAIL = 160
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
