--- a/bamboospring/commit.py
+++ b/bamboospring/commit.py
@@ -12,7 +12,7 @@
 from bamboospring.blackboard import Role
 from bamboospring.statements import Position
 
-__all__ = ["count_holding", "held_by_majority", "majority_of", "map_position"]
+__all__ = ["count_holding", "held_by_majority", "majority_of"]
 
 
 def majority_of(count: int) -> int:
@@ -42,16 +42,3 @@
     """Tell whether a majority of the group's targets holds a position."""
     needed = majority_of(len(group.record.targets))
     return count_holding(group, position) >= needed
-
-
-def map_position(group: Group, position: Position) -> Position:
-    """Return what a session's position asks for at the group's term.
-
-    Entries of an older term beyond the start of the next one were never
-    acknowledged, so the start of the next term stands for all of them.
-    """
-    for start in group.record.starts:
-        if start.term > position.term:
-            index = min(position.index, start.index)
-            return Position(term=group.record.term, index=index)
-    return position
