Say what a write waited for; call a replica that has everything not lagging

It now gives the reason of its last wait. Cause 2: looked at in a browser, an idle fleet showed replicas 422 to 562 ms behind: that is when they were last known to be level, not their lag. One that has all that the primary has shows 0. Cause 3: the table's page was wider than the window; numbers have narrower cells.

--- a/bamboospring/status_view.py
+++ b/bamboospring/status_view.py
@@ -12,6 +12,7 @@
 from bamboospring.blackboard import Group
 from bamboospring.blackboard import Role
 from bamboospring.blackboard import Target
+from bamboospring.blackboard import TargetState
 from bamboospring.metrics import Metrics
 from bamboospring.pool import Pools
 from bamboospring.rendezvous import bucket_of
@@ -108,9 +109,6 @@
     def _target(self, group: Group, target: Target) -> dict[str, Any]:
         state = group.state(target.name)
         now = self._now()
-        lag = None
-        if state.role is Role.REPLICA and state.fresh_at > NEVER:
-            lag = _milliseconds(now - state.fresh_at)
         return {
             "name": target.name,
             "availability_zone": target.availability_zone,
@@ -119,7 +117,7 @@
             "term": state.term,
             "received": state.received,
             "applied": state.applied,
-            "lag_ms": lag,
+            "lag_ms": _lag(group, state, now),
             "heard_ms": (
                 _milliseconds(now - state.seen_at)
                 if state.seen_at > NEVER
@@ -171,5 +169,19 @@
     }
 
 
+def _lag(group: Group, state: TargetState, now: float) -> int | None:
+    """Return a replica's lag in milliseconds, None if it is not known.
+
+    One that has all that its primary is known to have lags by nothing, also
+    if the two were last compared a while ago.
+    """
+    if state.role is not Role.REPLICA or state.fresh_at <= NEVER:
+        return None
+    primary = group.states.get(group.record.primary)
+    if primary is not None and state.applied >= primary.received:
+        return 0
+    return _milliseconds(now - state.fresh_at)
+
+
 def _milliseconds(seconds: float) -> int:
     return round(seconds * 1000)
--- a/bamboospring/table_html.py
+++ b/bamboospring/table_html.py
@@ -33,7 +33,9 @@
 table { border-collapse: collapse; margin: 1em 0; }
 th, td { border: 1px solid #ccc; padding: 4px 8px; text-align: left; }
 th { background: #f3f3f3; }
-td input { font: inherit; width: 13em; border: 1px solid #ddd; }
+td input { font: inherit; width: 12em; border: 1px solid #ddd; }
+td input[name^="max_"] { width: 5em; }
+th { white-space: nowrap; }
 td input.changed { background: #fff6d6; }
 .note { color: #666; }
 #report { white-space: pre-wrap; font-family: monospace; }
--- a/bamboospring/writes.py
+++ b/bamboospring/writes.py
@@ -183,6 +183,8 @@
         # number and gives back what it got.
         self._try = 0
         self._slot_tries = 0
+        # What the write last waited for; said if its time ends meanwhile.
+        self._why = Reason.NO_PRIMARY
         self._timer: Timer | None = None
         self.term = group.record.term
 
@@ -192,13 +194,15 @@
         if self._phase is Phase.OVER:
             return
         if self._left() <= 0:
-            self._finish(_no_primary())
+            self._finish(
+                NotRun(reason=self._why, retry_after_ms=RETRY_SOON_MS)
+            )
             return
         self.term = self._group.record.term
         choice = self._runner.choose(self._group)
         if choice is None:
             self._runner.doubt(self._stmt.group)
-            self._park(PARK_RECHECK)
+            self._park(PARK_RECHECK, Reason.NO_PRIMARY)
         else:
             self._acquire(choice)
 
@@ -219,7 +223,8 @@
 
     # Waiting for a primary.
 
-    def _park(self, seconds: float) -> None:
+    def _park(self, seconds: float, why: Reason) -> None:
+        self._why = why
         name = self._stmt.group
         parked = self._runner.parked
         if parked.get(name, 0) >= MAX_PARKED:
@@ -267,7 +272,7 @@
             elif isinstance(leased, Leased):
                 self._send(choice, leased)
             elif unreachable:
-                self._park(PARK_RECHECK)
+                self._park(PARK_RECHECK, Reason.TARGET_UNREACHABLE)
             else:
                 self._finish(leased)
 
@@ -310,7 +315,9 @@
     def _lost(self, lost: HttpLost) -> None:
         if not lost.sent or self._stmt.step is Step.BEGIN:
             # Nothing was sent, or only what ended with its connection.
-            self._park(PARK_RECHECK)
+            late = lost.reason in ("deadline", "timeout")
+            why = Reason.DEADLINE if late else Reason.TARGET_UNREACHABLE
+            self._park(PARK_RECHECK, why)
             return
         self._finish(
             Unknown(reason=Reason.ANSWER_LOST, retry_after_ms=RETRY_SOON_MS)
@@ -334,10 +341,10 @@
         """Go on where the refusal passes; the target said: nothing ran."""
         if answer.reason in ("term", "not_primary", "behind", "leaving"):
             self._runner.doubt(self._stmt.group)
-            self._park(PARK_RECHECK)
+            self._park(PARK_RECHECK, Reason.PRIMARY_CHANGED)
         elif answer.reason == "slots" and self._slot_tries < MAX_SLOT_TRIES:
             self._slot_tries += 1
-            self._park(PARK_RECHECK)
+            self._park(PARK_RECHECK, Reason.TARGET_SLOTS)
         else:
             self._finish(refusal_from(answer))
 
@@ -364,10 +371,6 @@
         return self._stmt.deadline - self._runner.reactor.now()
 
 
-def _no_primary() -> NotRun:
-    return NotRun(reason=Reason.NO_PRIMARY, retry_after_ms=RETRY_SOON_MS)
-
-
 def _primary_changed() -> Unknown:
     return Unknown(reason=Reason.PRIMARY_CHANGED, retry_after_ms=RETRY_SOON_MS)
 
