Let a group's other holders have their shares when the first one dies at once

The logs show one holder with its share and none at the others when it was killed. Each holder needs a promise of every VM that may use the target; the dead one had grown without giving its own to the others, and so they waited until it was off the list and its grace time over. Change: a holder with all promises lets those that need its own have it first, for a second at most; a VM that is asked asks back at once; an entry whose holders have no share asks again, 5 times at 100 ms, paid for by the retry budget, before it refuses. Found on the way: the holder noted each first try twice in its retry budget, and replaced the budget of the settings by the default one.

--- a/bamboospring/forwarding.py
+++ b/bamboospring/forwarding.py
@@ -42,6 +42,11 @@
 # With fewer slots than holders some holder has none at the primary, and a new
 # holder has none at first. Who said so is asked last for this long.
 SHARELESS_SECONDS = 2.0
+# Holders that have just started, or lost one of them, have their shares within
+# a few exchanges with each other. A statement is asked for again this many
+# times, at this interval in seconds, before it is refused.
+SHARE_WAITS = 5
+SHARE_WAIT = 0.1
 # Said by a holder that took nothing on. Another one may.
 ELSEWHERE = frozenset(
     {
@@ -138,7 +143,11 @@
     # New work: any holder will do.
 
     def _try(
-        self, stmt: Statement, holders: list[Vm], done: OnOutcome
+        self,
+        stmt: Statement,
+        holders: list[Vm],
+        done: OnOutcome,
+        waits: int = 0,
     ) -> None:
         if not holders:
             done(_no_holder())
@@ -161,28 +170,50 @@
             if not again or left <= 0 or not self._may_go_on(outcome):
                 done(outcome)
             elif others:
-                self._try(stmt, others, done)
+                self._try(stmt, others, done, waits)
             else:
-                self._settle(stmt, outcome, done)
+                self._settle(stmt, outcome, done, waits)
 
         self._ask(first, stmt, answered)
 
     def _settle(
-        self, stmt: Statement, outcome: Outcome, done: OnOutcome
+        self, stmt: Statement, outcome: Outcome, done: OnOutcome, waits: int
     ) -> None:
-        """Let a read go to the primary: no holder has a replica for it."""
-        no_share = (
-            isinstance(outcome, NotRun) and outcome.reason is Reason.NOT_HOLDER
+        """Go on after all holders have said that it is not for them."""
+        if not isinstance(outcome, NotRun):
+            done(outcome)
+        elif _to_primary(stmt, outcome):
+            # No holder has a replica for this read.
+            self._try_all(dataclasses.replace(stmt, settle=True), done, waits)
+        elif waits < SHARE_WAITS and self._may_get_share(stmt):
+            # Without this a caller whose holder dies in the first second of
+            # a fleet is refused though the others are about to have their
+            # shares. It is bounded, and nothing has run.
+            self._reactor.call_later(
+                SHARE_WAIT, lambda: self._try_again(stmt, outcome, done, waits)
+            )
+        else:
+            done(outcome)
+
+    def _may_get_share(self, stmt: Statement) -> bool:
+        now = self._reactor.now()
+        return (
+            stmt.deadline - now > SHARE_WAIT
+            and bool(self._without_share(stmt, now))
+            and self._budget.may_retry()
         )
-        if stmt.write or stmt.settle or not no_share:
+
+    def _try_again(
+        self, stmt: Statement, outcome: Outcome, done: OnOutcome, waits: int
+    ) -> None:
+        if stmt.deadline <= self._reactor.now():
             done(outcome)
             return
+        self._try_all(stmt, done, waits + 1)
+
+    def _try_all(self, stmt: Statement, done: OnOutcome, waits: int) -> None:
         holders = self._placement.holders(stmt.group)
-        self._try(
-            dataclasses.replace(stmt, settle=True),
-            list(holders[:MAX_TRIES]),
-            done,
-        )
+        self._try(stmt, list(holders[:MAX_TRIES]), done, waits)
 
     def _may_go_on(self, outcome: Outcome) -> bool:
         # Where nothing ran another try multiplies no work.
@@ -266,6 +297,12 @@
     return stmt.step is Step.BEGIN or not stmt.write
 
 
+def _to_primary(stmt: Statement, outcome: NotRun) -> bool:
+    """Tell whether to ask again with leave to read at the primary."""
+    no_share = outcome.reason is Reason.NOT_HOLDER
+    return no_share and not stmt.write and not stmt.settle
+
+
 def _no_holder() -> NotRun:
     return NotRun(reason=Reason.NO_HOLDER, retry_after_ms=RETRY_SOON_MS)
 
--- a/bamboospring/holder.py
+++ b/bamboospring/holder.py
@@ -63,13 +63,12 @@
         budget: RetryBudget | None = None,
     ) -> None:
         super().__init__()
-        self._budget = budget or RetryBudget()
         self._reactor = reactor
         self._board = board
         self._placement = placement
         self._doubted_at: dict[str, float] = {}
         self._running = 0
-        self._budget = RetryBudget()
+        self._budget = budget or RetryBudget()
         exchange = Exchange(reactor=reactor)
         self._flights = Flights()
         self.transactions = TransactionRunner(
@@ -111,7 +110,6 @@
     def run(self, stmt: Statement, done: OnOutcome) -> None:
         """Run a statement and call back once with what became of it."""
         self._running += 1
-        self._budget.first_try()
 
         def finished(outcome: Outcome) -> None:
             self._running -= 1
--- a/bamboospring/share_keeper.py
+++ b/bamboospring/share_keeper.py
@@ -281,6 +281,10 @@
             holders=shares.holders if agrees else (),
         )
         send(_encode_reply(name, reply))
+        if self._groups.get(name) is shares:
+            self._give(name, shares)
+            for ask in shares.ask_back(now=now, vm=asked.vm):
+                self._ask(name, shares, ask)
 
 
 def _encode_reply(name: str, reply: Reply) -> Any:
@@ -291,6 +295,7 @@
     out.vmsRevision = max(0, reply.revision)
     out.agrees = reply.agrees
     out.informed = reply.informed
+    out.growing = reply.growing
     targets = out.init("targets", len(reply.held))
     for item, (target, units) in zip(targets, sorted(reply.held.items())):
         item.target = target
@@ -304,6 +309,7 @@
         vm=release.vm,
         agrees=release.agrees,
         informed=release.informed,
+        growing=release.growing,
         revision=release.vmsRevision,
         held={
             item.target: Units(slots=item.slots, connections=item.connections)
--- a/bamboospring/shares.py
+++ b/bamboospring/shares.py
@@ -14,6 +14,10 @@
 still uses above its new share is taken from the growth of the others until
 it has drained.
 
+A VM that has all promises lets those that still need its own have it first,
+for a moment: who dies right after it has grown must not leave the others
+waiting for a promise until it is off the platform's list.
+
 Nothing here does I/O or asks for the time.
 
 Example: three holders of a target with 20 connections.
@@ -43,6 +47,11 @@
 # Revisions of the platform's list count from 1: nobody has left that list.
 FIRST_REVISION = 1
 PROBE_PART = 0.3
+# How long, in seconds, a VM that has all promises waits for others to have
+# its own. Nothing unsafe comes of not waiting, so a short time will do.
+HEAD_START = 1.0
+# A question sent less than this many seconds ago is still on its way.
+UNDER_WAY = 0.05
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -123,12 +132,14 @@
     """The answer to `Ask`: `agrees` is the promise described above.
 
     `informed` says that the sender would know of any VM that has left the
-    list before `revision` and may still use a share.
+    list before `revision` and may still use a share. `growing` says that the
+    sender still waits for promises.
     """
 
     vm: str
     agrees: bool
     informed: bool = False
+    growing: bool = False
     revision: int = 0
     held: dict[str, Units] = field(default_factory=dict)
 
@@ -273,6 +284,8 @@
     _used: dict[str, Units] = field(default_factory=dict)
     _peers: frozenset[str] = frozenset()
     _replies: dict[str, Reply] = field(default_factory=dict)
+    _promised: set[str] = field(default_factory=set)
+    _complete_at: float = NEVER
     _asked_at: float = NEVER
 
     def allowed(self, target: str) -> Units:
@@ -329,13 +342,30 @@
         self.watch.heard(now=now, revision=revision)
         gone = self._peers & self.watch.lingering(now)
         targets = {limit.target for limit in self.limits} | set(self._used)
-        return Reply(
+        reply = Reply(
             vm=self.watch.me,
             agrees=holders == self.holders and not gone - {vm},
             informed=self.watch.is_informed(now),
+            growing=self._wants_growth(),
             revision=self.watch.revision,
             held={target: self.held(target) for target in targets},
         )
+        if reply.agrees:
+            self._promised.add(vm)
+            self._grow(now)
+        return reply
+
+    def ask_back(self, *, now: float, vm: str) -> list[Ask]:
+        """Return the questions to send when a VM has just asked, if any.
+
+        It is alive and has the newest list; waiting for the next `tick`
+        would only leave more time in which it may die.
+        """
+        if not self._wants_growth() or vm in self._replies:
+            return []
+        if now - self._asked_at < UNDER_WAY or vm not in self._may_use(now):
+            return []
+        return self._ask_all(now)
 
     def reply(self, *, now: float, attempt: int, reply: Reply) -> None:
         """Take the answer to an `Ask`; late answers count for nothing."""
@@ -357,6 +387,9 @@
         self._grow(now)
         if now - self._asked_at < self.watch.timing.retry:
             return []
+        return self._ask_all(now)
+
+    def _ask_all(self, now: float) -> list[Ask]:
         asked = self._to_ask(now)
         if asked:
             self._asked_at = now
@@ -388,6 +421,8 @@
         # time after it: their sender may have grown since.
         self.attempt += 1
         self._replies.clear()
+        self._promised.clear()
+        self._complete_at = NEVER
         self._asked_at = NEVER
 
     def _may_use(self, now: float) -> set[str]:
@@ -437,6 +472,9 @@
             return
         others = self._may_use(now)
         if not others <= self._replies.keys():
+            self._complete_at = NEVER
+            return
+        if self._lets_others_first(others, now):
             return
         for position, limit in enumerate(self.limits):
             free = self._share(self.watch.me, position)
@@ -444,3 +482,18 @@
                 free = free.minus(self._excess(vm, position))
             grown = self.allowed(limit.target).at_least(free)
             self._allowed[limit.target] = grown
+
+    def _lets_others_first(self, others: set[str], now: float) -> bool:
+        # A holder that grows and dies before it has promised anything leaves
+        # the others without a share until the platform's list drops it and
+        # the grace time ends; callers are refused with `not_holder` for that
+        # long. Those that need our promise get it before we serve; the limit
+        # in time is for those that can't reach us.
+        if self._complete_at == NEVER:
+            self._complete_at = now
+        if now - self._complete_at >= HEAD_START:
+            return False
+        return any(
+            self._replies[vm].growing and vm not in self._promised
+            for vm in others & set(self.holders)
+        )
--- a/bamboospring/wire.capnp
+++ b/bamboospring/wire.capnp
@@ -103,6 +103,7 @@
   holders @4 :UInt64;         # hash of the ordered names of the holders
   agrees @5 :Bool;            # in a release: the promise, see shares.py
   informed @6 :Bool;
+  growing @7 :Bool;           # in a release: its sender waits for promises
 }
 
 struct TargetShare {
--- a/features/shares.feature
+++ b/features/shares.feature
@@ -14,6 +14,15 @@
     When VM c has closed its connections
     Then VM d may use 6 connections
 
+  Scenario: A holder dies as soon as it has its share
+    # VM a is the first to ask and gets its share. It dies in that moment, and
+    # the platform's list still has it. Callers must be served by b and c:
+    # a's promise has reached them before a began to serve.
+    Given new shares of VMs a, b and c of a target with 20 connections
+    When VM a asks first and dies once it may use anything
+    Then VM b may use 7 connections
+    And VM c may use 6 connections
+
   Scenario: The platform is down and a holder is cut off
     # While only the platform is silent, VMs hear each other and keep their
     # shares. A VM that hears nobody gives up its share before the others may
--- a/features/steps/shares_steps.py
+++ b/features/steps/shares_steps.py
@@ -179,6 +179,9 @@
             holders=ask.holders,
         )
         self.replies.append((name, process, ask.attempt, reply))
+        asked = self.processes[ask.vm]
+        for back in other.shares.ask_back(now=self.now, vm=name):
+            self.asks.append((ask.vm, asked, back))
 
     def pass_reply(self, name, process, attempt, reply):
         if self.running(name) is process and self.linked(name, reply.vm):
@@ -309,11 +312,16 @@
 
 @given("shares of VMs a, b and c of a target with 20 connections")
 def step_shares(context):
+    step_new_shares(context)
+    pass_time(context, 11)
+
+
+@given("new shares of VMs a, b and c of a target with 20 connections")
+def step_new_shares(context):
     context.now = 100.0
     context.revision = 0
     context.shares = {name: new_shares(name) for name in "abc"}
     see(context, "abc", "abc")
-    pass_time(context, 11)
 
 
 def new_shares(name):
@@ -365,6 +373,37 @@
     pass_time(context, 1)
 
 
+@when("VM a asks first and dies once it may use anything")
+def step_dies_first(context):
+    first = context.shares["a"]
+    for _ in range(20):
+        context.now += 0.1
+        first.watch.tick(now=context.now)
+        for ask in first.tick(now=context.now):
+            deliver_until_served(context, "a", ask)
+        if first.allowed("t") != Units():
+            break
+    assert first.allowed("t") != Units(), "a never got its share"
+    pass_time(context, 3, cut="a")
+
+
+def deliver_until_served(context, name, ask):
+    """Take a question there and its answer back, until a serves and dies."""
+    if context.shares["a"].allowed("t") != Units():
+        return
+    asker, other = context.shares[name], context.shares[ask.vm]
+    other.watch.tick(now=context.now)
+    reply = other.answer(
+        now=context.now,
+        vm=name,
+        revision=ask.revision,
+        holders=ask.holders,
+    )
+    asker.reply(now=context.now, attempt=ask.attempt, reply=reply)
+    for back in other.ask_back(now=context.now, vm=name):
+        deliver_until_served(context, ask.vm, back)
+
+
 @when("VM c has closed its connections")
 def step_closed(context):
     context.shares["c"].use("t", Units())
