Make a statement's values, heads and order of holders cheaply

Cause: profile of entry and holder after the last change: frozen data classes set each field through object.__setattr__ (15 to 60 fields a statement), each HTTP head was joined from parts and looked up in an enum, order of holders made a tuple for each and three Reachability objects. Change: the values that are made for each statement are no longer frozen; the head of a plain answer is kept by status and type; holders are turned by slices and sorted by what applies; Reachability is gone, its one use was a comparison with 0.

--- a/bamboospring/forwarding.py
+++ b/bamboospring/forwarding.py
@@ -71,14 +71,12 @@
         return []
     first = turn % len(holders)
     turned = [*holders[first:], *holders[:first]]
-    return sorted(
-        turned,
-        key=lambda vm: (
-            vm.name in doubted,
-            vm.liveness is not Liveness.LIVE,
-            vm.name != me,
-        ),
-    )
+    # Of those of equal rank the order is kept: False comes first.
+    turned.sort(key=lambda vm: vm.name != me)
+    turned.sort(key=lambda vm: vm.liveness is not Liveness.LIVE)
+    if doubted:
+        turned.sort(key=lambda vm: vm.name in doubted)
+    return turned
 
 
 class Forwarder:
--- a/bamboospring/http_codec.py
+++ b/bamboospring/http_codec.py
@@ -10,6 +10,7 @@
 from collections import deque
 from dataclasses import dataclass
 from dataclasses import field
+from functools import lru_cache
 from http import HTTPStatus
 
 import httptools
@@ -39,7 +40,7 @@
 MAX_PIPELINED = 16
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
+@dataclass(slots=True, kw_only=True)
 class Request:
     """A whole request; header names are in lower case."""
 
@@ -49,7 +50,7 @@
     body: bytes
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
+@dataclass(slots=True, kw_only=True)
 class Response:
     """What to answer. `close` ends the connection after this answer."""
 
@@ -60,7 +61,7 @@
     close: bool = False
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
+@dataclass(slots=True, kw_only=True)
 class HttpAnswer:
     """The whole answer to a request of ours."""
 
@@ -82,17 +83,35 @@
 
 def encode_response(response: Response, close: bool) -> bytes:
     """Return the bytes of a response with its length stated."""
-    status = HTTPStatus(response.status)
-    lines = [f"HTTP/1.1 {status.value} {status.phrase}"]
-    if response.body or response.status != HTTPStatus.NO_CONTENT:
-        lines.append(f"Content-Type: {response.content_type}")
-    lines.append(f"Content-Length: {len(response.body)}")
-    lines.extend(
-        f"{name}: {value}" for name, value in response.headers.items()
-    )
-    if close:
-        lines.append("Connection: close")
-    return "\r\n".join(lines).encode() + b"\r\n\r\n" + response.body
+    body = response.body
+    if response.headers or close or not body:
+        lines = [_status_line(response.status)]
+        if body or response.status != HTTPStatus.NO_CONTENT:
+            lines.append(f"Content-Type: {response.content_type}")
+        lines.append(f"Content-Length: {len(body)}")
+        lines.extend(
+            f"{name}: {value}" for name, value in response.headers.items()
+        )
+        if close:
+            lines.append("Connection: close")
+        return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+    head = _plain_head(response.status, response.content_type)
+    return b"%b%d\r\n\r\n%b" % (head, len(body), body)
+
+
+@lru_cache
+def _status_line(status: int) -> str:
+    known = HTTPStatus(status)
+    return f"HTTP/1.1 {known.value} {known.phrase}"
+
+
+@lru_cache
+def _plain_head(status: int, content_type: str) -> bytes:
+    """Return the head of an answer without further headers, up to its size."""
+    line = _status_line(status)
+    return (
+        f"{line}\r\nContent-Type: {content_type}\r\nContent-Length: "
+    ).encode()
 
 
 class HttpServer:
@@ -226,9 +245,8 @@
             method=parser.get_method().decode("latin-1"),
             path=self._url.decode("latin-1"),
             headers=self._headers,
-            body=b"".join(self._body),
+            body=_joined(self._body),
         )
-        self._body = []
         if self._queue is None:
             self._queue = deque()
         self._queue.append((req, parser.should_keep_alive()))
@@ -328,6 +346,10 @@
     """The request is well formed to the parser but not to us."""
 
 
+def _joined(parts: list[bytes]) -> bytes:
+    return parts[0] if len(parts) == 1 else b"".join(parts)
+
+
 def _status_of(exc: BaseException) -> HTTPStatus:
     if isinstance(exc.__context__, _HeadTooLarge):
         return HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
@@ -342,6 +364,7 @@
     __slots__ = (
         "_address",
         "_body",
+        "_host",
         "_on_answer",
         "_parser",
         "_reactor",
@@ -353,6 +376,7 @@
     def __init__(self, *, reactor: Reactor, address: str) -> None:
         self._reactor = reactor
         self._address = address
+        self._host = f" HTTP/1.1\r\nHost: {address}\r\n"
         self._stream: Stream | None = None
         self._parser: httptools.HttpResponseParser | None = None
         self._body: list[bytes] = []
@@ -410,7 +434,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._timer = self._reactor.call_later(timeout, self._timed_out)
         head = (
-            f"{method} {path} HTTP/1.1\r\nHost: {self._address}\r\n{headers}"
+            f"{method} {path}{self._host}{headers}"
             f"Content-Length: {len(body)}\r\n\r\n"
         )
         self._stream.send(head.encode("latin-1") + body)
@@ -466,9 +490,8 @@
             stream.abort()
 
     def _take_body(self) -> bytes:
-        body = b"".join(self._body)
-        self._body = []
-        return body
+        body, self._body = self._body, []
+        return _joined(body)
 
     def _finish(self, answer: HttpAnswer | HttpLost) -> None:
         if self._timer is not None:
@@ -481,7 +504,7 @@
             on_answer(answer)
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
+@dataclass(slots=True, kw_only=True)
 class _Call:
     """A request that waits for the client's connection."""
 
--- a/bamboospring/membership.py
+++ b/bamboospring/membership.py
@@ -16,7 +16,7 @@
 from bamboospring.blackboard import Liveness
 from bamboospring.blackboard import Vm
 
-__all__ = ["Membership", "PeerState", "Reachability"]
+__all__ = ["Membership", "PeerState"]
 
 FIRST_AVOIDANCE = 1.0
 # A peer that stays away is tried this often: seldom enough to cost callers
@@ -37,19 +37,6 @@
     avoid_until: float = -1e9
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Reachability:
-    """How a VM ranks as a receiver of work; lower is better."""
-
-    leaving: bool
-    avoided: bool
-
-    @property
-    def rank(self) -> int:
-        """Return 0 for a VM without fault, more for one to try later."""
-        return 2 * self.leaving + self.avoided
-
-
 class Membership:
     """What was heard of the VMs that this one is in touch with."""
 
@@ -76,22 +63,17 @@
         until = now + DRAIN_MEMORY if draining else -1e9
         self._state(vm).drains_until = until
 
-    def reachability(self, vm: Vm, now: float) -> Reachability:
-        """Judge a VM from the list and from what was heard."""
-        state = self._states.get(vm.name)
-        leaving = vm.liveness is Liveness.LEAVING
-        if state is None:
-            return Reachability(leaving=leaving, avoided=False)
-        return Reachability(
-            leaving=leaving or state.drains_until > now,
-            avoided=state.avoid_until > now,
-        )
-
     def avoided(self, vms: Iterable[Vm], now: float) -> frozenset[str]:
         """Return the names of those VMs that are to be tried last."""
-        return frozenset(
-            vm.name for vm in vms if self.reachability(vm, now).rank > 0
-        )
+        return frozenset([vm.name for vm in vms if self._avoids(vm, now)])
+
+    def _avoids(self, vm: Vm, now: float) -> bool:
+        if vm.liveness is Liveness.LEAVING:
+            return True
+        state = self._states.get(vm.name)
+        if state is None:
+            return False
+        return state.drains_until > now or state.avoid_until > now
 
     def keep_only(self, vms: Iterable[str]) -> None:
         """Forget VMs that the list no longer has."""
--- a/bamboospring/outcomes.py
+++ b/bamboospring/outcomes.py
@@ -50,7 +50,7 @@
     ANSWER_LOST = "answer_lost"
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
+@dataclass(slots=True, kw_only=True)
 class Done:
     """The statement ran, and its effect is held by a majority.
 
--- a/bamboospring/routing.py
+++ b/bamboospring/routing.py
@@ -54,7 +54,7 @@
 OTHER_ZONE_COST = 1.0
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
+@dataclass(slots=True, kw_only=True)
 class Draws:
     """Random numbers of one choice, each from 0 up to but not including 1."""
 
@@ -63,7 +63,7 @@
     second: float
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
+@dataclass(slots=True, kw_only=True)
 class ReadNeeds:
     """What a read asks for.
 
@@ -242,7 +242,7 @@
     return None
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
+@dataclass(slots=True, kw_only=True)
 class _View:
     """One read's look at a group."""
 
--- a/bamboospring/statements.py
+++ b/bamboospring/statements.py
@@ -26,10 +26,11 @@
     index: int = 0
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
+@dataclass(slots=True, kw_only=True)
 class Statement:
     """What a caller wants run, checked and with its deadline.
 
+    Not frozen, which doubles what it costs to make one; nobody changes it.
     `params` is a JSON array as received. `staleness` is the age in seconds
     that the caller accepts, None if it states none. `deadline` is monotonic
     time of this process in seconds. `settle` lets a read go to the primary at
--- a/bamboospring/target_api.py
+++ b/bamboospring/target_api.py
@@ -28,7 +28,7 @@
 }
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
+@dataclass(slots=True, kw_only=True)
 class Probe:
     """What a target says of itself."""
 
@@ -43,7 +43,7 @@
     primary: str = ""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
+@dataclass(slots=True, kw_only=True)
 class TargetAnswer:
     """A target's answer to one statement."""
 
