--- a/bamboospring/forwarding.py
+++ b/bamboospring/forwarding.py
@@ -14,6 +14,7 @@
 from bamboospring.blackboard import Blackboard
 from bamboospring.blackboard import Liveness
 from bamboospring.blackboard import Vm
+from bamboospring.errors import MessageError
 from bamboospring.holder import Holder
 from bamboospring.membership import Membership
 from bamboospring.outcomes import NotRun
@@ -72,16 +73,16 @@
     turns. Leaving and doubted ones come last, not never: the list may be
     old and the doubt wrong.
     """
-    count = len(holders)
-    turned = [holders[(turn + i) % count] for i in range(count)]
-    return sorted(
-        turned,
-        key=lambda vm: (
-            vm.name in doubted,
-            vm.liveness is not Liveness.LIVE,
-            vm.name != me,
-        ),
-    )
+    if not holders:
+        return []
+    first = turn % len(holders)
+    turned = [*holders[first:], *holders[:first]]
+    # Of those of equal rank the order is kept: False comes first.
+    turned.sort(key=lambda vm: vm.name != me)
+    turned.sort(key=lambda vm: vm.liveness is not Liveness.LIVE)
+    if doubted:
+        turned.sort(key=lambda vm: vm.name in doubted)
+    return turned
 
 
 class Forwarder:
@@ -272,9 +273,17 @@
         now = self._reactor.now()
 
         def answered(answer: Any) -> None:
-            if not isinstance(answer, PeerLost):
-                answer = decode_outcome(answer)
-            on_answer(answer)
+            if isinstance(answer, PeerLost):
+                on_answer(answer)
+                return
+            try:
+                outcome = decode_outcome(answer)
+            except MessageError:
+                # The exchange is over; unless somebody says so here, the
+                # caller waits for an answer that never comes.
+                on_answer(PeerLost(sent=True))
+                raise
+            on_answer(outcome)
 
         timeout = max(0.0, stmt.deadline - now) + ANSWER_GRACE
         self._peers.ask(
--- a/bamboospring/wire.py
+++ b/bamboospring/wire.py
@@ -1,12 +1,19 @@
-"""Turn statements and outcomes into Cap'n Proto messages and back."""
+"""Statements and their outcomes as messages between an entry and a holder.
+
+An Envelope carries each of them as one JSON array, the head, beside what is
+passed on unread. With a field of its own for each member, pycapnp's look-ups
+by name took twice the time (docs/design/sessions.md).
+"""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 from typing import Any
 
+import capnp
 import orjson
 
+from bamboospring.errors import MessageError
 from bamboospring.outcomes import Done
 from bamboospring.outcomes import Failed
 from bamboospring.outcomes import NotRun
@@ -27,50 +34,76 @@
 ]
 
 DONE, FAILED, NOT_RUN, OVERLOADED, UNKNOWN = range(5)
+REFUSALS: dict[int, Callable[..., NotRun | Overloaded | Unknown]] = {
+    NOT_RUN: NotRun,
+    OVERLOADED: Overloaded,
+    UNKNOWN: Unknown,
+}
+# What reading a head with other members than ours raises.
+MALFORMED = (ValueError, TypeError, KeyError, capnp.KjException)
 
 
 def encode_statement(stmt: Statement, now: float) -> Any:
     """Return an Envelope; the deadline travels as time left."""
     message = envelope()
     out = message.init("statement")
-    out.group = stmt.group
-    out.caller = stmt.caller
-    out.write = stmt.write
-    out.sql = stmt.sql
+    out.head = orjson.dumps(
+        (
+            stmt.group,
+            stmt.caller,
+            stmt.write,
+            stmt.sql,
+            int(stmt.step),
+            stmt.transaction,
+            stmt.key,
+            stmt.token.term,
+            stmt.token.index,
+            stmt.staleness,
+            max(0.0, stmt.deadline - now),
+            stmt.trace,
+            stmt.settle,
+        )
+    )
     out.params = stmt.params
-    out.step = int(stmt.step)
-    out.transaction = stmt.transaction
-    out.key = stmt.key
-    out.tokenTerm = stmt.token.term
-    out.tokenIndex = stmt.token.index
-    if stmt.staleness is not None:
-        out.stalenessStated = True
-        out.stalenessMs = int(stmt.staleness * 1000)
-    out.deadlineMs = max(0, int((stmt.deadline - now) * 1000))
-    out.trace = stmt.trace
-    out.settle = stmt.settle
     return message
 
 
 def decode_statement(message: Any, now: float) -> Statement:
-    """Read a Statement from an Envelope."""
-    src = message.statement
-    stated = src.stalenessStated
-    return Statement(
-        group=src.group,
-        caller=src.caller,
-        write=src.write,
-        sql=src.sql,
-        params=src.params,
-        deadline=now + src.deadlineMs / 1000,
-        step=Step(src.step),
-        transaction=src.transaction,
-        key=src.key,
-        token=Position(term=src.tokenTerm, index=src.tokenIndex),
-        staleness=src.stalenessMs / 1000 if stated else None,
-        trace=src.trace,
-        settle=src.settle,
-    )
+    """Read a Statement from an Envelope; raise `MessageError` if malformed."""
+    try:
+        src = message.statement
+        (
+            group,
+            caller,
+            write,
+            sql,
+            step,
+            transaction,
+            key,
+            term,
+            index,
+            staleness,
+            left,
+            trace,
+            settle,
+        ) = orjson.loads(src.head)
+        return Statement(
+            group=group,
+            caller=caller,
+            write=write,
+            sql=sql,
+            params=src.params,
+            deadline=now + left,
+            step=Step(step),
+            transaction=transaction,
+            key=key,
+            token=Position(term=term, index=index),
+            staleness=staleness,
+            trace=trace,
+            settle=settle,
+        )
+    except MALFORMED as exc:
+        raise MessageError(f"not a statement: {exc}") from exc
 
 
 def encode_outcome(outcome: Outcome) -> Any:
@@ -79,66 +112,76 @@
     out = message.init("answer")
     match outcome:
         case Done():
-            _encode_done(out, outcome)
+            out.head = _done_head(outcome)
+            out.columns = outcome.columns
+            out.rows = outcome.rows
         case Failed():
-            out.outcome = FAILED
+            out.head = _refusal_head(FAILED, outcome, 0)
         case NotRun():
-            out.outcome = NOT_RUN
+            out.head = _refusal_head(NOT_RUN, outcome, outcome.retry_after_ms)
         case Overloaded():
-            out.outcome = OVERLOADED
+            out.head = _refusal_head(
+                OVERLOADED, outcome, outcome.retry_after_ms
+            )
         case Unknown():
-            out.outcome = UNKNOWN
-    if not isinstance(outcome, Done):
-        out.reason = outcome.reason.value
-        out.message = outcome.message
-    if isinstance(outcome, NotRun | Overloaded | Unknown):
-        out.retryAfterMs = outcome.retry_after_ms
+            out.head = _refusal_head(UNKNOWN, outcome, outcome.retry_after_ms)
     return message
 
 
 def decode_outcome(message: Any) -> Outcome:
-    """Read an outcome from an Envelope with an Answer."""
-    src = message.answer
-    if src.outcome == DONE:
-        return _decode_done(src)
-    reason = Reason(src.reason)
-    if src.outcome == FAILED:
-        return Failed(reason=reason, message=src.message)
-    kinds: dict[int, Callable[..., NotRun | Overloaded | Unknown]] = {
-        NOT_RUN: NotRun,
-        OVERLOADED: Overloaded,
-    }
-    make = kinds.get(src.outcome, Unknown)
-    return make(
-        reason=reason,
-        retry_after_ms=src.retryAfterMs,
-        message=src.message,
+    """Read an outcome from an Envelope; raise `MessageError` if malformed."""
+    try:
+        src = message.answer
+        kind, *members = orjson.loads(src.head)
+        if kind == DONE:
+            return _read_done(src, members)
+        return _read_refusal(kind, members)
+    except MALFORMED as exc:
+        raise MessageError(f"not an answer: {exc}") from exc
+
+
+def _done_head(outcome: Done) -> bytes:
+    return orjson.dumps(
+        (
+            DONE,
+            outcome.term,
+            outcome.index,
+            outcome.target,
+            outcome.rowcount,
+            outcome.replayed,
+            outcome.at_replica,
+            outcome.transaction,
+        )
+    )
+
+
+def _read_done(src: Any, members: list[Any]) -> Done:
+    term, index, target, rowcount, replayed, at_replica, transaction = members
+    return Done(
+        term=term,
+        index=index,
+        target=target,
+        columns=src.columns,
+        rows=src.rows,
+        rowcount=rowcount,
+        replayed=replayed,
+        at_replica=at_replica,
+        transaction=transaction,
     )
 
 
-def _encode_done(out: Any, outcome: Done) -> None:
-    out.outcome = DONE
-    out.term = outcome.term
-    out.index = outcome.index
-    out.target = outcome.target
-    out.columns = orjson.dumps(outcome.columns)
-    out.rows = orjson.dumps(outcome.rows)
-    out.rowcount = outcome.rowcount
-    out.replayed = outcome.replayed
-    out.atReplica = outcome.at_replica
-    out.transaction = outcome.transaction
+def _refusal_head(
+    kind: int, outcome: Failed | NotRun | Overloaded | Unknown, retry: int
+) -> bytes:
+    return orjson.dumps((kind, outcome.reason.value, outcome.message, retry))
 
 
-def _decode_done(src: Any) -> Done:
-    rows = orjson.loads(src.rows)
-    return Done(
-        term=src.term,
-        index=src.index,
-        target=src.target,
-        columns=tuple(orjson.loads(src.columns)),
-        rows=tuple(tuple(row) for row in rows),
-        rowcount=src.rowcount,
-        replayed=src.replayed,
-        at_replica=src.atReplica,
-        transaction=src.transaction,
+def _read_refusal(kind: int, members: list[Any]) -> Outcome:
+    reason, message, retry_after_ms = members
+    if kind == FAILED:
+        return Failed(reason=Reason(reason), message=message)
+    return REFUSALS[kind](
+        reason=Reason(reason),
+        retry_after_ms=retry_after_ms,
+        message=message,
     )
