Stop a VM that left a list of one other VM and is cut off

Cause: ListWatch took a list with one name for a fleet of itself alone, also when that name was another VM's. Of three VMs two left the list; one of them, cut off with a connection in use, never counted as isolated and kept it, while the last VM on the list took the whole limit after the grace time.

Change: others on the list count, not its length. The case is kept in exploration.feature; it failed without the change with the same words.

The seeded fault trust_unanswered_update was not found any more once a module was added elsewhere: hypothesis draws from the constants of all modules loaded, so its 400 examples were others.

--- a/bamboospring/shares.py
+++ b/bamboospring/shares.py
@@ -253,7 +253,8 @@
         # before `grace` has passed for the others. An outage of the platform
         # alone doesn't come here, because other VMs are still heard.
         silent = now - self._heard_at
-        return len(self.listed) > 1 and silent > self.timing.isolation
+        others = self.listed - {self.me}
+        return bool(others) and silent > self.timing.isolation
 
 
 @dataclass(slots=True, kw_only=True)
--- a/features/exploration.feature
+++ b/features/exploration.feature
@@ -26,6 +26,13 @@
       | acknowledge_without_majority     |
       | count_unmatched_replica          |
 
+  Scenario: What longer explorations found stays solved
+    # Of three VMs two leave the list at once, and one of them is cut off with
+    # a connection in use. It must close it before the last VM on the list
+    # takes the whole limit; it did not, as it held a list of one for its own.
+    When two VMs leave the list of three and one of them is cut off
+    Then the limit of the target is kept until both are gone
+
   Scenario: No order of events gives a lease to two VMs
     # Clocks run at different rates, answers come after the lease has lapsed,
     # renewals land late, the holder is paused and wakes. Two holders at once
--- a/features/steps/exploration_steps.py
+++ b/features/steps/exploration_steps.py
@@ -11,9 +11,13 @@
 
 from lease_machine import explore_leases
 from promotion_machine import explore
+from shares_steps import Fleet as SharesFleet
 
-# Enough for each seeded fault to be found; more by hand.
 EXAMPLES = int(os.environ.get("BAMBOOSPRING_EXAMPLES", "100"))
+# Which examples are drawn depends on the constants of all modules that are
+# loaded. With 4 times as many, a change elsewhere hid a seeded fault; the
+# search ends with the first find, so more cost little.
+FAULT_EXAMPLES = 20 * EXAMPLES
 
 
 def _found(run: Callable[[], None]) -> str:
@@ -32,10 +36,26 @@
 
 @when("primary changes are explored with the fault {fault}")
 def explore_fault(context: Any, fault: str) -> None:
-    found = _found(lambda: explore(fault, examples=4 * EXAMPLES, steps=25))
+    found = _found(lambda: explore(fault, examples=FAULT_EXAMPLES, steps=25))
     context.found = found
 
 
+@when("two VMs leave the list of three and one of them is cut off")
+def leave_and_cut(context: Any) -> None:
+    context.machine = SharesFleet()
+    context.machine.join_or_leave(name="a")
+    context.machine.join_or_leave(name="b")
+    context.machine.pass_time(seconds=2)
+    context.machine.disturb(kind="cut", name="a")
+
+
+@then("the limit of the target is kept until both are gone")
+def limit_kept(context: Any) -> None:
+    for _ in range(10):
+        context.machine.settle()
+        context.machine.within_limit()
+
+
 @when("leases are explored")
 def explore_lease(context: Any) -> None:
     context.found = _found(lambda: explore_leases(examples=EXAMPLES))
@@ -43,7 +63,7 @@
 
 @when("leases are explored with the fault {fault}")
 def explore_lease_fault(context: Any, fault: str) -> None:
-    found = _found(lambda: explore_leases(fault, examples=4 * EXAMPLES))
+    found = _found(lambda: explore_leases(fault, examples=FAULT_EXAMPLES))
     context.found = found
 
 
--- a/features/steps/promotion_machine.py
+++ b/features/steps/promotion_machine.py
@@ -525,6 +525,41 @@
         first.paused = False
         self._deliver_some(chances, 60)
 
+    @rule(chances=st.randoms(use_true_random=False))
+    def race_for_a_term(self, chances: Random) -> None:
+        """Let both stewards ask for the same term, and answer neither.
+
+        Each goes on while another target is away, so that the two would
+        choose differently; what they asked for arrives at the end.
+        """
+        self.world.messages.clear()
+        held = []
+        for steward in self.stewards:
+            self._all_up_but("")
+            steward.restart()
+            steward.paused = False
+            steward.judge(True)
+            self.deliver_in_order(12)
+            self.world.now += 0.06
+            steward.tick()
+            held.append(self.world.messages[:])
+            self.world.messages.clear()
+        late = []
+        for asked in held:
+            self._all_up_but(chances.choice(NAMES))
+            for message in asked:
+                message.give_up()
+            self._deliver_some(chances, 40)
+            late += [*asked, *self.world.messages]
+            self.world.messages.clear()
+        self._all_up_but("")
+        self.world.messages += late
+        self._deliver_some(chances, 60)
+
+    def _all_up_but(self, away: str) -> None:
+        for name in NAMES:
+            self.world.targets[name].up = name != away
+
     def _deliver_some(self, chances: Random, most: int) -> None:
         for _ in range(chances.randrange(most)):
             pick = chances.randrange(1000)
