Refuse writes at once where no majority can be reached; test regions apart

Cause: a write in a region that had lost the majority of its group's targets waited out its deadline, or was committed by a primary on that side and ended as unknown.

Change: reaches_majority (a majority heard before and silent for 2 s: not run, no_majority, after two looks) and _majority_has_left (wait for the record). The fault proxy can limit a mode to connections from one address, and a fleet can put VMs and targets into a far region.

primary_change.feature "A VM is cut off together with the old primary" wrote after the change by hand; a holder would refuse such writes after 2 s, so they now go out between the fences and the promotion, 40 at once, and at least 3 must be at the old primary, as before.

--- a/bamboospring/routing.py
+++ b/bamboospring/routing.py
@@ -21,6 +21,7 @@
 from bamboospring.blackboard import TableRow
 from bamboospring.blackboard import Target
 from bamboospring.blackboard import TargetState
+from bamboospring.commit import majority_of
 from bamboospring.outcomes import Reason
 from bamboospring.statements import Position
 
@@ -38,12 +39,16 @@
     "confirmed_at",
     "find_target",
     "fresh_since",
+    "reaches_majority",
     "required_index",
     "satisfies",
 ]
 
 # A target that has not answered for this long is passed over.
 SILENT_AFTER = 1.5
+# Targets that have not answered for this long, twice the longest time that a
+# watched target has to answer in, are out of this process's reach.
+LOST_AFTER = 2.0
 # How long a read waits for a replica that is about to be far enough, and how
 # often it looks again. A longer wait costs the caller more than the primary
 # costs the fleet.
@@ -168,7 +173,7 @@
     """
     record = group.record
     target = find_target(group, record.primary)
-    if target is None:
+    if target is None or _majority_has_left(group):
         return None
     state = group.state(target.name)
     if state.role is not Role.PRIMARY or state.term != record.term:
@@ -178,6 +183,37 @@
     return WriteAt(target=target, term=record.term)
 
 
+def _majority_has_left(group: Group) -> bool:
+    """Tell whether most targets are at a later term than the record.
+
+    Without this a write is sent to a primary that does not know of its
+    successor, and commits there; no majority will ever hold it, so its
+    caller is told "unknown" of a write that need not have been sent. Terms
+    only grow, so what has left does not come back.
+    """
+    record = group.record
+    left = sum(
+        group.state(target.name).term > record.term
+        for target in record.targets
+    )
+    return left >= majority_of(len(record.targets))
+
+
+def reaches_majority(group: Group, now: float) -> bool:
+    """Tell whether enough targets are heard to acknowledge a write.
+
+    Those never heard count as reached: this process has only just begun to
+    ask them. The loss of a majority that was heard is told at once, because
+    no change of primary can be made from here either.
+    """
+    targets = group.record.targets
+    lost = sum(
+        -1e9 < group.state(target.name).seen_at < now - LOST_AFTER
+        for target in targets
+    )
+    return len(targets) - lost >= majority_of(len(targets))
+
+
 def required_index(record: GroupRecord, token: Position) -> int:
     """Return the index that holds a session's writes in today's log.
 
@@ -230,7 +266,7 @@
         ),
         reverse=True,
     )
-    needed = len(record.targets) // 2 + 1
+    needed = majority_of(len(record.targets))
     return asked[needed - 1] if len(asked) >= needed else -1e9
 
 
--- a/bamboospring/testing/estate.py
+++ b/bamboospring/testing/estate.py
@@ -13,7 +13,8 @@
 
     `slots` and `connections` hold for each target, `connect_ms` is what a
     new statement connection costs, `schema` is SQL run at every target
-    before the first start.
+    before the first start. `far` names the VMs and targets that stand in
+    another region.
     """
 
     name: str
@@ -29,12 +30,18 @@
     receive_lag_ms: int = 0
     sites: tuple[str, ...] = ("old", "new")
     region: str = "region-1"
+    far_region: str = "region-2"
+    far: tuple[str, ...] = ()
     schema: str = ""
 
     def zone(self, number: int) -> str:
         """Return the availability zone of the numbered VM or member."""
         return self.zones[number % len(self.zones)]
 
+    def region_of(self, name: str) -> str:
+        """Return the region of a VM or target."""
+        return self.far_region if name in self.far else self.region
+
 
 CARPATICA = Estate(
     name="carpatica",
--- a/bamboospring/testing/fault_proxy.py
+++ b/bamboospring/testing/fault_proxy.py
@@ -37,6 +37,7 @@
 
     client: asyncio.StreamWriter
     upstream: asyncio.StreamWriter
+    source: str
     silent: set[str] = field(default_factory=set)
 
     def reset(self) -> None:
@@ -55,6 +56,7 @@
         self.mode = "pass"
         self.direction = "both"
         self.delay_ms = 0
+        self.source = ""
         self._pairs: set[Pair] = set()
         self._thawed = asyncio.Event()
         self._server: asyncio.Server | None = None
@@ -67,13 +69,20 @@
         )
         self.listen = listening_address(self._server)
 
-    def set_mode(self, *, mode: str, direction: str, delay_ms: int) -> None:
-        """Change what happens to the link's connections from now on."""
+    def set_mode(
+        self, *, mode: str, direction: str, delay_ms: int, source: str = ""
+    ) -> None:
+        """Change what happens to the link's connections from now on.
+
+        With `source` only to those from this IP address: a region reaches a
+        place that another one does not.
+        """
         if mode not in MODES or direction not in DIRECTIONS:
             raise ValueError(f"unknown mode {mode} or direction {direction}")
         self.mode = mode
         self.direction = direction
         self.delay_ms = delay_ms
+        self.source = source
         if mode == "cut":
             self._cut()
         if mode == "silent":
@@ -90,27 +99,35 @@
             "mode": self.mode,
             "direction": self.direction,
             "delay_ms": self.delay_ms,
+            "source": self.source,
             "connections": len(self._pairs),
         }
 
     def _cut(self) -> None:
         for pair in self._pairs:
-            pair.reset()
+            if self._concerns(pair.source):
+                pair.reset()
 
     def _silence(self) -> None:
         silent = {"to_upstream", "to_client"}
         if self.direction != "both":
             silent = {self.direction}
         for pair in self._pairs:
-            pair.silent |= silent
+            if self._concerns(pair.source):
+                pair.silent |= silent
+
+    def _concerns(self, source: str) -> bool:
+        return self.source in ("", source)
 
-    def _applies(self, mode: str, direction: str) -> bool:
-        return self.mode == mode and self.direction in ("both", direction)
+    def _applies(self, pair: Pair, mode: str, direction: str) -> bool:
+        here = self.direction in ("both", direction)
+        return self.mode == mode and here and self._concerns(pair.source)
 
     async def _accepted(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        if self.mode == "cut":
+        source = writer.get_extra_info("peername")[0]
+        if self.mode == "cut" and self._concerns(source):
             reset(writer)
             return
         host, port = parse_address(self.upstream)
@@ -119,7 +136,7 @@
         except OSError:
             reset(writer)
             return
-        pair = Pair(client=writer, upstream=there[1])
+        pair = Pair(client=writer, upstream=there[1], source=source)
         set_nodelay(writer)
         set_nodelay(there[1])
         await self._run(pair, reader, there[0])
@@ -179,10 +196,10 @@
     ) -> None:
         while True:
             read_at, data = await queue.get()
-            if self._applies("delay", direction):
+            if self._applies(pair, "delay", direction):
                 due = read_at + self.delay_ms / 1000
                 await asyncio.sleep(due - time.monotonic())
-            while self._applies("freeze", direction):
+            while self._applies(pair, "freeze", direction):
                 await self._thawed.wait()
             if direction in pair.silent:
                 await asyncio.Event().wait()
@@ -249,6 +266,7 @@
             mode=body["mode"],
             direction=body.get("direction", "both"),
             delay_ms=int(body.get("delay_ms", 0)),
+            source=body.get("source", ""),
         )
         return Reply(body=link.as_json())
 
--- a/bamboospring/testing/fleet.py
+++ b/bamboospring/testing/fleet.py
@@ -38,13 +38,24 @@
 from bamboospring.testing.process import ManagedProcess
 from bamboospring.testing.process import StartFailed
 
-__all__ = ["Fleet", "FleetTarget", "FleetVm", "call_json", "wait_until"]
+__all__ = [
+    "FAR",
+    "Fleet",
+    "FleetTarget",
+    "FleetVm",
+    "NEAR",
+    "call_json",
+    "wait_until",
+]
 
 START_SECONDS = 20.0
 READY_SECONDS = 30.0
 STOP_SECONDS = 5.0
 TERMINATED = 128 + signal.SIGTERM
 CONTROL_TIMEOUT = 5.0
+# What processes of the two regions connect from, for the fault proxy.
+NEAR = "127.0.0.1"
+FAR = "127.0.0.2"
 PLATFORM = "platform"
 FAULT_PROXY = "fault-proxy"
 OPERATOR_TOKEN = "operator-secret-for-tests"
@@ -284,9 +295,15 @@
         *,
         direction: str = "both",
         delay_ms: int = 0,
+        source: str = "",
     ) -> None:
         """Set the mode of a link of the fault proxy (see PROTOCOLS)."""
-        body = {"mode": mode, "direction": direction, "delay_ms": delay_ms}
+        body = {
+            "mode": mode,
+            "direction": direction,
+            "delay_ms": delay_ms,
+            "source": source,
+        }
         call_json(self._proxy_address, "POST", f"/links/{name}", body)
 
     def change_primary(
@@ -362,7 +379,7 @@
                 name=vm.name,
                 address=vm.peers,
                 availability_zone=vm.zone,
-                region=self.estate.region,
+                region=self.estate.region_of(vm.name),
             )
             for vm in self.vms.values()
         ]
@@ -445,7 +462,7 @@
                 "name": vm.name,
                 "address": vm.peers,
                 "availability_zone": vm.zone,
-                "region": self.estate.region,
+                "region": self.estate.region_of(vm.name),
                 "state": "leaving" if vm.name in gone else "live",
             }
             for vm in self.vms.values()
@@ -516,9 +533,12 @@
         path = [root, env.get("PYTHONPATH", "")]
         env["PYTHONPATH"] = os.pathsep.join(part for part in path if part)
         env["PYTHONUNBUFFERED"] = "1"
+        command = [module, *args]
+        if name in self.estate.far:
+            command = ["bamboospring.testing.from_address", FAR, *command]
         process = ManagedProcess(
             name=name,
-            argv=[sys.executable, "-m", module, *args],
+            argv=[sys.executable, "-m", *command],
             log_path=self.directory / f"{name}.log",
             env=env,
         )
@@ -654,7 +674,7 @@
         base: dict[str, Any] = {
             "vm": vm.name,
             "availability_zone": vm.zone,
-            "region": self.estate.region,
+            "region": self.estate.region_of(vm.name),
             "callers": {"listen": vm.callers_listen},
             "peers": {"listen": vm.peers_listen},
             "operators": {
--- a/bamboospring/writes.py
+++ b/bamboospring/writes.py
@@ -32,6 +32,7 @@
 from bamboospring.reactor import Timer
 from bamboospring.rendezvous import shard_of
 from bamboospring.routing import choose_write
+from bamboospring.routing import reaches_majority
 from bamboospring.routing import WriteAt
 from bamboospring.statements import Position
 from bamboospring.statements import Statement
@@ -46,6 +47,9 @@
 # pool's queue has room for all of them once there is a primary.
 MAX_PARKED = 64
 PARK_RECHECK = 0.02
+# A process that has just woken finds all targets silent; their answers are
+# read before this second look. Seconds.
+CUT_OFF_RECHECK = 0.1
 # A write that was sent when its term ended gets this long for a definite
 # word: a fenced target closes its connections at once, a silent one never
 # says anything.
@@ -183,6 +187,7 @@
         # number and gives back what it got.
         self._try = 0
         self._slot_tries = 0
+        self._cut_off = False
         # What the write last waited for; said if its time ends meanwhile.
         self._why = Reason.NO_PRIMARY
         self._timer: Timer | None = None
@@ -198,6 +203,10 @@
                 NotRun(reason=self._why, retry_after_ms=RETRY_SOON_MS)
             )
             return
+        if not reaches_majority(self._group, self._runner.reactor.now()):
+            self._refuse_cut_off()
+            return
+        self._cut_off = False
         self.term = self._group.record.term
         choice = self._runner.choose(self._group)
         if choice is None:
@@ -206,6 +215,21 @@
         else:
             self._acquire(choice)
 
+    def _refuse_cut_off(self) -> None:
+        """Refuse at once what no majority in reach could acknowledge.
+
+        Without this a write in a region that is cut off waits out its
+        deadline, or is committed by a primary on this side and ends as
+        unknown. Looking twice is enough to leave out a pause of our own.
+        """
+        if not self._cut_off:
+            self._cut_off = True
+            self._park(CUT_OFF_RECHECK, Reason.NO_MAJORITY)
+            return
+        self._finish(
+            NotRun(reason=Reason.NO_MAJORITY, retry_after_ms=RETRY_SOON_MS)
+        )
+
     def term_ended(self) -> None:
         """Go on if nothing was sent, else end as unknown."""
         match self._phase:
--- a/features/steps/primary_change_steps.py
+++ b/features/steps/primary_change_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 import http.client
 import itertools
 import json
@@ -14,11 +15,13 @@
 from behave import when
 from fleet_support import caller_at
 from fleet_support import GROUP
+from fleet_support import in_threads
 from fleet_support import start_fleet
 from primary_change_support import ChangeLoad
 
 from bamboospring.rendezvous import bucket_of
 from bamboospring.rendezvous import shard_of
+from bamboospring.testing.caller import CallerAnswer
 from bamboospring.testing.fleet import call_json
 from bamboospring.testing.fleet import wait_until
 
@@ -353,6 +356,12 @@
         fleet.link(f"target:{name}", "cut")
 
 
+def write_through(context: Any, row: int) -> CallerAnswer:
+    """Write one row through vm-1, in a session of its own."""
+    caller = caller_at(context.fleet, "vm-1", deadline_ms=600)
+    return caller.write(GROUP, WRITE, [row])
+
+
 @when("the other side changes its primary to term 2")
 def change_by_hand(context: Any) -> None:
     fleet = context.fleet
@@ -362,6 +371,12 @@
     first, second = (fleet.targets[name] for name in fleet_others(context))
     for target in (first, second):
         call_json(target.listen, "POST", "/fence", {"term": 2})
+    # Stopped, they take nothing more from the old primary. The writes follow
+    # at once: a holder that has not heard a majority for 2 s sends none.
+    context.rows = set(range(501, 541))
+    context.answers = in_threads(
+        [partial(write_through, context, row) for row in sorted(context.rows)]
+    )
     best, other = sorted(
         (first, second),
         key=lambda t: fleet.probe(t.name)["received"],
@@ -383,16 +398,12 @@
 
 @then("writes through vm-1 are not acknowledged")
 def not_acknowledged(context: Any) -> None:
-    """Write until the old primary has taken some; none may be done."""
-    context.rows = set(range(501, 541))
-    for row in sorted(context.rows):
-        caller = caller_at(context.fleet, "vm-1", deadline_ms=600)
-        answer = caller.write(GROUP, WRITE, [row])
+    """The old primary has taken some, and none may be done."""
+    context.rows.add(541)
+    for answer in (*context.answers, write_through(context, 541)):
         assert answer.outcome in ("unknown", "not_run"), answer
-        taken = stored_rows(context, context.primary) & context.rows
-        if len(taken) >= 3:
-            return
-    raise AssertionError("the old primary took no write")
+    taken = stored_rows(context, context.primary) & context.rows
+    assert len(taken) >= 3, "the old primary took no write"
 
 
 @when("the network of vm-1 heals")
--- a/features/steps/primary_change_support.py
+++ b/features/steps/primary_change_support.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 import itertools
 import threading
@@ -27,13 +28,20 @@
 
 
 class ChangeLoad:
-    """Threads that write rows of their own through all VMs."""
-
-    def __init__(self, fleet: Fleet, *, threads: int = 4) -> None:
+    """Threads that write rows of their own through all VMs, or some."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        *,
+        threads: int = 4,
+        entries: Sequence[str] = (),
+        first_row: int = 1,
+    ) -> None:
         self.records: list[WriteRecord] = []
-        self._fleet = fleet
+        self._entries = entries or fleet.entries()
         self._stop = threading.Event()
-        self._rows = itertools.count(1)
+        self._rows = itertools.count(first_row)
         self._threads = [
             threading.Thread(target=self._run, args=(place,), daemon=True)
             for place in range(threads)
@@ -42,9 +50,7 @@
             thread.start()
 
     def _run(self, place: int) -> None:
-        caller = Caller(
-            entries=self._fleet.entries(), at=place, deadline_ms=2000
-        )
+        caller = Caller(entries=self._entries, at=place, deadline_ms=2000)
         while not self._stop.is_set():
             row = next(self._rows)
             record = self._write(caller, row)
