Test second faults in the midst of a primary change

Scenarios wait for states: a term without a primary in the platform's object, a target that says it is primary.

--- /dev/null
+++ b/features/double_faults.feature
@@ -0,0 +1,68 @@
+Feature: A second fault in the midst of a primary change
+  Real processes behind the fault proxy, callers that write all the time. The
+  second fault is set off by a state that the test waits for, never by a time.
+
+  Scenario: The steward is killed once it has won the term
+    # The group has a term without a primary, and the one that won it is gone
+    # for good. Writes wait or are refused. Another VM takes the lease once it
+    # has lapsed, finds no primary in the object and wins a later term; the
+    # dead one's term is never used.
+    Given a change fleet under writes
+    When the platform's answers to the steward are late
+    And the primary is killed for the change
+    And the steward is killed once a term without a primary is stored
+    And the platform's answers are late no more
+    Then writes are done again at a later term
+    And all running members hold exactly the writes of the change
+    And no term has had two primaries
+
+  Scenario: The new primary dies as soon as it is promoted
+    # Both the old primary and its successor are gone before the change is
+    # over, so one of three targets is left: no term can be finished, and
+    # nothing is acknowledged. With one of them back there is a majority again,
+    # which holds every acknowledged write.
+    Given a change fleet under writes
+    When the primary is killed for the change
+    And the new primary is killed as soon as it is promoted
+    Then the group has no primary that takes writes
+    When the killed primary is started again
+    Then writes are done again at a later term
+    And all running members hold exactly the writes of the change
+    And no term has had two primaries
+
+  Scenario: The primary dies in an outage and the steward with it
+    # Nobody can win a term or take the lease while the platform is down. When
+    # it is back, the lease has lapsed, another VM takes it and makes the
+    # change.
+    Given a change fleet under writes
+    When the platform goes down, then the primary and the steward die
+    Then no write is done while the platform is down
+    When the platform is back for the change
+    Then writes are done again at a later term
+    And all running members hold exactly the writes of the change
+    And no term has had two primaries
+
+  Scenario: An operator edits the table while the primary changes
+    # The change waits for the platform's late answers. The edit goes to
+    # another object by the same platform: it is accepted and in force
+    # everywhere, and the change ends as if there had been no edit.
+    Given a change fleet under writes
+    When the platform's answers to the steward are late
+    And the primary is killed for the change
+    And an operator edits the table once a term without a primary is stored
+    And the platform's answers are late no more
+    Then writes are done again at a later term
+    And the edit made in the change is in force everywhere
+    And all running members hold exactly the writes of the change
+    And no term has had two primaries
+
+  Scenario: The group has moved on and no VM can be told
+    # The platform is down and most targets follow a primary of term 2. VMs
+    # see that through their watch, though no record tells them who it is. A
+    # write to the old primary would be committed there and be lost: it is not
+    # sent, and its caller is told that it has not run.
+    Given a change fleet at rest
+    When the platform is down for the change
+    And most targets follow a primary that the platform does not know
+    Then each VM refuses writes as not run
+    And the old primary takes none of them
--- /dev/null
+++ b/features/steps/double_faults_steps.py
@@ -0,0 +1,182 @@
+"""Steps of double_faults.feature."""
+
+from __future__ import annotations
+
+import itertools
+import time
+from typing import Any
+
+from behave import then
+from behave import when
+from configuration_support import Operator
+from fleet_support import caller_at
+from fleet_support import GROUP
+from primary_change_steps import break_primary
+from primary_change_steps import leader_of
+from primary_change_steps import platform_down
+
+from bamboospring.rendezvous import shard_of
+from bamboospring.testing.fleet import wait_until
+
+WRITE = "INSERT INTO entries VALUES (?, 'x')"
+# Less than the patience with which a change begins, and enough to see that
+# the term is won while its winner does not know it yet.
+LATE_MS = 700
+OWN_ROWS = 2_000_000
+
+
+def group_value(context: Any) -> dict[str, Any]:
+    value: dict[str, Any] = context.fleet.object("group", GROUP)["value"]
+    return value
+
+
+def won_without_primary(context: Any) -> bool:
+    value = group_value(context)
+    return value["term"] > 1 and not value["primary"]
+
+
+@when("the platform's answers to the steward are late")
+def answers_late(context: Any) -> None:
+    context.late = f"platform:{leader_of(context)()}"
+    context.fleet.link(
+        context.late, "delay", direction="to_client", delay_ms=LATE_MS
+    )
+
+
+@when("the platform's answers are late no more")
+def answers_at_once(context: Any) -> None:
+    context.fleet.link(context.late, "pass")
+
+
+@when("the steward is killed once a term without a primary is stored")
+def kill_steward_midway(context: Any) -> None:
+    wait_until(
+        lambda: won_without_primary(context),
+        seconds=30,
+        what="a term without a primary",
+    )
+    # The nonce of the update that won the term begins with its VM's name.
+    steward = group_value(context)["steward"].split("/")[0]
+    context.fleet.kill(steward)
+
+
+@when("the platform goes down, then the primary and the steward die")
+def kill_both(context: Any) -> None:
+    steward = leader_of(context)()
+    platform_down(context)
+    context.fleet.kill(context.primary)
+    context.fleet.kill(steward)
+    break_primary(context)
+
+
+@when("the new primary is killed as soon as it is promoted")
+def kill_successor(context: Any) -> None:
+    others = [t.name for t in context.fleet.members(GROUP)]
+    others.remove(context.primary)
+
+    def promoted() -> str:
+        for name in others:
+            if context.fleet.probe(name)["role"] == "primary":
+                return name
+        return ""
+
+    context.successor = wait_until(promoted, seconds=30, what="a new primary")
+    context.fleet.kill(context.successor)
+    break_primary(context)
+
+
+@then("the group has no primary that takes writes")
+def no_primary(context: Any) -> None:
+    check_no_writes(context, seconds=2.0)
+
+
+@then("no write is done while the platform is down")
+def no_writes_in_outage(context: Any) -> None:
+    check_no_writes(context, seconds=4.0)
+
+
+def check_no_writes(context: Any, seconds: float) -> None:
+    # Those under way at the kill may still be confirmed.
+    time.sleep(1.0)
+    start = time.monotonic()
+    time.sleep(seconds)
+    done = context.load.done_since(start)
+    assert not done, done[:3]
+
+
+@when("an operator edits the table once a term without a primary is stored")
+def edit_midway(context: Any) -> None:
+    wait_until(
+        lambda: won_without_primary(context),
+        seconds=30,
+        what="a term without a primary",
+    )
+    steward = group_value(context)["steward"].split("/")[0]
+    context.editor = next(vm for vm in context.fleet.vms if vm != steward)
+    operator = Operator(fleet=context.fleet, vm=context.editor)
+    report = operator.set(GROUP, max_staleness_ms=45_000)
+    context.version = max(report["versions"].values())
+
+
+@then("the edit made in the change is in force everywhere")
+def edit_in_force(context: Any) -> None:
+    shard = str(shard_of(GROUP))
+
+    def everywhere() -> bool:
+        found = [
+            Operator(fleet=context.fleet, vm=vm).in_force()["shards"][shard]
+            for vm in context.fleet.vms
+        ]
+        return all(version >= context.version for version in found)
+
+    wait_until(everywhere, seconds=20, what="the edit everywhere")
+
+
+@then("no term has had two primaries")
+def one_primary_each(context: Any) -> None:
+    """Each term that was ever opened has one start, as recorded."""
+    terms = [start["term"] for start in group_value(context)["starts"]]
+    assert terms == sorted(set(terms)), terms
+    probes = [
+        context.fleet.probe(target.name)
+        for target in context.fleet.members(GROUP)
+        if context.fleet.process(target.name).running
+    ]
+    primaries = [p["target"] for p in probes if p["role"] == "primary"]
+    assert primaries == [group_value(context)["primary"]], probes
+
+
+@when("most targets follow a primary that the platform does not know")
+def move_on_unseen(context: Any) -> None:
+    fleet = context.fleet
+    members = [target.name for target in fleet.members(GROUP)]
+    successor = next(name for name in members if name != context.primary)
+    fleet.change_primary(GROUP, successor, without=[context.primary])
+
+
+@then("each VM refuses writes as not run")
+def each_refuses(context: Any) -> None:
+    context.numbers = itertools.count(OWN_ROWS)
+    for vm in context.fleet.vms:
+        caller = caller_at(context.fleet, vm, deadline_ms=700)
+        wait_until(
+            lambda caller=caller: refused(context, caller),
+            seconds=20,
+            what=f"a refusal through {vm}",
+        )
+
+
+def refused(context: Any, caller: Any) -> bool:
+    answer = caller.write(GROUP, WRITE, [next(context.numbers)])
+    assert not answer.done, answer
+    return bool(answer.outcome == "not_run")
+
+
+@then("the old primary takes none of them")
+def old_takes_none(context: Any) -> None:
+    before = context.fleet.probe(context.primary)["received"]
+    for vm in context.fleet.vms:
+        caller = caller_at(context.fleet, vm, deadline_ms=700)
+        answer = caller.write(GROUP, WRITE, [next(context.numbers)])
+        assert answer.outcome == "not_run", answer
+    assert context.fleet.probe(context.primary)["received"] == before
