Refuse writes and changes of a group whose targets were edited too far

Cause: a write is acknowledged by a majority of the targets of the holder's record, a change stops a majority of the steward's. After an edit of more than one target these need not share one, so an acknowledged write could be lost.

Change: the object keeps, as `settled`, the targets under which the primary was last recorded. A record whose targets' majorities need not meet those takes no writes (not run, no_majority) and no change of primary, until the edit is undone. An edit of one target in the midst of a change ends it, as before; that and the next change's success are now tested.

Seen failing: without the refusal the write of "An edit that leaves one target of three" is done by a majority of one. A first form of that scenario passed without the refusal (it left a target that was not the primary) and was changed. Not seen failing: the removal in the midst of a change.

--- a/bamboospring/blackboard.py
+++ b/bamboospring/blackboard.py
@@ -85,7 +85,11 @@
     `primary` is empty while a change of primary is under way. `starts` holds
     the newest terms' opening entries, oldest first; a position of an older
     term counts for at most the start of the next term, because entries
-    beyond it were never acknowledged and may be gone.
+    beyond it were never acknowledged and may be gone. `settled` names the
+    targets that the group had when its primary was last recorded, as far as
+    known; `torn` says that the targets were edited too far since then: a
+    majority of the old ones need not have any target in common with one of
+    the new.
     """
 
     name: str
@@ -93,6 +97,8 @@
     term: int = 0
     primary: str = ""
     starts: tuple[TermStart, ...] = ()
+    settled: tuple[str, ...] = ()
+    torn: bool = False
     version: int = 0
 
 
--- a/bamboospring/change_object.py
+++ b/bamboospring/change_object.py
@@ -83,11 +83,9 @@
         if (found.value["term"], found.value["primary"]) != wanted:
             # Ours is the newest term, but somebody edited another field on
             # top of our first update: put the second one on top of that.
+            ours = ("primary", "starts", "settled")
             return self._put(
-                {
-                    "primary": update.value["primary"],
-                    "starts": update.value["starts"],
-                }
+                {key: update.value[key] for key in ours if key in update.value}
             )
         if self.phase is Phase.WIN:
             return self._won(now)
@@ -100,7 +98,11 @@
         starts = list(self._object.value.get("starts", []))
         starts.append({"term": self.term, "index": self._start})
         return self._put(
-            {"primary": self.primary, "starts": starts[-STARTS_KEPT:]}
+            {
+                "primary": self.primary,
+                "starts": starts[-STARTS_KEPT:],
+                "settled": sorted(self._targets),
+            }
         )
 
     def _won(self, now: float) -> list[Action]:
--- a/bamboospring/commit.py
+++ b/bamboospring/commit.py
@@ -8,11 +8,18 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
+
 from bamboospring.blackboard import Group
 from bamboospring.blackboard import Role
 from bamboospring.statements import Position
 
-__all__ = ["count_holding", "held_by_majority", "majority_of"]
+__all__ = [
+    "count_holding",
+    "held_by_majority",
+    "majorities_meet",
+    "majority_of",
+]
 
 
 def majority_of(count: int) -> int:
@@ -20,6 +27,18 @@
     return count // 2 + 1
 
 
+def majorities_meet(one: Collection[str], two: Collection[str]) -> bool:
+    """Tell whether any majority of one set shares a target with any of two.
+
+    Where it does not, a write held by a majority of the old targets may be at
+    none of the new ones that a change of primary stops.
+    """
+    common = len(set(one) & set(two))
+    from_one = majority_of(len(one)) - (len(one) - common)
+    from_two = majority_of(len(two)) - (len(two) - common)
+    return max(0, from_one) + max(0, from_two) > common
+
+
 def count_holding(group: Group, position: Position) -> int:
     """Count the targets known to hold a position of its own term.
 
@@ -40,5 +59,7 @@
 
 def held_by_majority(group: Group, position: Position) -> bool:
     """Tell whether a majority of the group's targets holds a position."""
+    if group.record.torn:
+        return False
     needed = majority_of(len(group.record.targets))
     return count_holding(group, position) >= needed
--- a/bamboospring/promotion.py
+++ b/bamboospring/promotion.py
@@ -158,6 +158,10 @@
             return []
         if not self._is_as_judged(record):
             return self._end("the record has moved on", now)
+        if record.torn:
+            # A majority of the targets of today may hold none of the writes
+            # that were acknowledged by one of those before the edit.
+            return self._end("too many targets were edited", now)
         if self.plan.cause.planned:
             return self._try_pause(record, now)
         failed = self.plan.failed
--- a/bamboospring/records.py
+++ b/bamboospring/records.py
@@ -17,6 +17,7 @@
 from bamboospring.blackboard import Target
 from bamboospring.blackboard import TermStart
 from bamboospring.blackboard import Vm
+from bamboospring.commit import majorities_meet
 
 __all__ = [
     "decode_group",
@@ -35,12 +36,17 @@
 def decode_group(name: str, version: int, value: Any) -> GroupRecord | None:
     """Return the record in a group's object."""
     try:
+        targets = tuple(_decode_target(t) for t in value["targets"])
+        settled = tuple(str(name) for name in value.get("settled", ()))
+        names = {target.name for target in targets}
         return GroupRecord(
             name=name,
-            targets=tuple(_decode_target(t) for t in value["targets"]),
+            targets=targets,
             term=int(value.get("term", 0)),
             primary=str(value.get("primary", "")),
             starts=tuple(_decode_start(s) for s in value.get("starts", ())),
+            settled=settled,
+            torn=bool(settled) and not majorities_meet(settled, names),
             version=version,
         )
     except MALFORMED:
@@ -54,6 +60,7 @@
         "term": record.term,
         "primary": record.primary,
         "starts": [{"term": s.term, "index": s.index} for s in record.starts],
+        "settled": list(record.settled),
     }
 
 
--- a/bamboospring/routing.py
+++ b/bamboospring/routing.py
@@ -205,13 +205,15 @@
     Those never heard count as reached: this process has only just begun to
     ask them. The loss of a majority that was heard is told at once, because
     no change of primary can be made from here either.
+    None is in reach of a group whose targets were edited too far.
     """
     targets = group.record.targets
     lost = sum(
         -1e9 < group.state(target.name).seen_at < now - LOST_AFTER
         for target in targets
     )
-    return len(targets) - lost >= majority_of(len(targets))
+    heard = len(targets) - lost
+    return heard >= majority_of(len(targets)) and not group.record.torn
 
 
 def required_index(record: GroupRecord, token: Position) -> int:
--- a/features/double_faults.feature
+++ b/features/double_faults.feature
@@ -56,6 +56,35 @@
     And all running members hold exactly the writes of the change
     And no term has had two primaries
 
+  Scenario: A target is removed from the group while the primary changes
+    # The operator takes the dead primary off the group's targets after a term
+    # has been won for three. Majorities of three and of the two that are left
+    # always meet; the change ends all the same and another one is made under
+    # the new targets, for its steps counted the old ones.
+    Given a change fleet under writes
+    When the platform's answers to the steward are late
+    And the primary is killed for the change
+    And the dead primary is removed once a term without a primary is stored
+    And the platform's answers are late no more
+    Then writes are done again at a later term
+    And all running members hold exactly the writes of the change
+    And no term has had two primaries
+
+  Scenario: An edit that leaves one target of three takes the writes away
+    # All but the primary go at once. It is a majority of itself, and what it
+    # took alone would be lost with it once the edit is undone: writes are
+    # refused as not run, and no term is won, until then.
+    Given a change fleet under writes
+    When the primary says that it leaves
+    Then writes are done again at term 2
+    When only the primary is left of the group's targets
+    Then each VM refuses writes as not run
+    And no write is done and no term is won for 2 seconds
+    When the old primary leaves no more
+    And the group has all its targets again
+    Then writes are done again at a later term
+    And all running members hold exactly the writes of the change
+
   Scenario: The group has moved on and no VM can be told
     # The platform is down and most targets follow a primary of term 2. VMs
     # see that through their watch, though no record tells them who it is. A
--- a/features/exploration.feature
+++ b/features/exploration.feature
@@ -33,6 +33,11 @@
     When two VMs leave the list of three and one of them is cut off
     Then the limit of the target is kept until both are gone
 
+  Scenario: Majorities of edited targets are known to meet or not
+    # An acknowledged write is at a majority of the old targets. If a majority
+    # of the new ones could miss it, the group must not change its primary.
+    Then the rule for majorities agrees with all pairs of them
+
   Scenario: No order of events gives a lease to two VMs
     # Clocks run at different rates, answers come after the lease has lapsed,
     # renewals land late, the holder is paused and wakes. Two holders at once
--- a/features/steps/double_faults_steps.py
+++ b/features/steps/double_faults_steps.py
@@ -146,6 +146,50 @@
     assert primaries == [group_value(context)["primary"]], probes
 
 
+def edit_targets(context: Any, names: list[str]) -> None:
+    """Store other targets of the group, whoever else updates it meanwhile."""
+    every = context.every_target
+
+    def stored() -> bool:
+        value = group_value(context)
+        value["targets"] = [t for t in every if t["name"] in names]
+        context.fleet.put_object("group", GROUP, value)
+        return True
+
+    wait_until(stored, seconds=10, what="the edit to be stored")
+
+
+@when("the dead primary is removed once a term without a primary is stored")
+def remove_midway(context: Any) -> None:
+    wait_until(
+        lambda: won_without_primary(context),
+        seconds=30,
+        what="a term without a primary",
+    )
+    context.every_target = group_value(context)["targets"]
+    names = [t["name"] for t in context.every_target]
+    edit_targets(context, [n for n in names if n != context.primary])
+
+
+@when("only the primary is left of the group's targets")
+def leave_one(context: Any) -> None:
+    context.every_target = group_value(context)["targets"]
+    edit_targets(context, [group_value(context)["primary"]])
+
+
+@when("the group has all its targets again")
+def all_again(context: Any) -> None:
+    edit_targets(context, [t["name"] for t in context.every_target])
+    break_primary(context)
+
+
+@then("no write is done and no term is won for 2 seconds")
+def nothing_for_a_while(context: Any) -> None:
+    before = group_value(context)
+    check_no_writes(context, seconds=1.0)
+    assert group_value(context)["term"] == before["term"]
+
+
 @when("most targets follow a primary that the platform does not know")
 def move_on_unseen(context: Any) -> None:
     fleet = context.fleet
--- a/features/steps/exploration_steps.py
+++ b/features/steps/exploration_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import itertools
 import os
 from typing import Any
 
@@ -13,6 +14,9 @@
 from promotion_machine import explore
 from shares_steps import Fleet as SharesFleet
 
+from bamboospring.commit import majorities_meet
+from bamboospring.commit import majority_of
+
 EXAMPLES = int(os.environ.get("BAMBOOSPRING_EXAMPLES", "100"))
 # Which examples are drawn depends on the constants of all modules that are
 # loaded. With 4 times as many, a change elsewhere hid a seeded fault; the
@@ -56,6 +60,22 @@
         context.machine.within_limit()
 
 
+@then("the rule for majorities agrees with all pairs of them")
+def majorities_agree(context: Any) -> None:
+    sets = [
+        frozenset(names)
+        for count in range(1, 6)
+        for names in itertools.combinations("abcdef", count)
+    ]
+    for one, two in itertools.product(sets, repeat=2):
+        meet = all(
+            set(few) & set(some)
+            for few in itertools.combinations(one, majority_of(len(one)))
+            for some in itertools.combinations(two, majority_of(len(two)))
+        )
+        assert majorities_meet(one, two) == meet, (one, two)
+
+
 @when("leases are explored")
 def explore_lease(context: Any) -> None:
     context.found = _found(lambda: explore_leases(examples=EXAMPLES))
