Split what control sends by message and call

Cause: control's bytes were known by peer only (peers, platform, targets), the targets' by an estimate of heads; what to take first could not be read off. Change: the bench relays targets as well and counts bytes, heads and messages by purpose and path; a steward and a wanted number of held groups can be measured; its fakes send heartbeats at times of their own, and it settles for 16 s, since both had made the process ask its holders about shares far too often. The steward was not measured before.

--- a/bench/control.py
+++ b/bench/control.py
@@ -22,6 +22,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import socket
 import struct
@@ -41,6 +42,7 @@
 from bamboospring.group_sync import REPAIR_INTERVAL
 from bamboospring.peers import PROTOCOL
 from bamboospring.peers import schema
+from bamboospring.rendezvous import BUCKETS
 from bamboospring.rendezvous import choose_neighbours
 from bamboospring.rendezvous import choose_watchers
 from bamboospring.rendezvous import Placement
@@ -54,8 +56,10 @@
 
 ZONES = 4
 REGIONS = 2
+HEAD_END = b"\r\n\r\n"
 HEARTBEAT_SECONDS = 2.0
-SETTLE_SECONDS = 10.0
+# Holders ask each other about shares until 10 s after their first list.
+SETTLE_SECONDS = 16.0
 EDIT_SECONDS = 30.0
 LENGTH = struct.Struct("<I")
 TOKEN = "operator-secret-for-the-bench"
@@ -63,11 +67,18 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Case:
-    """Sizes of one run; `watcher` measures one of the six watchers."""
+    """Sizes of one run, and which VM it measures.
+
+    `watcher` takes one of the six watchers, `steward` one that leads a
+    bucket. `wanted_groups` is what the VM should hold, as nearly as there is
+    one; 0 takes the average.
+    """
 
     groups: int
     vms: int
     watcher: bool
+    steward: bool
+    wanted_groups: int
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -77,6 +88,8 @@
     groups: int
     vms: int
     watcher: bool
+    steward: bool
+    wanted_groups: int
     held_groups: int
     seconds: float
     cpu_percent: float
@@ -84,43 +97,71 @@
     unique_mb: float
     peer_bytes: float
     peer_bytes_by_kind: dict[str, float]
+    peer_messages_by_kind: dict[str, float]
     platform_bytes: float
+    platform_bytes_by_call: dict[str, float]
     target_bytes: float
+    target_head_bytes: float
     target_polls: float
     platform_calls: dict[str, float]
 
 
 class Meter:
-    """Bytes by what they were for."""
+    """Bytes and messages by what they were for."""
 
     def __init__(self) -> None:
         self.bytes: Counter[str] = Counter()
+        self.heads: Counter[str] = Counter()
+        self.messages: Counter[str] = Counter()
+        self.polls = 0
+
+    def clear(self) -> None:
+        """Begin anew."""
+        self.bytes.clear()
+        self.heads.clear()
+        self.messages.clear()
         self.polls = 0
 
 
 class Relay:
-    """Forward connections to the platform and count their bytes."""
+    """Forward connections and count their bytes by purpose and path.
 
-    def __init__(self, upstream: str, meter: Meter) -> None:
+    A connection to the platform serves one purpose, so that what its first
+    request says holds for all of it.
+    """
+
+    def __init__(self, upstream: str, meter: Meter, name: str) -> None:
         self._host, _, port = upstream.rpartition(":")
         self._port = int(port)
         self._meter = meter
+        self._name = name
 
     async def accepted(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Serve one connection."""
         there = await asyncio.open_connection(self._host, self._port)
+        name = [self._name]
         await asyncio.gather(
-            self._pump(reader, there[1]), self._pump(there[0], writer)
+            self._pump(reader, there[1], name),
+            self._pump(there[0], writer, name),
         )
 
     async def _pump(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        name: list[str],
     ) -> None:
         try:
             while data := await reader.read(65536):
-                self._meter.bytes["platform"] += len(data)
+                if data.startswith((b"GET", b"PUT")) and name == ["platform"]:
+                    name[0] = name_of_call(data)
+                self._meter.bytes[name[0]] += len(data)
+                if data.startswith((b"GET ", b"HTTP/")):
+                    end = data.find(HEAD_END) + len(HEAD_END)
+                    self._meter.heads[name[0]] += end
+                    self._meter.messages[name[0]] += 1
                 writer.write(data)
                 await writer.drain()
         except (ConnectionError, asyncio.CancelledError):
@@ -128,6 +169,19 @@
         writer.close()
 
 
+def name_of_call(head: bytes) -> str:
+    """Return "platform", purpose and kind of a request."""
+    path = head.split(b" ", 2)[1].split(b"?")[0].decode()
+    lines = head.split(HEAD_END)[0].decode().split("\r\n")
+    purposes = [
+        line.partition(": ")[2]
+        for line in lines
+        if line.startswith("X-Purpose")
+    ]
+    kind = "/".join(path.split("/")[1:3])
+    return " ".join(["platform", *purposes, kind])
+
+
 class FakeTargets:
     """All targets of a role: they answer probes and change nothing."""
 
@@ -148,12 +202,13 @@
             "primary": "",
             "start": 1,
             "leaving": False,
+            "state": "0123456789abcdef",
         }
         self._meter.polls += 1
-        # Heads of request and answer, near enough: 120 and 110 bytes.
-        self._meter.bytes["target"] += 230 + len(json.dumps(body))
         if request.path[0] == "positions":
             await asyncio.sleep(int(request.query["wait_ms"]) / 1000)
+        if "seen" in request.query:
+            return Reply(status=204)
         return Reply(body=body)
 
 
@@ -171,6 +226,7 @@
         self._placement = Placement(vms)
         self._versions: tuple[int, list[int]] = (1, [0] * SHARDS)
         self._servers: list[asyncio.Server] = []
+        self._random = random.Random(1)
 
     async def listen(self, vm: Vm) -> None:
         """Be one VM at its address."""
@@ -218,12 +274,16 @@
         await asyncio.gather(*jobs)
 
     async def _beat(self, writer: asyncio.StreamWriter, name: str) -> None:
+        # As the real ones, at times of their own: all at once they would
+        # leave a silence in which the measured one asks whether it is alone.
+        await asyncio.sleep(self._random.uniform(0, HEARTBEAT_SECONDS))
         while True:
             message = schema.Envelope.new_message()
             message.id = 1
             self._fill(message.init("heartbeat"), name)
             self._write(writer, message)
-            await asyncio.sleep(HEARTBEAT_SECONDS)
+            part = self._random.uniform(0.75, 1.25)
+            await asyncio.sleep(part * HEARTBEAT_SECONDS)
 
     async def _ask(self, writer: asyncio.StreamWriter, name: str) -> None:
         needed = {
@@ -253,11 +313,13 @@
         data = await reader.readexactly(size)
         with schema.Envelope.from_bytes(data) as message:
             self.meter.bytes[message.which()] += LENGTH.size + size
+            self.meter.messages[message.which()] += 1
             return message.as_builder()
 
     def _write(self, writer: asyncio.StreamWriter, message: Any) -> None:
         data = message.to_bytes()
         self.meter.bytes[message.which()] += LENGTH.size + len(data)
+        self.meter.messages[message.which()] += 1
         writer.write(LENGTH.pack(len(data)) + data)
 
     def _answer(
@@ -271,6 +333,8 @@
                 if not beat.draining:
                     self._versions = (beat.vmsRevision, list(beat.shards))
                 self._fill(answer.init("heartbeatAck"), name)
+            case "groupFact" if message.id == 0:
+                return
             case "groupFact":
                 record = self._group_answer(message.groupFact.record)
                 answer.init("groupFact").record = record
@@ -389,14 +453,17 @@
             await serve_http("127.0.0.1:0", FakeTargets(meter, role).handle)
             for role in ("primary", "replica")
         ]
-        addresses = [listening_address(server) for server in servers]
+        relays = [
+            await start_relay(listening_address(server), meter, "target")
+            for server in servers
+        ]
+        servers += relays
+        addresses = [listening_address(server) for server in relays]
         records = {
             name: make_record(addresses, number)
             for number, name in enumerate(self._names)
         }
-        relay = await asyncio.start_server(
-            Relay(platform, meter).accepted, "127.0.0.1", 0
-        )
+        relay = await start_relay(platform, meter, "platform")
         vms, me, fleet = await self._make_fleet(records)
         await self._fill_platform(platform, vms, records)
         child = start_serve(directory, me, listening_address(relay))
@@ -448,10 +515,17 @@
         for name in self._names:
             held.update(vm.name for vm in placement.holders(name))
         typical = 3 * len(self._names) / len(vms)
+        wanted = self._case.wanted_groups or typical
+        stewards = {
+            vm.name
+            for bucket in range(BUCKETS)
+            for vm in placement.candidates(bucket)
+        }
         fitting = [
-            (abs(held[vm.name] - typical), place)
+            (abs(held[vm.name] - wanted), place)
             for place, vm in enumerate(vms)
             if (vm in watchers) == self._case.watcher
+            and (vm.name in stewards) >= self._case.steward
         ] or [(0.0, 0)]
         return min(fitting)[1]
 
@@ -505,15 +579,19 @@
         process = psutil.Process(pid)
         counters = await call_json(platform, "GET", "/counters")
         cpu = sum(process.cpu_times()[:2])
-        meter.bytes.clear()
-        fleet.meter.bytes.clear()
-        meter.polls = 0
+        meter.clear()
+        fleet.meter.clear()
         begun = time.monotonic()
         await asyncio.sleep(self._seconds)
         took = time.monotonic() - begun
         cpu = sum(process.cpu_times()[:2]) - cpu
         memory = process.memory_full_info()
         after = await call_json(platform, "GET", "/counters")
+        calls = {
+            name: count / took
+            for name, count in meter.bytes.items()
+            if name != "target"
+        }
         placement = Placement(fleet._vms)
         held = sum(me in placement.holders(name) for name in self._names)
         return Result(
@@ -527,8 +605,14 @@
             peer_bytes_by_kind={
                 kind: count / took for kind, count in fleet.meter.bytes.items()
             },
-            platform_bytes=meter.bytes["platform"] / took,
+            peer_messages_by_kind={
+                kind: count / took
+                for kind, count in fleet.meter.messages.items()
+            },
+            platform_bytes=sum(calls.values()),
+            platform_bytes_by_call=calls,
             target_bytes=meter.bytes["target"] / took,
+            target_head_bytes=meter.heads["target"] / took,
             target_polls=meter.polls / took,
             platform_calls=call_rates(counters, after, took),
         )
@@ -551,6 +635,14 @@
     return {purpose: count / seconds for purpose, count in rates.items()}
 
 
+async def start_relay(
+    upstream: str, meter: Meter, name: str
+) -> asyncio.Server:
+    """Start a relay on a port of its own."""
+    relay = Relay(upstream, meter, name)
+    return await asyncio.start_server(relay.accepted, "127.0.0.1", 0)
+
+
 async def start_listening(
     module: str, *args: str
 ) -> tuple[subprocess.Popen[str], str]:
@@ -613,7 +705,8 @@
     parser.add_argument(
         "--case",
         action="append",
-        help="GROUPS,VMS or GROUPS,VMS,watcher; may be given repeatedly",
+        help="GROUPS,VMS, then any of watcher, steward and the number of "
+        "groups that the VM should hold; may be given repeatedly",
     )
     options = parser.parse_args()
     asyncio.run(run_cases(options))
@@ -635,7 +728,13 @@
 def parse_case(text: str) -> Case:
     """Return the case that an option names."""
     groups, vms, *rest = text.split(",")
-    return Case(groups=int(groups), vms=int(vms), watcher=bool(rest))
+    return Case(
+        groups=int(groups),
+        vms=int(vms),
+        watcher="watcher" in rest,
+        steward="steward" in rest,
+        wanted_groups=sum(int(text) for text in rest if text.isdecimal()),
+    )
 
 
 if __name__ == "__main__":
