Spread the bench's edits among its fakes as well

Cause: the bench put edits at the platform only, so that an ordinary VM neither heard of them nor passed them on, which costs it bytes in a real fleet. Change: a fake neighbour announces each edit and gives it, another asks for it.

--- a/bench/control.py
+++ b/bench/control.py
@@ -63,6 +63,7 @@
 # Holders ask each other about shares until 10 s after their first list.
 SETTLE_SECONDS = 16.0
 EDIT_SECONDS = 30.0
+ASKED_AFTER = 0.5
 LENGTH = struct.Struct("<I")
 TOKEN = "operator-secret-for-the-bench"
 
@@ -228,6 +229,8 @@
         self._placement = Placement(vms)
         self._versions: tuple[int, list[int]] = (1, [0] * SHARDS)
         self._servers: list[asyncio.Server] = []
+        self._rows: dict[int, tuple[int, bytes]] = {}
+        self._writer: asyncio.StreamWriter | None = None
         self._random = random.Random(1)
 
     async def listen(self, vm: Vm, sock: socket.socket) -> None:
@@ -267,6 +270,7 @@
             for vm in self._vms
             if self._me in choose_neighbours(vm.name, self._vms)
         ]
+        self._writer = writer
         jobs = [self._drain(reader)]
         jobs += [self._beat(writer, name) for name in callers]
         if self._case.watcher:
@@ -274,6 +278,28 @@
             jobs += [self._ask(writer, vm.name) for vm in askers]
         await asyncio.gather(*jobs)
 
+    async def spread(self, shard: int, version: int, value: Any) -> None:
+        """Announce an edit as a neighbour does; then ask for it as another.
+
+        Each VM receives an edited shard about once and gives it about once.
+        """
+        revision, shards = self._versions
+        shards = [*shards]
+        shards[shard] = version
+        self._versions = revision, shards
+        self._rows[shard] = version, json.dumps(value).encode()
+        if self._writer is None:
+            return
+        news = schema.Envelope.new_message()
+        self._fill(news.init("heartbeat"), self._vms[0].name, whole=True)
+        self._write(self._writer, news)
+        await asyncio.sleep(ASKED_AFTER)
+        question = schema.Envelope.new_message()
+        question.id = 3
+        question.init("tableWant").shard = shard
+        question.tableWant.version = version - 1
+        self._write(self._writer, question)
+
     async def _beat(self, writer: asyncio.StreamWriter, name: str) -> None:
         # As the real ones, at times of their own: all at once they would
         # leave a silence in which the measured one asks whether it is alone.
@@ -340,6 +366,11 @@
             case "groupFact":
                 record = self._group_answer(message.groupFact.record)
                 answer.init("groupFact").record = record
+            case "tableWant":
+                shard = message.tableWant.shard
+                delta = answer.init("tableDelta")
+                delta.shard = shard
+                delta.version, delta.rows = self._rows.get(shard, (0, b""))
             case "shareRequest":
                 # A VM that holds nothing, and will ask before it does.
                 out = answer.init("shareRelease")
@@ -480,7 +511,7 @@
         try:
             await asyncio.sleep(SETTLE_SECONDS / 2)
             tasks.append(asyncio.create_task(fleet.call(me.address)))
-            tasks.append(asyncio.create_task(self._edit(platform)))
+            tasks.append(asyncio.create_task(self._edit(platform, fleet)))
             await asyncio.sleep(SETTLE_SECONDS / 2)
             return await self._sample(child.pid, platform, meter, fleet, me)
         finally:
@@ -563,21 +594,25 @@
 
     async def _put_shard(
         self, platform: str, shard: int, if_version: int
-    ) -> None:
+    ) -> Any:
         self._staleness += 1
         rows = {
             name: make_row(name, self._staleness)
             for name in self._names
             if shard_of(name) == shard
         }
-        body = {"if_version": if_version, "value": {"rows": rows}}
+        value = {"rows": rows}
+        body = {"if_version": if_version, "value": value}
         await call_json(platform, "PUT", f"/objects/table/{shard}", body)
+        return value
 
-    async def _edit(self, platform: str) -> None:
+    async def _edit(self, platform: str, fleet: FakeFleet) -> None:
         version = 1
+        shard = shard_of("group-0")
         while True:
-            await self._put_shard(platform, shard_of("group-0"), version)
+            value = await self._put_shard(platform, shard, version)
             version += 1
+            await fleet.spread(shard, version, value)
             await asyncio.sleep(EDIT_SECONDS)
 
     async def _sample(
