Ask the targets of a steward's rounds for news only

Cause: a steward with 5 held groups sent 10.1 kB/s, 5.9 of them for rounds of targets that had nothing new to say. Change: a probe of a target that was heard before names its state and gets 204 if nothing changed. target_polls.feature (two cases) seen failing with: a 204 counted without a known account; a 204 not counted at all.

--- a/bamboospring/promotion.py
+++ b/bamboospring/promotion.py
@@ -103,12 +103,17 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Order:
-    """One request to a target; `primary` is an address, for FOLLOW."""
+    """One request to a target.
+
+    `primary` is an address, for FOLLOW; `known` what the target said last,
+    for PROBE: one that still says so need not say it again.
+    """
 
     kind: OrderKind
     target: Target
     term: int = 0
     primary: str = ""
+    known: Probe | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/bamboospring/steward.py
+++ b/bamboospring/steward.py
@@ -335,7 +335,8 @@
         """Ask all targets of a group, and put stray ones right."""
         care.round_at = self._reactor.now()
         for target in group.record.targets:
-            order = Order(kind=OrderKind.PROBE, target=target)
+            known, _ = care.probes.get(target.name, (None, 0.0))
+            order = Order(kind=OrderKind.PROBE, target=target, known=known)
             answered = partial(
                 self._probed, group, care, target, group.record.version
             )
--- a/bamboospring/target_orders.py
+++ b/bamboospring/target_orders.py
@@ -40,6 +40,9 @@
         if isinstance(answer, HttpLost):
             on_done(False, None)
             return
+        if answer.status == HTTPStatus.NO_CONTENT and order.known:
+            on_done(True, order.known)
+            return
         done = answer.status == HTTPStatus.OK
         known = done or answer.status == HTTPStatus.CONFLICT
         on_done(done, decode_probe(answer.body) if known else None)
@@ -52,6 +55,9 @@
 def _request(order: Order) -> tuple[str, str, dict[str, Any] | None]:
     term = {"term": order.term}
     match order.kind:
+        case OrderKind.PROBE if order.known and order.known.state:
+            seen = order.known.state
+            return "GET", f"/positions?seen={seen}&wait_ms=0", None
         case OrderKind.PROBE:
             return "GET", "/probe", None
         case OrderKind.PAUSE:
--- a/features/steps/target_polls_steps.py
+++ b/features/steps/target_polls_steps.py
@@ -18,7 +18,11 @@
 from bamboospring.blackboard import Vm
 from bamboospring.http_codec import HttpAnswer
 from bamboospring.http_codec import HttpLost
+from bamboospring.promotion import Order
+from bamboospring.promotion import OrderKind
 from bamboospring.rendezvous import Placement
+from bamboospring.target_api import decode_probe
+from bamboospring import target_orders
 from bamboospring import watcher as watcher_module
 from bamboospring.watcher import Watcher
 
@@ -219,3 +223,53 @@
         "&leaving=0&wait_ms=400"
     )
     assert context.client.paths[-1] == wanted, context.client.paths
+
+
+# The steward's probes.
+
+
+@given("a steward that heard nothing of the target before")
+def given_unheard(context: Any) -> None:
+    context.known = None
+
+
+@given("a steward that heard an account of the target before")
+def given_heard(context: Any) -> None:
+    context.known = decode_probe(orjson.dumps({**ACCOUNT, "state": STATE}))
+
+
+@when("it probes the target and gets no body")
+def when_probed(context: Any) -> None:
+    context.client = FakeClient()
+    context.told = []
+    target = Target(
+        name="m1",
+        address="127.0.0.1:1",
+        availability_zone="zone-a",
+        site="old",
+        slots=3,
+        connections=20,
+    )
+    order = Order(kind=OrderKind.PROBE, target=target, known=context.known)
+    with mock.patch.object(
+        target_orders, "HttpClient", lambda **_: context.client
+    ):
+        target_orders.send_order(
+            SimpleNamespace(), order, lambda *told: context.told.append(told)
+        )
+    answer(context, 204)
+
+
+@then("the probe asked for {path}")
+def then_path(context: Any, path: str) -> None:
+    assert context.client.paths == [path], context.client.paths
+
+
+@then("the answer counts as no word at all")
+def then_no_word(context: Any) -> None:
+    assert context.told == [(False, None)], context.told
+
+
+@then("the answer counts as the account before")
+def then_account(context: Any) -> None:
+    assert context.told == [(True, context.known)], context.told
--- a/features/target_polls.feature
+++ b/features/target_polls.feature
@@ -43,3 +43,18 @@
     Given a holder that watches a primary over fake connections
     When the primary gives its account without a state
     Then the next question names its positions and waits
+
+  # A steward leads by what targets said last. If "as before" from one that was
+  # never heard counted as a word, it would promote by positions that nobody
+  # has told; if it did not count from one that was heard, each round would
+  # make healthy targets look lost.
+  Scenario Outline: A steward's round to a target that says "as before"
+    Given a steward that <heard> of the target before
+    When it probes the target and gets no body
+    Then the probe asked for <path>
+    And the answer counts as <word>
+
+    Examples:
+      | heard              | path                                     | word                |
+      | heard nothing      | /probe                                   | no word at all      |
+      | heard an account   | /positions?seen=00ff00ff00ff00ff&wait_ms=0 | the account before  |
