--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -252,10 +252,10 @@
         return []
     lines = []
     for run in runs:
-        role = "a watcher of the platform" if run["watcher"] else "a VM"
         lines.append(
-            f"| control of {role}, {run['groups']} groups, {run['vms']} VMs, "
-            f"{run['held_groups']} held | {run['cpu_percent']:.2f} % of a "
+            f"| control of {role_of(run)}, {run['groups']} groups, "
+            f"{run['vms']} VMs, {run['held_groups']} held | "
+            f"{run['cpu_percent']:.2f} % of a "
             f"core, {run['resident_mb']:.1f} MB, "
             f"{control_bytes(run) / 1000:.2f} KB/s | one run of "
             f"{run['seconds']:.0f} s | `bench/control.py` |"
@@ -263,6 +263,13 @@
     return lines
 
 
+def role_of(run: dict[str, Any]) -> str:
+    """Return what the measured VM was, with its article."""
+    if run["watcher"]:
+        return "a watcher of the platform"
+    return "a steward" if run.get("steward") else "a VM"
+
+
 def control_bytes(run: dict[str, Any]) -> float:
     """Return all bytes of control a second of one run."""
     return float(
@@ -638,7 +645,11 @@
         (True, 6, "6 watchers"),
         (False, VMS - 6, f"{VMS - 6} other VMs"),
     ):
-        found = [run for run in runs if run["watcher"] == watcher]
+        found = [
+            run
+            for run in runs
+            if run["watcher"] == watcher and not run.get("steward")
+        ]
         if not found:
             continue
         run = max(found, key=lambda each: (each["vms"], each["groups"]))
@@ -671,15 +682,14 @@
         "| role | processor | memory | bytes |",
         "|---|---|---|---|",
     ]
-    for watcher in (False, True):
-        found = [run for run in runs if run["watcher"] == watcher]
-        if not found:
+    largest = max((run["vms"], run["groups"]) for run in runs)
+    for run in runs:
+        if (run["vms"], run["groups"]) != largest:
             continue
-        run = max(found, key=lambda each: (each["vms"], each["groups"]))
-        name = "watcher of the platform" if watcher else "other VM"
         rate = control_bytes(run)
         lines.append(
-            f"| {name}, {run['groups']} groups, {run['vms']} VMs | "
+            f"| {role_of(run)}, {run['groups']} groups, {run['vms']} VMs, "
+            f"{run['held_groups']} held | "
             f"{run['cpu_percent']:.2f} %: "
             f"{verdict(run['cpu_percent'], CPU_BOUND)} | "
             f"{run['resident_mb']:.1f} MB: "
@@ -700,7 +710,11 @@
 def held_runs(runs: list[dict[str, Any]]) -> list[dict[str, Any]]:
     """Return the runs through which a line over held groups goes."""
     found = [
-        run for run in runs if not run["watcher"] and run["vms"] >= LARGE_FLEET
+        run
+        for run in runs
+        if not run["watcher"]
+        and not run.get("steward")
+        and run["vms"] >= LARGE_FLEET
     ]
     return found if len({run["held_groups"] for run in found}) > 2 else []
 
@@ -798,9 +812,8 @@
         rate = control_bytes(run)
         full = run["vms"] == VMS and run["groups"] == GROUPS
         if full and rate > BYTES_BOUND:
-            name = "A watcher of the platform" if run["watcher"] else "A VM"
             lines.append(
-                f"- **Bytes of control**: {name} exchanges "
+                f"- **Bytes of control**: {role_of(run)} exchanges "
                 f"{rate / 1000:.1f} KB/s, {rate / BYTES_BOUND:.1f} times "
                 f"what is allowed ({run['held_groups']} groups held). "
                 "Missing: fewer questions of other VMs to the same few."
--- a/bench/control.py
+++ b/bench/control.py
@@ -1,6 +1,6 @@
 """Measure what control costs one `serve` process, without any statement.
 
-    python -m bench.control --seconds 60 --out bench/results/control.json
+    python -m bench.control --seconds 60 --case 530,480 --case 530,480,watcher
 
 One real process is measured. The platform is the stand-in behind a relay that
 counts bytes; all other VMs and all targets are fakes in this process, which
@@ -189,6 +189,7 @@
     """All targets of a role: they answer probes and change nothing."""
 
     def __init__(self, meter: Meter, role: str) -> None:
+        self.primary = ""
         self._meter = meter
         self._role = role
 
@@ -202,7 +203,7 @@
             "received": 100,
             "applied": 100,
             "last_term": 1,
-            "primary": "",
+            "primary": self.primary,
             "start": 1,
             "leaving": False,
             "state": "0123456789abcdef",
@@ -489,9 +490,9 @@
 
     async def _measure(self, platform: str, directory: pathlib.Path) -> Result:
         meter = Meter()
+        targets = [FakeTargets(meter, role) for role in ("primary", "replica")]
         servers = [
-            await serve_http("127.0.0.1:0", FakeTargets(meter, role).handle)
-            for role in ("primary", "replica")
+            await serve_http("127.0.0.1:0", each.handle) for each in targets
         ]
         relays = [
             await start_relay(listening_address(server), meter, "target")
@@ -499,6 +500,8 @@
         ]
         servers += relays
         addresses = [listening_address(server) for server in relays]
+        # A steward orders replicas that name no primary to follow.
+        targets[1].primary = addresses[0]
         records = {
             name: make_record(addresses, number)
             for number, name in enumerate(self._names)
