--- a/bamboospring/change_actions.py
+++ b/bamboospring/change_actions.py
@@ -8,6 +8,7 @@
 
 from bamboospring.blackboard import GroupRecord
 from bamboospring.blackboard import Target
+from bamboospring.target_api import Probe
 from bamboospring.records import decode_group
 
 __all__ = [
@@ -33,12 +34,17 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Order:
-    """One request to a target; `primary` is an address, for FOLLOW."""
+    """One request to a target.
+
+    `primary` is an address, for FOLLOW; `known` what the target said last,
+    for PROBE: one that still says so need not say it again.
+    """
 
     kind: OrderKind
     target: Target
     term: int = 0
     primary: str = ""
+    known: Probe | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/bamboospring/http_codec.py
+++ b/bamboospring/http_codec.py
@@ -433,10 +433,9 @@
         self._on_answer = on_answer
         self._parser = httptools.HttpResponseParser(self)
         self._timer = self._reactor.call_later(timeout, self._timed_out)
-        head = (
-            f"{method} {path}{self._host}{headers}"
-            f"Content-Length: {len(body)}\r\n\r\n"
-        )
+        if body or method != "GET":
+            headers += f"Content-Length: {len(body)}\r\n"
+        head = f"{method} {path}{self._host}{headers}\r\n"
         self._stream.send(head.encode("latin-1") + body)
 
     def close(self) -> None:
--- a/bench/control.py
+++ b/bench/control.py
@@ -1,6 +1,6 @@
 """Measure what control costs one `serve` process, without any statement.
 
-    python -m bench.control --seconds 60 --out bench/results/control.json
+    python -m bench.control --seconds 60 --case 530,480 --case 530,480,watcher
 
 One real process is measured. The platform is the stand-in behind a relay that
 counts bytes; all other VMs and all targets are fakes in this process, which
@@ -22,6 +22,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import socket
 import struct
@@ -41,11 +42,14 @@
 from bamboospring.group_sync import REPAIR_INTERVAL
 from bamboospring.peers import PROTOCOL
 from bamboospring.peers import schema
+from bamboospring.rendezvous import BUCKETS
 from bamboospring.rendezvous import choose_neighbours
 from bamboospring.rendezvous import choose_watchers
 from bamboospring.rendezvous import Placement
 from bamboospring.rendezvous import shard_of
 from bamboospring.rendezvous import SHARDS
+from bamboospring.spread import digest_of
+from bamboospring.spread import Versions
 from bamboospring.testing.http_server import Connection
 from bamboospring.testing.http_server import listening_address
 from bamboospring.testing.http_server import Reply
@@ -54,20 +58,30 @@
 
 ZONES = 4
 REGIONS = 2
+HEAD_END = b"\r\n\r\n"
 HEARTBEAT_SECONDS = 2.0
-SETTLE_SECONDS = 10.0
+# Holders ask each other about shares until 10 s after their first list.
+SETTLE_SECONDS = 16.0
 EDIT_SECONDS = 30.0
+ASKED_AFTER = 0.5
 LENGTH = struct.Struct("<I")
 TOKEN = "operator-secret-for-the-bench"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Case:
-    """Sizes of one run; `watcher` measures one of the six watchers."""
+    """Sizes of one run, and which VM it measures.
+
+    `watcher` takes one of the six watchers, `steward` one that leads a
+    bucket. `wanted_groups` is what the VM should hold, as nearly as there is
+    one; 0 takes the average.
+    """
 
     groups: int
     vms: int
     watcher: bool
+    steward: bool
+    wanted_groups: int
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -77,6 +91,8 @@
     groups: int
     vms: int
     watcher: bool
+    steward: bool
+    wanted_groups: int
     held_groups: int
     seconds: float
     cpu_percent: float
@@ -84,43 +100,71 @@
     unique_mb: float
     peer_bytes: float
     peer_bytes_by_kind: dict[str, float]
+    peer_messages_by_kind: dict[str, float]
     platform_bytes: float
+    platform_bytes_by_call: dict[str, float]
     target_bytes: float
+    target_head_bytes: float
     target_polls: float
     platform_calls: dict[str, float]
 
 
 class Meter:
-    """Bytes by what they were for."""
+    """Bytes and messages by what they were for."""
 
     def __init__(self) -> None:
         self.bytes: Counter[str] = Counter()
+        self.heads: Counter[str] = Counter()
+        self.messages: Counter[str] = Counter()
+        self.polls = 0
+
+    def clear(self) -> None:
+        """Begin anew."""
+        self.bytes.clear()
+        self.heads.clear()
+        self.messages.clear()
         self.polls = 0
 
 
 class Relay:
-    """Forward connections to the platform and count their bytes."""
+    """Forward connections and count their bytes by purpose and path.
 
-    def __init__(self, upstream: str, meter: Meter) -> None:
+    A connection to the platform serves one purpose, so that what its first
+    request says holds for all of it.
+    """
+
+    def __init__(self, upstream: str, meter: Meter, name: str) -> None:
         self._host, _, port = upstream.rpartition(":")
         self._port = int(port)
         self._meter = meter
+        self._name = name
 
     async def accepted(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Serve one connection."""
         there = await asyncio.open_connection(self._host, self._port)
+        name = [self._name]
         await asyncio.gather(
-            self._pump(reader, there[1]), self._pump(there[0], writer)
+            self._pump(reader, there[1], name),
+            self._pump(there[0], writer, name),
         )
 
     async def _pump(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        name: list[str],
     ) -> None:
         try:
             while data := await reader.read(65536):
-                self._meter.bytes["platform"] += len(data)
+                if data.startswith((b"GET", b"PUT")) and name == ["platform"]:
+                    name[0] = name_of_call(data)
+                self._meter.bytes[name[0]] += len(data)
+                if data.startswith((b"GET ", b"HTTP/")):
+                    end = data.find(HEAD_END) + len(HEAD_END)
+                    self._meter.heads[name[0]] += end
+                    self._meter.messages[name[0]] += 1
                 writer.write(data)
                 await writer.drain()
         except (ConnectionError, asyncio.CancelledError):
@@ -128,10 +172,24 @@
         writer.close()
 
 
+def name_of_call(head: bytes) -> str:
+    """Return "platform", purpose and kind of a request."""
+    path = head.split(b" ", 2)[1].split(b"?")[0].decode()
+    lines = head.split(HEAD_END)[0].decode().split("\r\n")
+    purposes = [
+        line.partition(": ")[2]
+        for line in lines
+        if line.startswith("X-Purpose")
+    ]
+    kind = "/".join(path.split("/")[1:3])
+    return " ".join(["platform", *purposes, kind])
+
+
 class FakeTargets:
     """All targets of a role: they answer probes and change nothing."""
 
     def __init__(self, meter: Meter, role: str) -> None:
+        self.primary = ""
         self._meter = meter
         self._role = role
 
@@ -145,15 +203,16 @@
             "received": 100,
             "applied": 100,
             "last_term": 1,
-            "primary": "",
+            "primary": self.primary,
             "start": 1,
             "leaving": False,
+            "state": "0123456789abcdef",
         }
         self._meter.polls += 1
-        # Heads of request and answer, near enough: 120 and 110 bytes.
-        self._meter.bytes["target"] += 230 + len(json.dumps(body))
         if request.path[0] == "positions":
             await asyncio.sleep(int(request.query["wait_ms"]) / 1000)
+        if "seen" in request.query:
+            return Reply(status=204)
         return Reply(body=body)
 
 
@@ -171,12 +230,14 @@
         self._placement = Placement(vms)
         self._versions: tuple[int, list[int]] = (1, [0] * SHARDS)
         self._servers: list[asyncio.Server] = []
+        self._rows: dict[int, tuple[int, bytes]] = {}
+        self._writer: asyncio.StreamWriter | None = None
+        self._random = random.Random(1)
 
-    async def listen(self, vm: Vm) -> None:
-        """Be one VM at its address."""
-        host, _, port = vm.address.rpartition(":")
+    async def listen(self, vm: Vm, sock: socket.socket) -> None:
+        """Be one VM at its address, that of the socket."""
         accepted = partial(self.accepted, vm.name)
-        server = await asyncio.start_server(accepted, host, int(port))
+        server = await asyncio.start_server(accepted, sock=sock)
         self._servers.append(server)
 
     def close(self) -> None:
@@ -210,6 +271,7 @@
             for vm in self._vms
             if self._me in choose_neighbours(vm.name, self._vms)
         ]
+        self._writer = writer
         jobs = [self._drain(reader)]
         jobs += [self._beat(writer, name) for name in callers]
         if self._case.watcher:
@@ -217,13 +279,39 @@
             jobs += [self._ask(writer, vm.name) for vm in askers]
         await asyncio.gather(*jobs)
 
+    async def spread(self, shard: int, version: int, value: Any) -> None:
+        """Announce an edit as a neighbour does; then ask for it as another.
+
+        Each VM receives an edited shard about once and gives it about once.
+        """
+        revision, shards = self._versions
+        shards = [*shards]
+        shards[shard] = version
+        self._versions = revision, shards
+        self._rows[shard] = version, json.dumps(value).encode()
+        if self._writer is None:
+            return
+        news = schema.Envelope.new_message()
+        self._fill(news.init("heartbeat"), self._vms[0].name, whole=True)
+        self._write(self._writer, news)
+        await asyncio.sleep(ASKED_AFTER)
+        question = schema.Envelope.new_message()
+        question.id = 3
+        question.init("tableWant").shard = shard
+        question.tableWant.version = version - 1
+        self._write(self._writer, question)
+
     async def _beat(self, writer: asyncio.StreamWriter, name: str) -> None:
+        # As the real ones, at times of their own: all at once they would
+        # leave a silence in which the measured one asks whether it is alone.
+        await asyncio.sleep(self._random.uniform(0, HEARTBEAT_SECONDS))
         while True:
             message = schema.Envelope.new_message()
             message.id = 1
-            self._fill(message.init("heartbeat"), name)
+            self._fill(message.init("heartbeat"), name, whole=False)
             self._write(writer, message)
-            await asyncio.sleep(HEARTBEAT_SECONDS)
+            part = self._random.uniform(0.75, 1.25)
+            await asyncio.sleep(part * HEARTBEAT_SECONDS)
 
     async def _ask(self, writer: asyncio.StreamWriter, name: str) -> None:
         needed = {
@@ -253,11 +341,13 @@
         data = await reader.readexactly(size)
         with schema.Envelope.from_bytes(data) as message:
             self.meter.bytes[message.which()] += LENGTH.size + size
+            self.meter.messages[message.which()] += 1
             return message.as_builder()
 
     def _write(self, writer: asyncio.StreamWriter, message: Any) -> None:
         data = message.to_bytes()
         self.meter.bytes[message.which()] += LENGTH.size + len(data)
+        self.meter.messages[message.which()] += 1
         writer.write(LENGTH.pack(len(data)) + data)
 
     def _answer(
@@ -268,12 +358,20 @@
         match message.which():
             case "heartbeat":
                 beat = message.heartbeat
-                if not beat.draining:
+                if beat.shards and not beat.draining:
                     self._versions = (beat.vmsRevision, list(beat.shards))
-                self._fill(answer.init("heartbeatAck"), name)
+                out = answer.init("heartbeatAck")
+                self._fill(out, name, whole=beat.digest != self._digest())
+            case "groupFact" if message.id == 0:
+                return
             case "groupFact":
                 record = self._group_answer(message.groupFact.record)
                 answer.init("groupFact").record = record
+            case "tableWant":
+                shard = message.tableWant.shard
+                delta = answer.init("tableDelta")
+                delta.shard = shard
+                delta.version, delta.rows = self._rows.get(shard, (0, b""))
             case "shareRequest":
                 # A VM that holds nothing, and will ask before it does.
                 out = answer.init("shareRelease")
@@ -304,9 +402,16 @@
             body["names"] = list(self._records)
         return json.dumps(body).encode()
 
-    def _fill(self, out: Any, name: str) -> None:
+    def _fill(self, out: Any, name: str, *, whole: bool) -> None:
         out.vm = name
-        out.vmsRevision, out.shards = self._versions
+        out.vmsRevision, shards = self._versions
+        out.digest = self._digest()
+        if whole:
+            out.shards = shards
+
+    def _digest(self) -> int:
+        revision, shards = self._versions
+        return digest_of(Versions(vms_revision=revision, shards=tuple(shards)))
 
 
 async def call_json(
@@ -385,18 +490,23 @@
 
     async def _measure(self, platform: str, directory: pathlib.Path) -> Result:
         meter = Meter()
+        targets = [FakeTargets(meter, role) for role in ("primary", "replica")]
         servers = [
-            await serve_http("127.0.0.1:0", FakeTargets(meter, role).handle)
-            for role in ("primary", "replica")
+            await serve_http("127.0.0.1:0", each.handle) for each in targets
+        ]
+        relays = [
+            await start_relay(listening_address(server), meter, "target")
+            for server in servers
         ]
-        addresses = [listening_address(server) for server in servers]
+        servers += relays
+        addresses = [listening_address(server) for server in relays]
+        # A steward orders replicas that name no primary to follow.
+        targets[1].primary = addresses[0]
         records = {
             name: make_record(addresses, number)
             for number, name in enumerate(self._names)
         }
-        relay = await asyncio.start_server(
-            Relay(platform, meter).accepted, "127.0.0.1", 0
-        )
+        relay = await start_relay(platform, meter, "platform")
         vms, me, fleet = await self._make_fleet(records)
         await self._fill_platform(platform, vms, records)
         child = start_serve(directory, me, listening_address(relay))
@@ -404,7 +514,7 @@
         try:
             await asyncio.sleep(SETTLE_SECONDS / 2)
             tasks.append(asyncio.create_task(fleet.call(me.address)))
-            tasks.append(asyncio.create_task(self._edit(platform)))
+            tasks.append(asyncio.create_task(self._edit(platform, fleet)))
             await asyncio.sleep(SETTLE_SECONDS / 2)
             return await self._sample(child.pid, platform, meter, fleet, me)
         finally:
@@ -421,11 +531,12 @@
         self, records: dict[str, Any]
     ) -> tuple[list[Vm], Vm, FakeFleet]:
         own = free_address()
-        ports = [free_port(loopback(n)) for n in range(self._case.vms)]
+        # Kept until they listen: runs at the same time choose ports as well.
+        places = [bound_socket(loopback(n)) for n in range(self._case.vms)]
         vms = [
             Vm(
                 name=f"vm-{number}",
-                address=f"{loopback(number)}:{ports[number]}",
+                address="%s:%d" % places[number].getsockname(),
                 availability_zone=f"zone-{number % ZONES}",
                 region=f"region-{number // ZONES % REGIONS}",
             )
@@ -435,9 +546,11 @@
         me = replace(vms[place], address=own)
         vms[place] = me
         fleet = FakeFleet(self._case, vms, me, records)
-        for vm in vms:
+        for vm, sock in zip(vms, places, strict=True):
             if vm != me:
-                await fleet.listen(vm)
+                await fleet.listen(vm, sock)
+            else:
+                sock.close()
         return vms, me, fleet
 
     def _choose_measured(self, vms: list[Vm]) -> int:
@@ -448,10 +561,17 @@
         for name in self._names:
             held.update(vm.name for vm in placement.holders(name))
         typical = 3 * len(self._names) / len(vms)
+        wanted = self._case.wanted_groups or typical
+        stewards = {
+            vm.name
+            for bucket in range(BUCKETS)
+            for vm in placement.candidates(bucket)
+        }
         fitting = [
-            (abs(held[vm.name] - typical), place)
+            (abs(held[vm.name] - wanted), place)
             for place, vm in enumerate(vms)
             if (vm in watchers) == self._case.watcher
+            and (vm.name in stewards) >= self._case.steward
         ] or [(0.0, 0)]
         return min(fitting)[1]
 
@@ -477,21 +597,25 @@
 
     async def _put_shard(
         self, platform: str, shard: int, if_version: int
-    ) -> None:
+    ) -> Any:
         self._staleness += 1
         rows = {
             name: make_row(name, self._staleness)
             for name in self._names
             if shard_of(name) == shard
         }
-        body = {"if_version": if_version, "value": {"rows": rows}}
+        value = {"rows": rows}
+        body = {"if_version": if_version, "value": value}
         await call_json(platform, "PUT", f"/objects/table/{shard}", body)
+        return value
 
-    async def _edit(self, platform: str) -> None:
+    async def _edit(self, platform: str, fleet: FakeFleet) -> None:
         version = 1
+        shard = shard_of("group-0")
         while True:
-            await self._put_shard(platform, shard_of("group-0"), version)
+            value = await self._put_shard(platform, shard, version)
             version += 1
+            await fleet.spread(shard, version, value)
             await asyncio.sleep(EDIT_SECONDS)
 
     async def _sample(
@@ -505,15 +629,19 @@
         process = psutil.Process(pid)
         counters = await call_json(platform, "GET", "/counters")
         cpu = sum(process.cpu_times()[:2])
-        meter.bytes.clear()
-        fleet.meter.bytes.clear()
-        meter.polls = 0
+        meter.clear()
+        fleet.meter.clear()
         begun = time.monotonic()
         await asyncio.sleep(self._seconds)
         took = time.monotonic() - begun
         cpu = sum(process.cpu_times()[:2]) - cpu
         memory = process.memory_full_info()
         after = await call_json(platform, "GET", "/counters")
+        calls = {
+            name: count / took
+            for name, count in meter.bytes.items()
+            if name != "target"
+        }
         placement = Placement(fleet._vms)
         held = sum(me in placement.holders(name) for name in self._names)
         return Result(
@@ -527,8 +655,14 @@
             peer_bytes_by_kind={
                 kind: count / took for kind, count in fleet.meter.bytes.items()
             },
-            platform_bytes=meter.bytes["platform"] / took,
+            peer_messages_by_kind={
+                kind: count / took
+                for kind, count in fleet.meter.messages.items()
+            },
+            platform_bytes=sum(calls.values()),
+            platform_bytes_by_call=calls,
             target_bytes=meter.bytes["target"] / took,
+            target_head_bytes=meter.heads["target"] / took,
             target_polls=meter.polls / took,
             platform_calls=call_rates(counters, after, took),
         )
@@ -551,6 +685,14 @@
     return {purpose: count / seconds for purpose, count in rates.items()}
 
 
+async def start_relay(
+    upstream: str, meter: Meter, name: str
+) -> asyncio.Server:
+    """Start a relay on a port of its own."""
+    relay = Relay(upstream, meter, name)
+    return await asyncio.start_server(relay.accepted, "127.0.0.1", 0)
+
+
 async def start_listening(
     module: str, *args: str
 ) -> tuple[subprocess.Popen[str], str]:
@@ -570,16 +712,17 @@
     return f"127.1.{number // 250}.{number % 250 + 1}"
 
 
-def free_port(host: str) -> int:
-    """Return a port that nobody listens on."""
-    with socket.socket() as sock:
-        sock.bind((host, 0))
-        return int(sock.getsockname()[1])
+def bound_socket(host: str) -> socket.socket:
+    """Return a socket with a port of its own."""
+    sock = socket.socket()
+    sock.bind((host, 0))
+    return sock
 
 
 def free_address() -> str:
     """Return an address for the measured process."""
-    return f"127.0.0.1:{free_port('127.0.0.1')}"
+    with bound_socket("127.0.0.1") as sock:
+        return "%s:%d" % sock.getsockname()
 
 
 def start_serve(
@@ -613,7 +756,8 @@
     parser.add_argument(
         "--case",
         action="append",
-        help="GROUPS,VMS or GROUPS,VMS,watcher; may be given repeatedly",
+        help="GROUPS,VMS, then any of watcher, steward and the number of "
+        "groups that the VM should hold; may be given repeatedly",
     )
     options = parser.parse_args()
     asyncio.run(run_cases(options))
@@ -635,7 +779,13 @@
 def parse_case(text: str) -> Case:
     """Return the case that an option names."""
     groups, vms, *rest = text.split(",")
-    return Case(groups=int(groups), vms=int(vms), watcher=bool(rest))
+    return Case(
+        groups=int(groups),
+        vms=int(vms),
+        watcher="watcher" in rest,
+        steward="steward" in rest,
+        wanted_groups=sum(int(text) for text in rest if text.isdecimal()),
+    )
 
 
 if __name__ == "__main__":
--- a/features/steps/configuration_properties.py
+++ b/features/steps/configuration_properties.py
@@ -22,6 +22,7 @@
 8.  a watch is never free again after a failure       an edit never arrives
 9.  peers compare versions only at the start          an edit never arrives
 10. records told before the list of VMs are left      a record never arrives
+11. the digest of versions is always the same         an edit never arrives
 """
 
 from __future__ import annotations
@@ -244,9 +245,12 @@
 
         self._reactor.call_later(0.5, look)
 
-    def vms(self, on_result: Any, *, purpose: str = "vms") -> None:
-        """Read the list of VMs."""
-        self._answer(VmsFound(revision=1, vms=self._world.vms), on_result)
+    def vms(
+        self, on_result: Any, *, purpose: str = "vms", after: int = 0
+    ) -> None:
+        """Read the list of VMs, left out if the asker has it."""
+        vms = None if after >= 1 else self._world.vms
+        self._answer(VmsFound(revision=1, vms=vms), on_result)
 
     def _changes(self, kind: str, after: int) -> Changes:
         world = self._world
