--- a/bamboospring/change_actions.py
+++ b/bamboospring/change_actions.py
@@ -8,8 +8,8 @@
 
 from bamboospring.blackboard import GroupRecord
 from bamboospring.blackboard import Target
-from bamboospring.target_api import Probe
 from bamboospring.records import decode_group
+from bamboospring.target_api import Probe
 
 __all__ = [
     "Action",
