Stop a VM that is off a list of two and cut off

Cause: a VM gives up its shares when it hears nobody, unless it is alone on the list. That was asked by the length of the list: one that had left a list of two saw a list of one, the other VM, and never stopped; after the grace time that one took all, 6 of 5 connections in use. Ruled out: late lists and promises, the shortest order has none.

Change: the others on the list are counted.

Test: limits.feature, seen failing without it.

--- a/bamboospring/shares.py
+++ b/bamboospring/shares.py
@@ -252,8 +252,10 @@
         # A VM that is cut off can't see that it has left the list. It stops
         # before `grace` has passed for the others. An outage of the platform
         # alone doesn't come here, because other VMs are still heard.
+        # Others are what counts: a VM off a list of one is cut off, too.
         silent = now - self._heard_at
-        return len(self.listed) > 1 and silent > self.timing.isolation
+        others = self.listed - {self.me}
+        return bool(others) and silent > self.timing.isolation
 
 
 @dataclass(slots=True, kw_only=True)
--- a/features/limits.feature
+++ b/features/limits.feature
@@ -28,6 +28,13 @@
       | any holders are agreed to                     |
       | a share is kept when names change             |
 
+  Scenario: A VM that has left a list of two is cut off
+    # The list that it saw last names one other VM only, which takes all once
+    # the grace time is over. It must have stopped before.
+    Given a VM that has seen a list which leaves it out
+    When it hears nobody for longer than the isolation time
+    Then it gives up its shares
+
   Scenario: The operators' limit is below the target's
     # The table's row allows one slot and three connections. The target would
     # take more, and counts what it gets.
--- a/features/steps/names_steps.py
+++ b/features/steps/names_steps.py
@@ -13,7 +13,9 @@
 from typing import Any
 from unittest import mock
 
+from behave import given
 from behave import then
+from behave import when
 from hypothesis import HealthCheck
 from hypothesis import Phase
 from hypothesis import settings
@@ -28,6 +30,7 @@
 from bamboospring.rendezvous import Placement
 from bamboospring.rendezvous import rank
 from bamboospring.shares import GroupShares
+from bamboospring.shares import ListWatch
 
 GROUP = "journal-6"
 NAMES = shares_steps.NAMES
@@ -163,3 +166,21 @@
             assert "connections in use" in str(exc), exc
             return
     raise AssertionError(f"not caught: {fault}")
+
+
+@given("a VM that has seen a list which leaves it out")
+def given_left(context: Any) -> None:
+    context.watch = ListWatch(me="a", timing=shares_steps.TIMING)
+    context.watch.see(now=0.0, revision=1, listed=frozenset("ab"))
+    context.watch.see(now=0.5, revision=2, listed=frozenset("b"))
+
+
+@when("it hears nobody for longer than the isolation time")
+def when_silent(context: Any) -> None:
+    for step in range(1, 6):
+        context.watch.tick(now=0.5 + step * 0.5)
+
+
+@then("it gives up its shares")
+def then_gives_up(context: Any) -> None:
+    assert context.watch.cut_off
