--- a/bench/control.py
+++ b/bench/control.py
@@ -227,7 +227,7 @@
         self._vms = vms
         self._me = me
         self._records = records
-        self._placement = Placement(vms)
+        self._placement = Placement(vms, records)
         self._versions: tuple[int, list[int]] = (1, [0] * SHARDS)
         self._servers: list[asyncio.Server] = []
         self._rows: dict[int, tuple[int, bytes]] = {}
@@ -556,7 +556,7 @@
     def _choose_measured(self, vms: list[Vm]) -> int:
         """Return a VM of the wanted role that holds a typical share."""
         watchers = set(choose_watchers(vms))
-        placement = Placement(vms)
+        placement = Placement(vms, self._names)
         held: Counter[str] = Counter()
         for name in self._names:
             held.update(vm.name for vm in placement.holders(name))
@@ -642,7 +642,7 @@
             for name, count in meter.bytes.items()
             if name != "target"
         }
-        placement = Placement(fleet._vms)
+        placement = Placement(fleet._vms, self._names)
         held = sum(me in placement.holders(name) for name in self._names)
         return Result(
             **asdict(self._case),
