Add entry-only processes beside a VM's main process

Cause: at the size to design for a VM's statements need more than one core, and a Python process has one. Ruled out for now: whole VMs for each process (list, placement and control grow with processes), and holder processes by group (shares and terms would move at each restart of one).

Change: `callers.reuse_port` shares the callers' address (SO_REUSEPORT); a process binds at its start and listens when it is ready. `entry` makes a process entry-only: it takes callers and forwards, learns the list of VMs, the table and names of groups from its main process by version comparison and announcements, and from four other VMs while that one does not answer. It never calls the platform and opens no connection to a target. At a shutdown the callers' listener is emptied before it is closed. `status`, `record`, readiness and metrics show each process. Wiring that both kinds share moved from server.py to process.py, the start to serve.py, so that an entry-only process does not import the holder.

The kernel still resets what arrives between the last look into the queue and the close, unless net.ipv4.tcp_migrate_req is set (not tried).

--- a/bamboospring/cli.py
+++ b/bamboospring/cli.py
@@ -57,7 +57,7 @@
     try:
         cfg = settings.load(path)
         logs.configure(level=cfg.logs.level, vm=cfg.vm)
-        import_module("bamboospring.server").run(cfg, path)
+        import_module("bamboospring.serve").run(cfg, path)
     except BamboospringError as exc:
         return _complain(exc)
     return ExitCode.DONE
--- a/bamboospring/drain.py
+++ b/bamboospring/drain.py
@@ -147,7 +147,7 @@
             connections=len(self._callers.connections),
         )
         if phase is not Phase.NOTICE:
-            self._callers.listener.close()
+            self._callers.listener.drain()
         if phase is Phase.FAREWELL:
             self._tell_peers()
             self._reactor.call_later(FAREWELL, self._end)
--- a/bamboospring/entry.py
+++ b/bamboospring/entry.py
@@ -16,7 +16,7 @@
 
 from bamboospring.blackboard import Blackboard
 from bamboospring.forwarding import Forwarder
-from bamboospring.holder import Holder
+from bamboospring.forwarding import LocalHolder
 from bamboospring.http_codec import HttpServer
 from bamboospring.http_codec import Request
 from bamboospring.http_codec import Response
@@ -71,10 +71,11 @@
         board: Blackboard,
         placement: Placement,
         peers: Peers,
-        holder: Holder,
+        holder: LocalHolder,
         codec: TokenCodec,
         membership: Membership,
         listen: str,
+        reuse_port: bool = False,
         budget: RetryBudget | None = None,
         on_answered: OnAnswered = lambda *_: None,
     ) -> None:
@@ -100,7 +101,10 @@
             "/v1/transactions": self._run_step,
         }
         self.server = HttpServer(
-            reactor=reactor, address=listen, handler=self._handle
+            reactor=reactor,
+            address=listen,
+            handler=self._handle,
+            reuse_port=reuse_port,
         )
 
     def _handle(self, req: Request, respond: Respond) -> None:
--- /dev/null
+++ b/bamboospring/entry_only.py
@@ -0,0 +1,106 @@
+"""An entry-only process: takes callers for its VM and forwards to holders.
+
+It runs beside the VM's main process, which the operators' init system starts
+as usual, and shares the callers' address with it; docs/design/processes.md
+says why.
+"""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+
+import orjson
+
+from bamboospring.blackboard import Vm
+from bamboospring.entry_facts import EntryFacts
+from bamboospring.fleet_view import FleetView
+from bamboospring.forwarding import OnOutcome
+from bamboospring.http_codec import Request
+from bamboospring.http_codec import Response
+from bamboospring.operators import Operators
+from bamboospring.operators import Respond
+from bamboospring.outcomes import NotRun
+from bamboospring.outcomes import Reason
+from bamboospring.process import Process
+from bamboospring.rendezvous import bucket_of
+from bamboospring.server_metrics import watch_process
+from bamboospring.settings import Settings
+from bamboospring.statements import Statement
+from bamboospring.status_view import StatusView
+
+__all__ = ["EntryOnly"]
+
+
+class _NoHolder:
+    """Refuses what comes to this process as to a holder.
+
+    Nothing does, unless a VM of the list has this process's name. Then the
+    entry tries the next holder, as nothing ran.
+    """
+
+    def run(self, stmt: Statement, done: OnOutcome) -> None:
+        """Refuse a statement."""
+        done(NotRun(reason=Reason.NOT_HOLDER))
+
+
+class EntryOnly(Process):
+    """All that an entry-only process is made of."""
+
+    def __init__(self, cfg: Settings, path: str = "") -> None:
+        super().__init__(cfg, path)
+        assert cfg.entry.main is not None
+        self.entry = self._make_entry(_NoHolder())
+        self.facts = EntryFacts(
+            reactor=self.reactor,
+            board=self.board,
+            placement=self.placement,
+            peers=self.peers,
+            membership=self.membership,
+            main=Vm(
+                name=cfg.entry.of,
+                address=cfg.entry.main,
+                availability_zone=cfg.availability_zone,
+                region=cfg.region,
+            ),
+            seeds=cfg.peers.seeds,
+        ).register(self)
+        self.drain = self._make_drain()
+        status = StatusView(
+            board=self.board,
+            placement=self.placement,
+            metrics=self.metrics,
+            now=self.reactor.now,
+            entry_of=cfg.entry.of,
+        )
+        self.operators = Operators(
+            reactor=self._secured(
+                cfg.operators.tls, lambda s: s.operators.tls
+            ),
+            address=cfg.operators.listen,
+            token=lambda: self.cfg.operators.token,
+            board=self.board,
+            metrics=self.metrics,
+            status=status,
+            fleet=FleetView(
+                board=self.board, peers=self.peers, describe=status.describe
+            ),
+            handle_table=self._refuse_table,
+            hand_over=self._order_hand_over,
+        )
+        watch_process(self)
+
+    def _refuse_table(self, req: Request, respond: Respond) -> bool:
+        if not req.path.startswith("/table"):
+            return False
+        text = f"the table is at the main process of {self.cfg.entry.of}"
+        respond(
+            Response(
+                status=HTTPStatus.MISDIRECTED_REQUEST,
+                body=orjson.dumps({"error": text}),
+            )
+        )
+        return True
+
+    def _order_hand_over(self, group: str, target: str) -> None:
+        for vm in self.placement.candidates(bucket_of(group)):
+            self._send_hand_over(vm, group, target)
--- a/bamboospring/fleet_view.py
+++ b/bamboospring/fleet_view.py
@@ -48,10 +48,10 @@
         round_ = _Round(
             peers=self._peers,
             waiting=sorted(others, key=lambda vm: vm.name),
-            vms=[self._describe()],
             on_done=on_done,
             asked_by=me,
         )
+        round_.take(self._describe())
         round_.start()
 
     def _on_question(self, message: Any, reply: Reply) -> None:
@@ -70,13 +70,13 @@
         *,
         peers: Peers,
         waiting: list[Vm],
-        vms: list[dict[str, Any]],
         on_done: OnFleet,
         asked_by: str,
     ) -> None:
         self._peers = peers
         self._waiting = waiting
-        self._vms = vms
+        self._known = {asked_by, *(vm.name for vm in waiting)}
+        self._vms: list[dict[str, Any]] = []
         self._silent: list[dict[str, str]] = []
         self._on_done = on_done
         self._asked_by = asked_by
@@ -88,6 +88,14 @@
         if self._out == 0:
             self._finish()
 
+    def take(self, status: dict[str, Any]) -> None:
+        """Take a status, and ask the entry-only processes that it names."""
+        self._vms.append(status)
+        for each in status.get("processes", ()):
+            if each["name"] not in self._known:
+                self._known.add(each["name"])
+                self._waiting.append(Vm(**each))
+
     def _ask_next(self) -> None:
         if not self._waiting:
             return
@@ -107,7 +115,7 @@
 
     def _take(self, vm: Vm, answer: Any) -> None:
         if not isinstance(answer, PeerLost) and answer.which() == "status":
-            self._vms.append(orjson.loads(answer.status.body))
+            self.take(orjson.loads(answer.status.body))
             return
         self._silent.append(
             {
--- a/bamboospring/forwarding.py
+++ b/bamboospring/forwarding.py
@@ -10,11 +10,11 @@
 import dataclasses
 import itertools
 from typing import Any
+from typing import Protocol
 
 from bamboospring.blackboard import Blackboard
 from bamboospring.blackboard import Liveness
 from bamboospring.blackboard import Vm
-from bamboospring.holder import Holder
 from bamboospring.membership import Membership
 from bamboospring.outcomes import NotRun
 from bamboospring.outcomes import Outcome
@@ -32,7 +32,7 @@
 from bamboospring.wire import decode_outcome
 from bamboospring.wire import encode_statement
 
-__all__ = ["Forwarder", "order_holders"]
+__all__ = ["Forwarder", "LocalHolder", "OnOutcome", "order_holders"]
 
 RETRY_SOON_MS = 100
 # The holder's own final answer comes at the deadline; the entry gives it this
@@ -54,6 +54,13 @@
 OnOutcome = Callable[[Outcome], None]
 
 
+class LocalHolder(Protocol):
+    """Runs what this very process is asked to run as a holder."""
+
+    def run(self, stmt: Statement, done: OnOutcome) -> None:
+        """Run a statement and call back once."""
+
+
 def order_holders(
     holders: tuple[Vm, ...],
     *,
@@ -89,7 +96,7 @@
         board: Blackboard,
         placement: Placement,
         peers: Peers,
-        holder: Holder,
+        holder: LocalHolder,
         codec: TokenCodec,
         membership: Membership,
         budget: RetryBudget,
--- a/bamboospring/http_codec.py
+++ b/bamboospring/http_codec.py
@@ -104,13 +104,20 @@
     """
 
     def __init__(
-        self, *, reactor: Reactor, address: str, handler: Handler
+        self,
+        *,
+        reactor: Reactor,
+        address: str,
+        handler: Handler,
+        reuse_port: bool = False,
     ) -> None:
         self.reactor = reactor
         self.handler = handler
         self.draining = False
         self.connections: set[_ServerConnection] = set()
-        self.listener: Listener = reactor.listen(address, self._accepted)
+        self.listener: Listener = reactor.listen(
+            address, self._accepted, reuse_port=reuse_port
+        )
 
     @property
     def address(self) -> str:
--- a/bamboospring/peer_sync.py
+++ b/bamboospring/peer_sync.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Iterable
 from dataclasses import dataclass
 from dataclasses import field
 import random
@@ -87,6 +88,8 @@
         self._fetches: dict[int | str, _Fetch] = {}
         self._announcing: Timer | None = None
         self.on_heard: list[Callable[[int], None]] = []
+        # Addresses beside those of VMs that are told of news.
+        self.also_tell: Callable[[], Iterable[str]] = tuple
         store.on_change.append(self.announce)
         peers.handle("heartbeat", self._on_heartbeat)
         peers.handle("tableWant", self._on_table_want)
@@ -153,7 +156,7 @@
             vm = self._board.vms.get(name)
             if vm is not None:
                 vms[name] = vm.address
-        for address in vms.values():
+        for address in (*vms.values(), *self.also_tell()):
             self._peers.send(address, self._heartbeat())
 
     def _forget_quiet(self) -> None:
--- /dev/null
+++ b/bamboospring/process.py
@@ -0,0 +1,149 @@
+"""What the main process of a VM and its entry-only processes share."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from circuits import Component
+from circuits import handler
+
+from bamboospring.blackboard import Blackboard
+from bamboospring.blackboard import Vm
+from bamboospring.drain import Drain
+from bamboospring.entry import Entry
+from bamboospring.forwarding import LocalHolder
+from bamboospring import logs
+from bamboospring.membership import Membership
+from bamboospring.metrics import Metrics
+from bamboospring.operators import Operators
+from bamboospring.peers import envelope
+from bamboospring.peers import Peers
+from bamboospring.reactor import Reactor
+from bamboospring.rendezvous import Placement
+from bamboospring.retry_budget import RetryBudget
+from bamboospring.rotation import Rotation
+from bamboospring.settings import Settings
+from bamboospring.settings import Tls
+from bamboospring.status_view import unreadiness
+from bamboospring.tls import Keys
+from bamboospring.tls import secured
+from bamboospring.tokens import TokenCodec
+from bamboospring.tokens import TokenKey
+
+__all__ = ["Process"]
+
+READY_CHECK = 0.05
+
+
+class Process(Component):
+    """A process that listens for callers, peers and operators."""
+
+    entry: Entry
+    operators: Operators
+
+    def __init__(self, cfg: Settings, path: str = "") -> None:
+        super().__init__()
+        self.cfg = cfg
+        self.reactor = Reactor().register(self)
+        self.rotation = Rotation(reactor=self.reactor, path=path)
+        self.rotation.add(self._take_settings)
+        self.board = Blackboard(
+            me=Vm(
+                name=cfg.vm,
+                address=cfg.peers.listen,
+                availability_zone=cfg.availability_zone,
+                region=cfg.region,
+            )
+        )
+        self.placement = Placement()
+        self.peers = Peers(
+            reactor=self._secured(
+                cfg.peers.tls, lambda s: s.peers.tls, check_name=False
+            ),
+            vm=cfg.vm,
+            listen=cfg.peers.listen,
+        )
+        self.membership = Membership()
+        self.metrics = Metrics(
+            knows=self.board.knows_group, slow_after=self._slow_after
+        )
+        self.codec = TokenCodec(keys=_token_keys(cfg))
+
+    def _make_entry(self, holder: LocalHolder) -> Entry:
+        cfg = self.cfg
+        return Entry(
+            reactor=self._secured(cfg.callers.tls, lambda s: s.callers.tls),
+            board=self.board,
+            placement=self.placement,
+            peers=self.peers,
+            holder=holder,
+            codec=self.codec,
+            membership=self.membership,
+            listen=cfg.callers.listen,
+            reuse_port=cfg.callers.reuse_port,
+            budget=RetryBudget(percent=cfg.limits.retry_percent),
+            on_answered=self.metrics.answered,
+        ).register(self)
+
+    @handler("started")
+    def _on_started(self, *_args: Any) -> None:
+        self._open_when_ready()
+
+    def _open_when_ready(self) -> None:
+        """Share the callers' address once this process can serve them."""
+        if self.board.draining:
+            return
+        if unreadiness(self.board):
+            self.reactor.call_later(READY_CHECK, self._open_when_ready)
+            return
+        self.entry.server.listener.open()
+
+    def _make_drain(self) -> Drain:
+        timing = self.cfg.timing
+        return Drain(
+            reactor=self.reactor,
+            board=self.board,
+            peers=self.peers,
+            callers=self.entry.server,
+            notice=timing.drain_notice_ms / 1000,
+            patience=timing.drain_idle_ms / 1000,
+            limit=timing.drain_ms / 1000,
+        ).register(self)
+
+    def _secured(
+        self,
+        tls: Tls | None,
+        find: Callable[[Settings], Tls | None],
+        *,
+        check_name: bool = True,
+    ) -> Reactor:
+        if tls is None:
+            return self.reactor
+        keys = Keys(tls=tls, check_name=check_name)
+        self.rotation.add_keys(keys, find)
+        return secured(self.reactor, keys)
+
+    def _slow_after(self, group: str) -> float:
+        objectives = self.cfg.objectives
+        found = objectives.groups.get(group, objectives.default)
+        return found.latency_ms / 1000
+
+    def _take_settings(self, cfg: Settings) -> None:
+        self.cfg = cfg
+        self.codec.use(_token_keys(cfg))
+        logs.configure(level=cfg.logs.level, vm=cfg.vm)
+
+    def _send_hand_over(self, vm: Vm, group: str, target: str) -> None:
+        message = envelope()
+        order = message.init("handOver")
+        order.group = group
+        order.target = target
+        self.peers.send(vm.address, message)
+
+
+def _token_keys(cfg: Settings) -> list[TokenKey]:
+    return [
+        TokenKey(id=key.id, secret=key.secret.encode())
+        for key in cfg.token_keys
+    ]
--- a/bamboospring/reactor.py
+++ b/bamboospring/reactor.py
@@ -194,7 +194,7 @@
 
 
 class Listener:
-    """A listening socket; `close` stops taking connections."""
+    """A bound socket that takes connections from `open` until `close`."""
 
     def __init__(
         self,
@@ -209,31 +209,59 @@
         self._on_accept = on_accept
         host, port = sock.getsockname()[:2]
         self.address = f"{host}:{port}"
-        reactor.watch(self._fd, select.EPOLLIN, self._ready)
+        self._opened = False
+
+    def open(self) -> None:
+        """Take connections from now on."""
+        if self._opened or self._fd < 0:
+            return
+        self._opened = True
+        self._sock.listen(BACKLOG)
+        self._reactor.watch(self._fd, select.EPOLLIN, self._ready)
 
     def close(self) -> None:
         """Stop listening; accepted streams stay."""
         if self._fd < 0:
             return
-        self._reactor.unwatch(self._fd)
+        if self._opened:
+            self._reactor.unwatch(self._fd)
         self._sock.close()
         self._fd = -1
 
+    def drain(self) -> None:
+        """Take what waits in the queue, then close.
+
+        The kernel resets the connections that wait in the queue of a socket
+        that is closed. Their callers hold them for open and may have sent a
+        request, which would be cut. What arrives between the last look and
+        the close is still reset, unless the kernel moves it to another
+        process at the address (net.ipv4.tcp_migrate_req).
+        """
+        while self._opened and self._accept_one():
+            pass
+        self.close()
+
     def _ready(self, mask: int) -> None:
         for _ in range(ACCEPT_BATCH):
-            try:
-                sock, _address = self._sock.accept()
-            except BlockingIOError:
-                return
-            except OSError as exc:
-                self._accept_failed(exc)
-                return
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self._on_accept(Stream(reactor=self._reactor, sock=sock))
-            if self._fd < 0:
+            if not self._accept_one():
                 return
 
+    def _accept_one(self) -> bool:
+        """Take a connection; say whether there may be another."""
+        if self._fd < 0:
+            return False
+        try:
+            sock, _address = self._sock.accept()
+        except BlockingIOError:
+            return False
+        except OSError as exc:
+            self._accept_failed(exc)
+            return False
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._on_accept(Stream(reactor=self._reactor, sock=sock))
+        return True
+
     def _accept_failed(self, exc: OSError) -> None:
         if exc.errno not in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS):
             return
@@ -295,19 +323,32 @@
             heapq.heapify(timers)
 
     def listen(
-        self, address: str, on_accept: Callable[[Stream], None]
+        self,
+        address: str,
+        on_accept: Callable[[Stream], None],
+        *,
+        reuse_port: bool = False,
     ) -> Listener:
-        """Listen on `"ip:port"`; OSError if the address can't be had."""
+        """Listen on `"ip:port"`; OSError if the address can't be had.
+
+        With `reuse_port` other processes of the same user may listen there
+        too, and the kernel gives each new connection to one of them. The
+        socket is then only bound, until `open` is called: a process that is
+        not ready would refuse callers whom the others can serve.
+        """
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, reuse_port)
         sock.setblocking(False)
         try:
             sock.bind(split_address(address))
-            sock.listen(BACKLOG)
+            listener = Listener(reactor=self, sock=sock, on_accept=on_accept)
+            if not reuse_port:
+                listener.open()
         except OSError:
             sock.close()
             raise
-        return Listener(reactor=self, sock=sock, on_accept=on_accept)
+        return listener
 
     def connect(
         self,
--- /dev/null
+++ b/bamboospring/serve.py
@@ -0,0 +1,39 @@
+"""`bamboospring serve`: run the process that the settings describe."""
+
+from __future__ import annotations
+
+from bamboospring.errors import ListenError
+from bamboospring import logs
+from bamboospring.process import Process
+from bamboospring.settings import Settings
+
+__all__ = ["run"]
+
+
+def run(cfg: Settings, path: str = "") -> None:
+    """Serve until told to stop; `path` is where SIGHUP reads again."""
+    logs.configure(level=cfg.logs.level, vm=cfg.vm)
+    try:
+        process = _make(cfg, path)
+    except OSError as exc:
+        raise ListenError(f"cannot listen: {exc}") from exc
+    if path:
+        process.rotation.install()
+    logs.log_event(
+        "listening",
+        callers=process.entry.server.address,
+        peers=process.peers.listener.address,
+        operators=process.operators.address,
+    )
+    process.run()
+
+
+def _make(cfg: Settings, path: str) -> Process:
+    # Imported here: an entry-only process needs no holder in its memory.
+    if cfg.entry.only:
+        from bamboospring.entry_only import EntryOnly
+
+        return EntryOnly(cfg, path)
+    from bamboospring.server import Server
+
+    return Server(cfg, path)
--- a/bamboospring/server.py
+++ b/bamboospring/server.py
@@ -1,39 +1,24 @@
-"""`bamboospring serve`: wire the components of one VM's process together."""
+"""Wire the components of a VM's main process together."""
 
 from __future__ import annotations
 
-from collections.abc import Callable
-
-from circuits import Component
-
-from bamboospring.blackboard import Blackboard
-from bamboospring.blackboard import Vm
 from bamboospring.connections import ConnectionTiming
-from bamboospring.drain import Drain
-from bamboospring.entry import Entry
-from bamboospring.errors import ListenError
+from bamboospring.entry_processes import EntryProcesses
 from bamboospring.facts import Facts
 from bamboospring.fleet_view import FleetView
 from bamboospring.holder import Holder
 from bamboospring.lease import LeaseTiming
-from bamboospring import logs
-from bamboospring.membership import Membership
-from bamboospring.metrics import Metrics
 from bamboospring.operators import Operators
-from bamboospring.peers import envelope
-from bamboospring.peers import Peers
 from bamboospring.platform_client import CallTiming
 from bamboospring.platform_client import PlatformClient
 from bamboospring.pool import Pools
 from bamboospring.pool import PoolTiming
-from bamboospring.reactor import Reactor
+from bamboospring.process import Process
 from bamboospring.rendezvous import bucket_of
-from bamboospring.rendezvous import Placement
 from bamboospring.retry_budget import RetryBudget
-from bamboospring.rotation import Rotation
+from bamboospring.server_metrics import watch_main
 from bamboospring.server_metrics import watch_process
 from bamboospring.settings import Settings
-from bamboospring.settings import Tls
 from bamboospring.share_keeper import ShareKeeper
 from bamboospring.shares import ShareTiming
 from bamboospring.statement_server import StatementServer
@@ -43,41 +28,17 @@
 from bamboospring.table_editor import TableEditor
 from bamboospring.table_pages import make_reach
 from bamboospring.table_pages import TablePages
-from bamboospring.tls import Keys
-from bamboospring.tls import secured
-from bamboospring.tokens import TokenCodec
-from bamboospring.tokens import TokenKey
 from bamboospring.watcher import Watcher
 
-__all__ = ["Server", "run"]
+__all__ = ["Server"]
 
 
-class Server(Component):
-    """All that one process is made of."""
+class Server(Process):
+    """All that the main process of a VM is made of."""
 
     def __init__(self, cfg: Settings, path: str = "") -> None:
-        super().__init__()
-        self.cfg = cfg
-        self.reactor = Reactor().register(self)
-        self.rotation = Rotation(reactor=self.reactor, path=path)
-        self.rotation.add(self._take_settings)
+        super().__init__(cfg, path)
         to_targets = self._secured(cfg.targets.tls, lambda s: s.targets.tls)
-        self.board = Blackboard(
-            me=Vm(
-                name=cfg.vm,
-                address=cfg.peers.listen,
-                availability_zone=cfg.availability_zone,
-                region=cfg.region,
-            )
-        )
-        self.placement = Placement()
-        self.peers = Peers(
-            reactor=self._secured(
-                cfg.peers.tls, lambda s: s.peers.tls, check_name=False
-            ),
-            vm=cfg.vm,
-            listen=cfg.peers.listen,
-        )
         self.platform = PlatformClient(
             reactor=self._secured(cfg.platform.tls, lambda s: s.platform.tls),
             address=cfg.platform.address,
@@ -87,10 +48,6 @@
                 longest_backoff=cfg.timing.longest_backoff_ms / 1000,
             ),
         )
-        self.membership = Membership()
-        self.metrics = Metrics(
-            knows=self.board.knows_group, slow_after=self._slow_after
-        )
         self.pools = Pools(
             reactor=to_targets,
             vm=cfg.vm,
@@ -103,7 +60,6 @@
             placement=self.placement,
             timing=WatchTiming(silent=cfg.timing.suspect_ms / 1000),
         ).register(self)
-        self.codec = TokenCodec(keys=_token_keys(cfg))
         self.holder = Holder(
             reactor=self.reactor,
             board=self.board,
@@ -117,18 +73,7 @@
         StatementServer(
             reactor=self.reactor, peers=self.peers, holder=self.holder
         )
-        self.entry = Entry(
-            reactor=self._secured(cfg.callers.tls, lambda s: s.callers.tls),
-            board=self.board,
-            placement=self.placement,
-            peers=self.peers,
-            holder=self.holder,
-            codec=self.codec,
-            membership=self.membership,
-            listen=cfg.callers.listen,
-            budget=RetryBudget(percent=cfg.limits.retry_percent),
-            on_answered=self.metrics.answered,
-        ).register(self)
+        self.entry = self._make_entry(self.holder)
         self.facts = Facts(
             reactor=self.reactor,
             board=self.board,
@@ -151,6 +96,10 @@
             ),
         ).register(self)
         self.facts.sync.on_heard.append(self.shares.heard)
+        self.entry_processes = EntryProcesses(
+            board=self.board, peers=self.peers, now=self.reactor.now
+        )
+        self.facts.sync.also_tell = self.entry_processes.addresses
         self.steward = Steward(
             reactor=to_targets,
             board=self.board,
@@ -166,15 +115,7 @@
         ).register(self)
         self.watcher.on_verdict = self.steward.report
         self.watcher.on_hint = self.steward.hint
-        self.drain = Drain(
-            reactor=self.reactor,
-            board=self.board,
-            peers=self.peers,
-            callers=self.entry.server,
-            notice=cfg.timing.drain_notice_ms / 1000,
-            patience=cfg.timing.drain_idle_ms / 1000,
-            limit=cfg.timing.drain_ms / 1000,
-        ).register(self)
+        self.drain = self._make_drain()
         self.drain.wait_for("statements", lambda: self.holder.busy)
         self.drain.wait_for("leases", self.steward.leases.count_held)
         self.table_pages = TablePages(
@@ -193,6 +134,7 @@
             metrics=self.metrics,
             pools=self.pools,
             now=self.reactor.now,
+            processes=self.entry_processes.as_vms,
         )
         self.operators = Operators(
             reactor=self._secured(
@@ -210,29 +152,7 @@
             hand_over=self._order_hand_over,
         )
         watch_process(self)
-
-    def _secured(
-        self,
-        tls: Tls | None,
-        find: Callable[[Settings], Tls | None],
-        *,
-        check_name: bool = True,
-    ) -> Reactor:
-        if tls is None:
-            return self.reactor
-        keys = Keys(tls=tls, check_name=check_name)
-        self.rotation.add_keys(keys, find)
-        return secured(self.reactor, keys)
-
-    def _slow_after(self, group: str) -> float:
-        objectives = self.cfg.objectives
-        found = objectives.groups.get(group, objectives.default)
-        return found.latency_ms / 1000
-
-    def _take_settings(self, cfg: Settings) -> None:
-        self.cfg = cfg
-        self.codec.use(_token_keys(cfg))
-        logs.configure(level=cfg.logs.level, vm=cfg.vm)
+        watch_main(self)
 
     def _order_hand_over(self, group: str, target: str) -> None:
         """Tell all who may lead the group; only the one who does acts."""
@@ -240,11 +160,7 @@
             if vm.name == self.board.me.name:
                 self.steward.hand_over(group, target)
                 continue
-            message = envelope()
-            order = message.init("handOver")
-            order.group = group
-            order.target = target
-            self.peers.send(vm.address, message)
+            self._send_hand_over(vm, group, target)
 
 
 def _pool_timing(cfg: Settings) -> PoolTiming:
@@ -258,28 +174,3 @@
             heartbeat_timeout=cfg.timing.target_heartbeat_timeout_ms / 1000,
         ),
     )
-
-
-def _token_keys(cfg: Settings) -> list[TokenKey]:
-    return [
-        TokenKey(id=key.id, secret=key.secret.encode())
-        for key in cfg.token_keys
-    ]
-
-
-def run(cfg: Settings, path: str = "") -> None:
-    """Serve until told to stop; `path` is where SIGHUP reads again."""
-    logs.configure(level=cfg.logs.level, vm=cfg.vm)
-    try:
-        server = Server(cfg, path)
-    except OSError as exc:
-        raise ListenError(f"cannot listen: {exc}") from exc
-    if path:
-        server.rotation.install()
-    logs.log_event(
-        "listening",
-        callers=server.entry.server.address,
-        peers=server.peers.listener.address,
-        operators=server.operators.address,
-    )
-    server.run()
--- a/bamboospring/server_metrics.py
+++ b/bamboospring/server_metrics.py
@@ -10,13 +10,14 @@
 from bamboospring.status_view import resident_bytes
 
 if TYPE_CHECKING:
+    from bamboospring.process import Process
     from bamboospring.server import Server
 
-__all__ = ["watch_process"]
+__all__ = ["watch_main", "watch_process"]
 
 
-def watch_process(server: Server) -> None:
-    """Add the process's own numbers to its metrics."""
+def watch_process(server: Process) -> None:
+    """Add what any process of a VM counts to its metrics."""
     metrics = server.metrics
     metrics.watch(
         "process.cpu.time",
@@ -42,11 +43,6 @@
         lambda: len(server.entry.server.connections),
         description="Connections from callers.",
     )
-    metrics.watch(
-        "bamboospring.statements.running",
-        lambda: server.holder.busy,
-        description="Statements running here as a holder.",
-    )
     metrics.watch(
         "bamboospring.peer.io",
         lambda: {
@@ -58,6 +54,22 @@
         label="network.io.direction",
         description="Bytes exchanged with other VMs.",
     )
+    _watch_facts(server)
+
+
+def watch_main(server: Server) -> None:
+    """Add what only the main process of a VM counts."""
+    metrics = server.metrics
+    metrics.watch(
+        "bamboospring.statements.running",
+        lambda: server.holder.busy,
+        description="Statements running here as a holder.",
+    )
+    metrics.watch(
+        "bamboospring.processes",
+        lambda: len(server.entry_processes.addresses()),
+        description="Entry-only processes beside this one.",
+    )
     _watch_pools(server)
     _watch_control(server)
 
@@ -120,6 +132,11 @@
         ),
         description="Buckets of groups that this VM leads.",
     )
+
+
+def _watch_facts(server: Process) -> None:
+    metrics = server.metrics
+    board = server.board
     metrics.watch(
         "bamboospring.vms",
         lambda: len(board.vms),
--- a/bamboospring/settings.py
+++ b/bamboospring/settings.py
@@ -33,6 +33,7 @@
 
 __all__ = [
     "Callers",
+    "EntryOnly",
     "Lease",
     "Limits",
     "Logs",
@@ -161,6 +162,43 @@
 class Callers(_Listener):
     """Where callers connect."""
 
+    reuse_port: bool = Field(
+        default=False,
+        description="Share the address with this VM's other processes "
+        "(SO_REUSEPORT): the kernel gives each new connection to one of "
+        "those that are ready. All of them must set it and run as the same "
+        "user.",
+    )
+
+
+class EntryOnly(_Section):
+    """Whether this process is one of several on its VM, and only an entry.
+
+    It takes callers and forwards to holders. It is in no list of VMs, opens
+    no connection to a target and makes no call to the platform.
+    """
+
+    only: bool = Field(
+        default=False,
+        description="Be only an entry, beside the VM's main process.",
+    )
+    of: str = Field(
+        default="",
+        max_length=64,
+        description="`vm` of the main process; required with `only`.",
+    )
+    main: Address | None = Field(
+        default=None,
+        description="`peers.listen` of the main process, from which this "
+        "one learns what there is; required with `only`.",
+    )
+
+    @model_validator(mode="after")
+    def _names_main(self) -> "EntryOnly":
+        if self.only and not (self.of and self.main):
+            raise ValueError("only needs of and main, the VM's main process")
+        return self
+
 
 class Peers(_Listener):
     """Where the system's other VMs connect; callers never do."""
@@ -446,7 +484,8 @@
         min_length=1,
         max_length=64,
         pattern=r"^[A-Za-z0-9._-]+$",
-        description="Name of this VM, as in the platform's list.",
+        description="Name of this VM, as in the platform's list; of an "
+        "entry-only process a name of its own.",
     )
     availability_zone: str = Field(
         min_length=1,
@@ -456,6 +495,10 @@
     region: str = Field(
         default="", max_length=64, description="Name of the region of this VM."
     )
+    entry: EntryOnly = Field(
+        default_factory=lambda: EntryOnly(),
+        description="Several processes on one VM.",
+    )
     callers: Callers = Field(description="Callers' listener.")
     peers: Peers = Field(description="Listener for the system's other VMs.")
     operators: Operators = Field(description="Operators' listener.")
@@ -485,6 +528,16 @@
         description="Service-level objectives.",
     )
 
+    @field_validator("entry")
+    @classmethod
+    def _has_own_name(cls, value: EntryOnly, info: Any) -> EntryOnly:
+        if value.only and value.of == info.data.get("vm"):
+            raise ValueError(
+                f"of is this process's own vm, {value.of}: each process "
+                "needs a name of its own"
+            )
+        return value
+
     @field_validator("peers", "operators")
     @classmethod
     def _has_own_address(cls, value: _Listener, info: Any) -> _Listener:
--- a/bamboospring/status_view.py
+++ b/bamboospring/status_view.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import resource
 import time
 from typing import Any
@@ -13,6 +14,7 @@
 from bamboospring.blackboard import Role
 from bamboospring.blackboard import Target
 from bamboospring.blackboard import TargetState
+from bamboospring.blackboard import Vm
 from bamboospring.metrics import Metrics
 from bamboospring.pool import Pools
 from bamboospring.rendezvous import bucket_of
@@ -25,7 +27,11 @@
 
 
 class StatusView:
-    """Describe this process; `now` is the monotonic clock in seconds."""
+    """Describe this process; `now` is the monotonic clock in seconds.
+
+    Only a main process has `pools`, and names the entry-only `processes`
+    beside it; `entry_of` is the VM of an entry-only one.
+    """
 
     def __init__(
         self,
@@ -33,13 +39,17 @@
         board: Blackboard,
         placement: Placement,
         metrics: Metrics,
-        pools: Pools,
         now: Callable[[], float],
+        pools: Pools | None = None,
+        processes: Callable[[], Iterable[Vm]] = tuple,
+        entry_of: str = "",
     ) -> None:
         self._board = board
         self._placement = placement
         self._metrics = metrics
         self._pools = pools
+        self._processes = processes
+        self._entry_of = entry_of
         self._now = now
         self._started = time.time()
 
@@ -51,6 +61,16 @@
             "address": board.me.address,
             "availability_zone": board.me.availability_zone,
             "region": board.me.region,
+            "entry_of": self._entry_of,
+            "processes": [
+                {
+                    "name": vm.name,
+                    "address": vm.address,
+                    "availability_zone": vm.availability_zone,
+                    "region": vm.region,
+                }
+                for vm in self._processes()
+            ],
             "version": __version__,
             "started_at": round(self._started, 3),
             "at": round(time.time(), 3),
@@ -132,6 +152,7 @@
 
     def _use(self, target: Target) -> dict[str, int]:
         """Return this holder's share of the target's limits, and its use."""
+        assert self._pools is not None, "only holders have groups"
         pool = self._pools.pool(target)
         return {
             "slots": pool.used.slots,
--- a/bamboospring/testing/fleet.py
+++ b/bamboospring/testing/fleet.py
@@ -16,6 +16,7 @@
 import atexit
 from collections.abc import Callable
 from collections.abc import Iterable
+import dataclasses
 from dataclasses import dataclass
 import http.client
 import json
@@ -160,6 +161,7 @@
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="bs-fleet-"))
         self.targets: dict[str, FleetTarget] = {}
         self.vms: dict[str, FleetVm] = {}
+        self.entry_processes: dict[str, FleetVm] = {}
         self._vm_count = estate.vms if vms is None else vms
         self._processes: dict[str, ManagedProcess] = {}
         self._held_ports: list[socket.socket] = []
@@ -267,6 +269,36 @@
         """Ask a process to shut down (SIGTERM); does not wait."""
         self._processes[name].terminate()
 
+    def add_entry_process(
+        self, vm: str, number: int = 1, *, wait: bool = True
+    ) -> FleetVm:
+        """Start an entry-only process beside a VM's main process.
+
+        It takes callers where the VM does, which needs the settings
+        `callers.reuse_port`. With `wait` it is ready on return.
+        """
+        main = self.vms[vm]
+        process = dataclasses.replace(
+            main,
+            name=f"{vm}-entry-{number}",
+            peers_listen=self._free_address(),
+            operators_listen=self._free_address(),
+        )
+        settings = self._settings_of(process)
+        settings["entry"] = {"only": True, "of": vm, "main": main.peers}
+        self.entry_processes[process.name] = process
+        self._start_serve(process.name, settings)
+        if wait:
+            self._wait_ready(process)
+        return process
+
+    def _wait_ready(self, vm: FleetVm) -> None:
+        wait_until(
+            lambda: call_json(vm.operators_listen, "GET", "/readyz"),
+            seconds=READY_SECONDS,
+            what=f"{vm.name} to be ready",
+        )
+
     def restart(self, name: str) -> None:
         """Kill a process if it runs and start it again where it was."""
         process = self._processes[name]
@@ -274,6 +306,8 @@
         process.start()
         if name in self.vms:
             self.wait_vm(name)
+        elif name in self.entry_processes:
+            self._wait_ready(self.entry_processes[name])
         else:
             process.wait_listening(START_SECONDS)
 
@@ -645,9 +679,11 @@
             self.put_object("table", str(shard), {"rows": rows})
 
     def _start_vm(self, name: str) -> None:
-        vm = self.vms[name]
+        self._start_serve(name, self._settings_of(self.vms[name]))
+
+    def _start_serve(self, name: str, settings: dict[str, Any]) -> None:
         path = self.directory / f"{name}.json"
-        path.write_text(json.dumps(self._settings_of(vm), indent=1))
+        path.write_text(json.dumps(settings, indent=1))
         self._spawn(name, "bamboospring", "serve", "--settings", str(path))
 
     def _settings_of(self, vm: FleetVm) -> dict[str, Any]:
--- a/bamboospring/tls.py
+++ b/bamboospring/tls.py
@@ -73,7 +73,11 @@
         self.call_later = reactor.call_later
 
     def listen(
-        self, address: str, on_accept: Callable[[Stream], None]
+        self,
+        address: str,
+        on_accept: Callable[[Stream], None],
+        *,
+        reuse_port: bool = False,
     ) -> Listener:
         def opened(stream: Stream | None) -> None:
             if stream is not None:
@@ -87,7 +91,7 @@
             )
             _TlsStream(self._reactor, stream, tls, incoming, outgoing, opened)
 
-        return self._reactor.listen(address, accepted)
+        return self._reactor.listen(address, accepted, reuse_port=reuse_port)
 
     def connect(self, address: str, timeout: float, on_open: OnStream) -> None:
         def connected(stream: Stream | None) -> None:
--- a/bamboospring/wire.capnp
+++ b/bamboospring/wire.capnp
@@ -20,6 +20,7 @@
     status @12 :Status;
     vmList @13 :VmList;
     handOver @14 :HandOver;
+    process @15 :Process;
   }
 }
 
@@ -126,3 +127,10 @@
   term @2 :UInt64;            # 0: an order; else only a holder's hint that
                               # the primary of this term says it leaves
 }
+
+struct Process {              # an entry-only process and its VM's main process
+  vm @0 :Text;                # name of the sender
+  address @1 :Text;           # where to tell it of news; empty in an answer
+  ready @2 :Bool;             # in an answer: the main process has its facts
+  draining @3 :Bool;
+}
--- a/features/settings.feature
+++ b/features/settings.feature
@@ -27,6 +27,8 @@
       | 5    | 3      | "peers": {"listen": "127.0.0.1:8001"},                    | peers: another listener has 127.0.0.1:8001 already                           |
       | 9    | 31     | "token_keys": [{"id": "k1", "secret": "short"}],          | token_keys.0.secret: string should have at least 16 characters               |
       | 9    | 3      | "token_keys": [],                                         | token_keys: list should have at least 1 item                                 |
+      | 8    | 3      | "entry": {"only": true, "of": "vm-2"},                    | entry: only needs of and main, the VM's main process                         |
+      | 8    | 3      | "entry": {"only": true, "of": "vm-1", "main": "10.0.0.1:1"}, | entry: of is this process's own vm, vm-1: each process needs a name of its own |
 
   Scenario: All faults of a file are shown at once
     Given a settings file
