--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -686,10 +686,24 @@
             f"{verdict(run['resident_mb'], MEMORY_BOUND)} | "
             f"{rate / 1000:.2f} KB/s: {verdict(rate, BYTES_BOUND)} |"
         )
-    lines += ["", *control_fits(runs), ""]
+    lines += [*entry_only_control(), "", *control_fits(runs), ""]
     return "\n".join(lines)
 
 
+def entry_only_control() -> list[str]:
+    """Return the row of an entry-only process, which comes on top."""
+    data = load("workers_control")
+    if data is None:
+        return []
+    run = data["control"]["entry_only"]
+    return [
+        f"| each entry-only process besides, {GROUPS} groups, {VMS} VMs "
+        "(`bench/workers.py`) | "
+        f"{run['cpu_percent']:.2f} % | {run['resident_mb']:.1f} MB, of it "
+        f"{run['unique_mb']:.1f} its own | {run['bytes'] / 1000:.2f} KB/s |"
+    ]
+
+
 CONTROL: tuple[tuple[str, float, Callable[[Any], float]], ...] = (
     ("processor, % of a core", CPU_BOUND, lambda r: r["cpu_percent"]),
     ("memory, MB", MEMORY_BOUND, lambda r: r["resident_mb"]),
@@ -833,9 +847,10 @@
             f"take {whole:.0f} us, {cores:.1f} cores for {rate:,.0f} "
             f"statements/s on each VM; one process has one core. Missing: a "
             f"factor of {cores:.1f} on average, without room for peaks. "
-            "Several processes on a VM behind one port, each an entry and "
-            "holder of its own, would carry it on VMs with as many cores; "
-            "that is not built."
+            "Entry-only processes beside the main one carry the entry's "
+            "part on VMs with as many cores (docs/design/processes.md). The "
+            "holder's part stays in the main process; dividing a VM's groups "
+            "among processes is not built."
         )
         placement = load("placement")
         if placement is not None:
@@ -872,7 +887,7 @@
     lines += [
         "- anything on real VMs, over real networks, or with more than a "
         "few hundred processes; latencies between zones and regions",
-        "- several processes on one VM",
+        "- several processes on one VM, on a machine with cores to spare",
         "- callers that come back all at once after the loss of a zone",
         "- regions apart, with real processes",
     ]
