--- a/bamboospring/peer_sync.py
+++ b/bamboospring/peer_sync.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Iterable
 from dataclasses import dataclass
 from dataclasses import field
 import random
@@ -91,6 +92,8 @@
         self._fetches: dict[int | str, _Fetch] = {}
         self._announcing: Timer | None = None
         self.on_heard: list[Callable[[int], None]] = []
+        # Addresses beside those of VMs that are told of news.
+        self.also_tell: Callable[[], Iterable[str]] = tuple
         store.on_change.append(self.announce)
         peers.handle("heartbeat", self._on_heartbeat)
         peers.handle("tableWant", self._on_table_want)
@@ -159,7 +162,7 @@
             vm = self._board.vms.get(name)
             if vm is not None:
                 vms[name] = vm.address
-        for address in vms.values():
+        for address in (*vms.values(), *self.also_tell()):
             self._peers.send(address, self._heartbeat(whole=True))
 
     def _forget_quiet(self) -> None:
