Place groups alike in entry-only processes

Cause: holders are even by the names of all groups, and entry-only processes, made at the same time, never gave them to their placement: they would have asked VMs that hold nothing of some groups first. Change: group_placer.py, used by both kinds of process. Seen failing: processes.feature 'asks the holders that the VMs have' without placing (ledger-6 asked elsewhere).

--- a/bamboospring/entry_facts.py
+++ b/bamboospring/entry_facts.py
@@ -21,6 +21,7 @@
 from bamboospring.blackboard import Vm
 from bamboospring.entry_processes import REPORT_INTERVAL
 from bamboospring.fact_store import FactStore
+from bamboospring.group_placer import GroupPlacer
 from bamboospring.group_sync import digest_names
 from bamboospring.group_sync import digest_versions
 from bamboospring import logs
@@ -94,6 +95,9 @@
         self._tried: set[str] = set()
         self._answered: set[str] = set()
         board.starting = True
+        self._placer = GroupPlacer(
+            reactor=reactor, board=board, placement=placement
+        )
         self.store = FactStore(
             board=board,
             placement=placement,
@@ -220,6 +224,9 @@
         self._board.group_names.update(body.get("names", ()))
         if body["complete"]:
             self._board.names_complete = True
+        # Placed by fewer names than elsewhere, some groups would be asked
+        # for at VMs that do not hold them.
+        self._placer.place()
         self._judge_ready()
 
     # Getting ready.
--- a/bamboospring/group_sync.py
+++ b/bamboospring/group_sync.py
@@ -24,6 +24,7 @@
 from bamboospring.blackboard import GroupRecord
 from bamboospring.blackboard import Vm
 from bamboospring.fact_store import FactStore
+from bamboospring.group_placer import GroupPlacer
 from bamboospring import logs
 from bamboospring.peers import envelope
 from bamboospring.peers import PeerLost
@@ -47,10 +48,6 @@
 # a VM asks the more seldom, since news comes by itself unless it was lost.
 QUESTIONS_PER_SECOND = 48.0
 FIRST_RETRY = 0.2
-# To rank the VMs for all groups at once would stop the process for some 50 ms
-# at its start; callers would wait that long.
-PLACED_AT_ONCE = 20
-PLACE_PAUSE = 0.01
 
 
 def needs_group(placement: Placement, group: str) -> set[str]:
@@ -100,7 +97,12 @@
         self._reading: set[str] = set()
         self._turn = 0
         self._asking = False
-        self._placing = False
+        self._placer = GroupPlacer(
+            reactor=reactor,
+            board=board,
+            placement=placement,
+            on_placed=store.note_placement,
+        )
         peers.handle("groupFact", self._on_group_fact)
 
     def start(self) -> None:
@@ -118,13 +120,13 @@
         for item in objects:
             if self._learn(item.name, item.version, item.value):
                 self._send_to_needing(item.name)
-        self._place_groups()
+        self._placer.place()
 
     def publish(self, record: GroupRecord) -> None:
         """Take and spread a record that this VM has just stored."""
         self._store.take_group(record)
         self._learn(record.name, record.version, encode_group(record))
-        self._place_groups()
+        self._placer.place()
         self._send_to_needing(record.name)
 
     def read(self, name: str) -> None:
@@ -176,28 +178,6 @@
         message = _message(self._question(whole))
         self._peers.ask(vm.address, message, ASK_TIMEOUT, answered)
 
-    # Where groups are held.
-
-    def _place_groups(self) -> None:
-        """Spread the groups evenly, once the names of all are known.
-
-        A few at a time. With some names only, other VMs would be passed over
-        than elsewhere.
-        """
-        if self._placing or not self._board.names_complete:
-            return
-        version = self._placement.version
-        self._placement.set_groups(self._board.group_names)
-        self._placing = not self._placement.prepare(PLACED_AT_ONCE)
-        if self._placing:
-            self._reactor.call_later(PLACE_PAUSE, self._place_more)
-        elif version != self._placement.version:
-            self._store.note_placement()
-
-    def _place_more(self) -> None:
-        self._placing = False
-        self._place_groups()
-
     # What is known.
 
     def _take_needed(self) -> None:
@@ -345,7 +325,7 @@
         else:
             # One that has just started knows less than another may.
             self._turn += 1
-        self._place_groups()
+        self._placer.place()
         if body.get("want"):
             facts = self._facts(body["want"], {})
             self._peers.send(vm.address, _message({"facts": facts}))
@@ -357,7 +337,7 @@
             return
         for item in body["facts"]:
             self._learn(item["name"], item["version"], item["value"])
-        self._place_groups()
+        self._placer.place()
 
     def _is_watcher(self) -> bool:
         watchers = self._placement.watchers()
--- a/features/processes.feature
+++ b/features/processes.feature
@@ -84,3 +84,11 @@
     And an edit sent to it names vm-1
     When the entry-only process is killed
     Then the status of any VM shows the entry-only process as silent
+
+  Scenario: An entry-only process asks the holders that the VMs have
+    # Holders are placed by the names of all groups. A process that placed its
+    # groups without them would ask VMs that hold nothing of a group first, and
+    # callers of every second group would wait for another hop.
+    Given an entry-only process with 12 VMs on its list
+    When its main process names 60 groups
+    Then it asks for each group at the holders that the VMs choose
--- a/features/steps/processes_steps.py
+++ b/features/steps/processes_steps.py
@@ -14,14 +14,22 @@
 from behave import step
 from behave import then
 from behave import when
+from circuits import Event
 from configuration_support import GROUP
 from configuration_support import Operator
 from configuration_support import start_estate
+import orjson
 import psutil
 
+from bamboospring.blackboard import Blackboard
+from bamboospring.blackboard import Vm
+from bamboospring.entry_facts import EntryFacts
 from bamboospring.entry_processes import REPORT_INTERVAL
+from bamboospring.membership import Membership
 from bamboospring.operator_client import OperatorClient
 from bamboospring.operator_client import Unreachable
+from bamboospring.peers import envelope
+from bamboospring.rendezvous import Placement
 from bamboospring.rendezvous import shard_of
 from bamboospring.testing.caller import Caller
 from bamboospring.testing.fleet import call_json
@@ -38,6 +46,11 @@
     + b"\r\n\r\n"
     + SESSION_BODY
 )
+ENTRY_PROCESS = {
+    "name": "vm-00-entry",
+    "address": "127.0.0.1:99",
+    "availability_zone": "zone-0",
+}
 TRIES = 24
 PATIENCE = 20.0
 SETTINGS: dict[str, Any] = {
@@ -467,3 +480,77 @@
 @when("the entry-only process is killed")
 def when_killed(context: Any) -> None:
     context.fleet.kill(context.entry_process.name)
+
+
+class MainPeers:
+    """Answers an entry-only process as its main process would."""
+
+    def __init__(self) -> None:
+        self.names: list[str] = []
+
+    def handle(self, _kind: str, _handler: Any) -> None:
+        pass
+
+    def send(self, _address: str, _message: Any) -> None:
+        pass
+
+    def ask(
+        self, _address: str, message: Any, _timeout: float, answered: Any
+    ) -> None:
+        if message.which() != "groupFact":
+            return
+        body = {"names": self.names, "complete": True}
+        answer = envelope()
+        answer.init("groupFact").record = orjson.dumps(body)
+        answered(answer)
+
+
+class Clock:
+    """A reactor that runs at once what is to come within a second."""
+
+    def now(self) -> float:
+        return 0.0
+
+    def call_later(self, seconds: float, work: Any) -> None:
+        if seconds < 0.1:
+            work()
+
+
+@given("an entry-only process with {count:d} VMs on its list")
+def given_entry_facts(context: Any, count: int) -> None:
+    context.listed = [
+        Vm(
+            name=f"vm-{number:02d}",
+            address=f"127.0.0.1:{number + 1}",
+            availability_zone=f"zone-{number % 3}",
+        )
+        for number in range(count)
+    ]
+    context.peers = MainPeers()
+    context.placement = Placement(context.listed)
+    context.facts = EntryFacts(
+        reactor=Clock(),  # type: ignore[arg-type]
+        board=Blackboard(me=Vm(**ENTRY_PROCESS)),
+        placement=context.placement,
+        peers=context.peers,  # type: ignore[arg-type]
+        membership=Membership(),
+        main=context.listed[0],
+    )
+
+
+@when("its main process names {count:d} groups")
+def when_named(context: Any, count: int) -> None:
+    context.peers.names = [f"ledger-{number}" for number in range(count)]
+    context.facts.fire(Event.create("started"))
+    context.facts.flush()
+
+
+@then("it asks for each group at the holders that the VMs choose")
+def then_same_holders(context: Any) -> None:
+    names = context.peers.names
+    theirs = Placement(context.listed, names)
+    plain = Placement(context.listed)
+    moved = [n for n in names if theirs.holders(n) != plain.holders(n)]
+    assert moved, "all groups are where they would be alone"
+    for name in names:
+        assert context.placement.holders(name) == theirs.holders(name), name
