--- a/bamboospring/group_sync.py
+++ b/bamboospring/group_sync.py
@@ -101,7 +101,7 @@
             reactor=reactor,
             board=board,
             placement=placement,
-            on_placed=store.note_placement,
+            on_placed=lambda: self._store.note_placement(),
         )
         peers.handle("groupFact", self._on_group_fact)
 
