--- a/bamboospring/testing/soak.py
+++ b/bamboospring/testing/soak.py
@@ -230,7 +230,7 @@
         group = self.random.choice(self.fleet.estate.groups)
         vm = self.random.choice(sorted(self.fleet.vms))
         if kind.endswith("primary"):
-            name = self.fleet.primary(group) or f"{group}-m1"
+            name = self.primary(group) or f"{group}-m1"
         elif kind.endswith(("replica", "target", "lag", "unsent")):
             members = [t.name for t in self.fleet.members(group)]
             name = self.random.choice(members)
@@ -280,7 +280,7 @@
         """
         fleet = self.fleet
         group = name.rsplit("-m", 1)[0]
-        primary = fleet.primary(group)
+        primary = self.primary(group)
         for other in fleet.members(group):
             self.quietly(other.name, receive_lag_ms=400)
         time.sleep(0.3)
@@ -295,6 +295,13 @@
 
         return undo
 
+    def primary(self, group: str) -> str:
+        """Return a group's primary; empty if the platform fails just now."""
+        try:
+            return self.fleet.primary(group)
+        except OSError:
+            return ""
+
     def quietly(self, name: str, **knobs: Any) -> None:
         """Set a target's knobs if it can be reached."""
         try:
