Make the bounds on callers' requests settings

Cause: bounds on head, body and time of a request were constants in http_codec.py, so an operator could neither lower them under attack nor raise them for long statements.

Change: `limits.request_head_bytes`, `limits.request_body_bytes` and `timing.request_timeout_ms`, with the old values as defaults; the server gets them by its constructor. The operators' listener keeps the defaults. A fault in a key that ends in `_bytes` is explained with its unit.

Test: settings.feature "A caller's request is held to the bounds that are set", a real process; seen failing with the defaults in place of what is set (200 in place of 431). bad_input.feature 7 passed.

--- a/bamboospring/entry.py
+++ b/bamboospring/entry.py
@@ -17,6 +17,7 @@
 from bamboospring.blackboard import Blackboard
 from bamboospring.forwarding import Forwarder
 from bamboospring.forwarding import LocalHolder
+from bamboospring.http_codec import Bounds
 from bamboospring.http_codec import HttpServer
 from bamboospring.http_codec import Request
 from bamboospring.http_codec import Response
@@ -76,6 +77,7 @@
         membership: Membership,
         listen: str,
         reuse_port: bool = False,
+        bounds: Bounds = Bounds(),
         budget: RetryBudget | None = None,
         on_answered: OnAnswered = lambda *_: None,
     ) -> None:
@@ -105,6 +107,7 @@
             address=listen,
             handler=self._handle,
             reuse_port=reuse_port,
+            bounds=bounds,
         )
 
     def _handle(self, req: Request, respond: Respond) -> None:
--- a/bamboospring/http_codec.py
+++ b/bamboospring/http_codec.py
@@ -20,6 +20,7 @@
 from bamboospring.reactor import Timer
 
 __all__ = [
+    "Bounds",
     "HttpAnswer",
     "HttpClient",
     "HttpConnection",
@@ -29,12 +30,7 @@
     "Response",
 ]
 
-MAX_HEAD = 16 * 1024
-MAX_BODY = 1024 * 1024
 MAX_HEADERS = 64
-# A caller that sends its request a byte at a time holds memory; after this
-# many seconds with an unfinished request the connection is closed.
-REQUEST_TIMEOUT = 10.0
 CONNECT_TIMEOUT = 1.0
 MAX_PIPELINED = 16
 
@@ -76,6 +72,19 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Bounds:
+    """What a server takes of one request, in bytes and seconds.
+
+    A caller that sends its request a byte at a time holds memory; after
+    `timeout` with an unfinished request the connection is closed.
+    """
+
+    head: int = 16 * 1024
+    body: int = 1024 * 1024
+    timeout: float = 10.0
+
+
 Handler = Callable[[Request, Callable[[Response], None]], None]
 OnAnswer = Callable[[HttpAnswer | HttpLost], None]
 
@@ -110,7 +119,9 @@
         address: str,
         handler: Handler,
         reuse_port: bool = False,
+        bounds: Bounds = Bounds(),
     ) -> None:
+        self.bounds = bounds
         self.reactor = reactor
         self.handler = handler
         self.draining = False
@@ -210,19 +221,19 @@
         # What comes in one piece is counted here: a whole head of up to
         # READ_SIZE bytes never is an unfinished one.
         self._head_bytes += size
-        if self._head_bytes > MAX_HEAD:
+        if self._head_bytes > self._server.bounds.head:
             raise _HeadTooLarge()
 
     def on_body(self, data: bytes) -> None:
         self._body_size += len(data)
-        if self._body_size > MAX_BODY:
+        if self._body_size > self._server.bounds.body:
             raise _TooLarge()
         self._body.append(data)
 
     def on_headers_complete(self) -> None:
         self._in_head = False
         length = self._headers.get("content-length", "")
-        if length.isdigit() and int(length) > MAX_BODY:
+        if length.isdigit() and int(length) > self._server.bounds.body:
             raise _TooLarge()
 
     def on_message_complete(self) -> None:
@@ -258,12 +269,12 @@
         now_waiting = len(self._queue) if self._queue else 0
         if now_waiting > waiting:
             self._head_size = 0
-        elif self._in_head and self._head_size > MAX_HEAD:
+        elif self._in_head and self._head_size > self._server.bounds.head:
             self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
             return
         elif self._timer is None:
             self._timer = self._server.reactor.call_later(
-                REQUEST_TIMEOUT, self._too_slow
+                self._server.bounds.timeout, self._too_slow
             )
         if now_waiting > MAX_PIPELINED:
             self._stream.pause()
--- a/bamboospring/process.py
+++ b/bamboospring/process.py
@@ -13,6 +13,7 @@
 from bamboospring.drain import Drain
 from bamboospring.entry import Entry
 from bamboospring.forwarding import LocalHolder
+from bamboospring.http_codec import Bounds
 from bamboospring import logs
 from bamboospring.membership import Membership
 from bamboospring.metrics import Metrics
@@ -82,6 +83,11 @@
             membership=self.membership,
             listen=cfg.callers.listen,
             reuse_port=cfg.callers.reuse_port,
+            bounds=Bounds(
+                head=cfg.limits.request_head_bytes,
+                body=cfg.limits.request_body_bytes,
+                timeout=cfg.timing.request_timeout_ms / 1000,
+            ),
             budget=RetryBudget(percent=cfg.limits.retry_percent),
             on_answered=self.metrics.answered,
         ).register(self)
--- a/bamboospring/settings.py
+++ b/bamboospring/settings.py
@@ -97,6 +97,16 @@
     )
 
 
+def _bytes(default: int, low: int, high: int, description: str) -> Any:
+    return Field(
+        default=default,
+        ge=low,
+        le=high,
+        description=description,
+        json_schema_extra={"unit": "bytes"},
+    )
+
+
 def _percent(default: float, low: float, high: float, description: str) -> Any:
     return Field(
         default=default,
@@ -278,6 +288,15 @@
     queue_length: int = _count(
         256, 1, 100_000, "Statements that wait for a slot, for each group."
     )
+    request_head_bytes: int = _bytes(
+        16_384,
+        1_024,
+        65_536,
+        "Longest line and headers of a caller's request.",
+    )
+    request_body_bytes: int = _bytes(
+        1_048_576, 1_024, 2_097_152, "Longest body of a caller's request."
+    )
     retry_percent: float = _percent(
         10.0, 0.0, 100.0, "Retries allowed, as a share of first tries."
     )
@@ -365,6 +384,13 @@
         600_000,
         "Interval at which versions of the table are compared with a peer.",
     )
+    request_timeout_ms: int = _milliseconds(
+        10_000,
+        100,
+        600_000,
+        "Time within which a caller's request must be whole once it has "
+        "begun.",
+    )
     drain_notice_ms: int = _milliseconds(
         5_000,
         0,
--- a/bamboospring/settings_faults.py
+++ b/bamboospring/settings_faults.py
@@ -75,6 +75,8 @@
         return " of milliseconds without a unit"
     if key.endswith("_percent"):
         return " of percent without a unit"
+    if key.endswith("_bytes"):
+        return " of bytes without a unit"
     return ""
 
 
--- a/features/settings.feature
+++ b/features/settings.feature
@@ -43,5 +43,15 @@
     # An operator sets a limit, the process starts, and the limit is not kept.
     Then the program reads every key of the settings
 
+  Scenario: A caller's request is held to the bounds that are set
+    # One caller sends a long head, one a long body, one stops within its body.
+    # Each is refused by the bound set here, far below the default, and a
+    # request just within is served.
+    Given a VM that takes heads of 2 KB and bodies of 3 KB within half a second
+    Then a request with a head of 1500 and a body of 2500 bytes gets status 200
+    And a request with a head of 2500 and a body of 20 bytes gets status 431
+    And a request with a head of 200 and a body of 3500 bytes gets status 413
+    And a request that stops in its body gets status 408 within 5 seconds
+
   Scenario: The reference page is what the models say
     Then docs/SETTINGS.md names every key with its default and bounds
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -5,6 +5,7 @@
 import json
 from pathlib import Path
 import re
+import socket
 import subprocess
 import sys
 import tempfile
@@ -14,6 +15,7 @@
 from annotated_types import Le
 from behave import given
 from behave import then
+from configuration_support import start_estate
 from hypothesis import given as for_all
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies
@@ -162,3 +164,42 @@
         for name, field in model.model_fields.items():
             assert f"| `{name}` |" in page, name
             assert f"| `{json.dumps(field.default)}` |" in page, name
+
+
+@given("a VM that takes heads of 2 KB and bodies of 3 KB within half a second")
+def step_bounded(context: Any) -> None:
+    bounds = {"request_head_bytes": 2048, "request_body_bytes": 3072}
+    timing = {"request_timeout_ms": 500}
+    start_estate(context, vms=1, settings={"limits": bounds, "timing": timing})
+
+
+def _request(head: int, body: int) -> bytes:
+    """Return a request for a session of so many bytes, near enough."""
+    text = json.dumps({"caller": "c"}).ljust(body)
+    lines = f"POST /v1/sessions HTTP/1.1\r\nContent-Length: {body}\r\nX: "
+    return (lines.ljust(head, "x") + "\r\n\r\n" + text).encode()
+
+
+def _status_of(context: Any, request: bytes, seconds: float) -> int:
+    host, port = context.fleet.vms["vm-1"].callers_listen.rsplit(":", 1)
+    with socket.create_connection((host, int(port)), timeout=seconds) as conn:
+        conn.sendall(request)
+        return int(conn.recv(4096).split()[1])
+
+
+@then(
+    "a request with a head of {head:d} and a body of {body:d} bytes gets "
+    "status {status:d}"
+)
+def step_request(context: Any, head: int, body: int, status: int) -> None:
+    found = _status_of(context, _request(head, body), 5)
+    assert found == status, found
+
+
+@then(
+    "a request that stops in its body gets status {status:d} within "
+    "{seconds:d} seconds"
+)
+def step_stopped(context: Any, status: int, seconds: int) -> None:
+    found = _status_of(context, _request(100, 500)[:-50], seconds)
+    assert found == status, found
