--- a/bamboospring/entry_processes.py
+++ b/bamboospring/entry_processes.py
@@ -46,15 +46,15 @@
         self._known: dict[str, _Known] = {}
         peers.handle("process", self._on_report)
 
-    def addresses(self) -> list[str]:
-        """Return where to tell of news: of those heard lately."""
+    def addresses(self) -> dict[str, str]:
+        """Return where to tell of news, by name: of those heard lately."""
         self._forget()
         oldest = self._now() - QUIET_AFTER
-        return [
-            known.address
-            for known in self._known.values()
+        return {
+            name: known.address
+            for name, known in self._known.items()
             if known.heard_at >= oldest
-        ]
+        }
 
     def as_vms(self) -> list[Vm]:
         """Return the processes that operators are to see."""
--- a/bamboospring/peer_sync.py
+++ b/bamboospring/peer_sync.py
@@ -10,7 +10,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from collections.abc import Iterable
 from dataclasses import dataclass
 from dataclasses import field
 import random
@@ -88,8 +87,8 @@
         self._fetches: dict[int | str, _Fetch] = {}
         self._announcing: Timer | None = None
         self.on_heard: list[Callable[[int], None]] = []
-        # Addresses beside those of VMs that are told of news.
-        self.also_tell: Callable[[], Iterable[str]] = tuple
+        # Names and addresses of processes that are told of news besides.
+        self.also_tell: Callable[[], dict[str, str]] = dict
         store.on_change.append(self.announce)
         peers.handle("heartbeat", self._on_heartbeat)
         peers.handle("tableWant", self._on_table_want)
@@ -152,11 +151,12 @@
     def _announce_now(self) -> None:
         self._announcing = None
         vms = {vm.name: vm.address for vm in self.neighbours()}
+        vms.update(self.also_tell())
         for name in self._callers:
             vm = self._board.vms.get(name)
             if vm is not None:
                 vms[name] = vm.address
-        for address in (*vms.values(), *self.also_tell()):
+        for address in vms.values():
             self._peers.send(address, self._heartbeat())
 
     def _forget_quiet(self) -> None:
