--- a/bamboospring/testing/fleet.py
+++ b/bamboospring/testing/fleet.py
@@ -139,6 +139,8 @@
     `entry:<vm>` and `platform:<vm>`. With `bootstrap` the fleet makes the
     first member of each group primary of term 1 itself; without it the
     stewards have to. `settings` is merged into each VM's settings file.
+    `relay` returns what VMs are told in place of the platform's or a target's
+    address.
     """
 
     def __init__(
@@ -151,8 +153,10 @@
         settings: dict[str, Any] | None = None,
         rows: dict[str, dict[str, Any]] | None = None,
         vm_list_lag_ms: int = 0,
+        relay: Callable[[str], str] = str,
     ) -> None:
         self.estate = estate
+        self.relay = relay
         self.links = links
         self.bootstrap = bootstrap
         self.settings = settings or {}
@@ -658,7 +662,7 @@
     def _target_value(self, target: FleetTarget) -> dict[str, Any]:
         return {
             "name": target.name,
-            "address": target.address,
+            "address": self.relay(target.address),
             "availability_zone": target.zone,
             "site": target.site,
             "slots": self.estate.slots,
@@ -697,7 +701,7 @@
                 "listen": vm.operators_listen,
                 "token": OPERATOR_TOKEN,
             },
-            "platform": {"address": vm.platform},
+            "platform": {"address": self.relay(vm.platform)},
             "token_keys": TOKEN_KEYS,
         }
         return _merged(base, self.settings)
--- a/features/operators.feature
+++ b/features/operators.feature
@@ -56,6 +56,19 @@
     Then the peers' listener shows the new certificate
     And a caller does 3 writes and 3 reads through every entry
 
+  Scenario: Platform and targets are reached under TLS only
+    # What stands before the platform and the targets speaks TLS and takes only
+    # programs that the fleet's authority has signed. The VMs get reads done.
+    # Once it shows a certificate of another authority no new connection comes
+    # about: a VM whose connections are cut gets no read done, and one that is
+    # restarted gets nothing from the platform. Writes are left out: the
+    # stand-ins follow each other at the address that VMs know, in plain text.
+    Given a small fleet whose platform and targets use TLS
+    Then a caller gets 5 reads done through every entry
+    And nobody without the fleet's authority is let through to them
+    When they show a certificate of another authority and cut connections
+    Then no VM gets through to them, and none is ready after a restart
+
   Scenario: Callers and operators are served under TLS, and not without it
     Given a small fleet whose callers and operators use TLS
     Then a caller under TLS soon gets a read done
--- /dev/null
+++ b/features/steps/outward_tls_steps.py
@@ -0,0 +1,194 @@
+"""Steps for TLS towards the platform and the targets."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+from functools import partial
+import http.client
+from pathlib import Path
+import ssl
+import threading
+import time
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+from fleet_support import GROUP
+from fleet_support import SCHEMA
+
+from bamboospring.testing.caller import Caller
+from bamboospring.testing.estate import SMALL
+from bamboospring.testing.fleet import call_json
+from bamboospring.testing.fleet import Fleet
+from bamboospring.testing.fleet import OPERATOR_TOKEN
+
+KEYS = Path(__file__).resolve().parents[1] / "data" / "tls"
+PATIENCE = 5.0
+
+
+class TlsRelays:
+    """Stand before plain stand-ins and speak TLS with whoever connects."""
+
+    def __init__(self) -> None:
+        self.addresses: dict[str, str] = {}
+        self._tls = _server_tls("vm")
+        self._writers: list[asyncio.StreamWriter] = []
+        self._loop = asyncio.new_event_loop()
+        self._loop.set_exception_handler(lambda *_: None)
+        threading.Thread(target=self._loop.run_forever, daemon=True).start()
+
+    def add(self, upstream: str) -> str:
+        """Return the address at which `upstream` is reached under TLS."""
+        if upstream not in self.addresses:
+            self.addresses[upstream] = self._call(self._listen(upstream))
+        return self.addresses[upstream]
+
+    def show(self, name: str) -> None:
+        """Show another certificate from now on and cut what is open."""
+        # The listeners' context is this very one.
+        self._tls.load_cert_chain(KEYS / f"{name}.pem", KEYS / f"{name}.key")
+        self._call(self._cut())
+
+    def stop(self) -> None:
+        """End all of it."""
+        self._call(self._cut())
+        self._loop.call_soon_threadsafe(self._loop.stop)
+
+    def _call(self, work: Any) -> Any:
+        return asyncio.run_coroutine_threadsafe(work, self._loop).result(10)
+
+    async def _listen(self, upstream: str) -> str:
+        accepted = partial(self._accepted, upstream)
+        server = await asyncio.start_server(
+            accepted, "127.0.0.1", 0, ssl=self._tls
+        )
+        host, port = server.sockets[0].getsockname()
+        return f"{host}:{port}"
+
+    async def _accepted(
+        self,
+        upstream: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        host, port = upstream.rsplit(":", 1)
+        there = await asyncio.open_connection(host, int(port))
+        self._writers += [writer, there[1]]
+        await asyncio.gather(
+            _pump(reader, there[1]),
+            _pump(there[0], writer),
+            return_exceptions=True,
+        )
+
+    async def _cut(self) -> None:
+        for writer in self._writers:
+            writer.transport.abort()
+        self._writers.clear()
+
+
+async def _pump(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    while data := await reader.read(65536):
+        writer.write(data)
+    writer.close()
+
+
+def _server_tls(name: str) -> ssl.SSLContext:
+    tls = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    tls.load_cert_chain(KEYS / f"{name}.pem", KEYS / f"{name}.key")
+    tls.load_verify_locations(KEYS / "authority.pem")
+    tls.verify_mode = ssl.CERT_REQUIRED
+    return tls
+
+
+@given("a small fleet whose platform and targets use TLS")
+def given_fleet(context: Any) -> None:
+    context.relays = TlsRelays()
+    context.add_cleanup(context.relays.stop)
+    tls = {
+        "certificate": str(KEYS / "vm.pem"),
+        "private_key": str(KEYS / "vm.key"),
+        "authority": str(KEYS / "authority.pem"),
+    }
+    fleet = Fleet(
+        estate=dataclasses.replace(SMALL, schema=SCHEMA),
+        vms=3,
+        settings={"platform": {"tls": tls}, "targets": {"tls": tls}},
+        relay=context.relays.add,
+    )
+    context.fleet = fleet
+    context.add_cleanup(fleet.close)
+    fleet.start()
+    fleet.wait_serving()
+
+
+@then("a caller gets {count:d} reads done through every entry")
+def then_reads(context: Any, count: int) -> None:
+    for entry in context.fleet.entries():
+        caller = Caller(entries=[entry])
+        for _ in range(count):
+            answer = caller.read(GROUP, "SELECT 1")
+            assert answer.done, answer
+
+
+@then("nobody without the fleet's authority is let through to them")
+def then_strangers(context: Any) -> None:
+    for upstream, address in context.relays.addresses.items():
+        path = "/probe" if _is_target(context, upstream) else "/vms"
+        plain: Callable[[], Any] = partial(call_json, address, "GET", path)
+        for attempt in (plain, partial(_get, address, path, "foreign")):
+            try:
+                found = attempt()
+            except (OSError, http.client.HTTPException):
+                continue
+            raise AssertionError(f"it got through to {address}: {found}")
+        assert _get(address, path, "vm") == 200
+
+
+def _is_target(context: Any, address: str) -> bool:
+    return any(t.listen == address for t in context.fleet.targets.values())
+
+
+def _get(address: str, path: str, name: str) -> int:
+    tls = ssl.create_default_context(cafile=str(KEYS / "authority.pem"))
+    tls.load_cert_chain(KEYS / f"{name}.pem", KEYS / f"{name}.key")
+    host, port = address.rsplit(":", 1)
+    conn = http.client.HTTPSConnection(
+        host, int(port), timeout=PATIENCE, context=tls
+    )
+    try:
+        conn.request("GET", path)
+        return conn.getresponse().status
+    finally:
+        conn.close()
+
+
+@when("they show a certificate of another authority and cut connections")
+def when_foreign(context: Any) -> None:
+    context.relays.show("foreign")
+
+
+@then("no VM gets through to them, and none is ready after a restart")
+def then_nothing(context: Any) -> None:
+    for entry in context.fleet.entries():
+        answer = Caller(entries=[entry]).read(GROUP, "SELECT 1")
+        assert answer.outcome in ("not_run", "overloaded"), answer
+    before = _executed(context)
+    context.fleet.restart("vm-1")
+    time.sleep(2)
+    headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+    address = context.fleet.vms["vm-1"].operators_listen
+    status = call_json(address, "GET", "/status.json", headers=headers)
+    assert status["ready"] is False and status["vms_seen"] == 0, status
+    assert _executed(context) == before
+
+
+def _executed(context: Any) -> int:
+    fleet = context.fleet
+    return sum(
+        fleet.counters(name).get("executed", 0) for name in fleet.targets
+    )
