Skip needless steps at the entry and the holder

Cause: rest of the profile: each frame was copied through the link's buffer, a good answer's body was built as two dicts, a read looked its table row up twice and hashed its group's name for each. Change: whole frames are read from what was received; one dict; one row for the first choice of a read.

--- a/bamboospring/peers.py
+++ b/bamboospring/peers.py
@@ -245,23 +245,29 @@
     def _data(self, data: bytes) -> None:
         self.heard_at = self.peers.reactor.now()
         self.peers.received_bytes += len(data)
-        buffer = self.buffer
-        buffer += data
-        start = 0
-        while len(buffer) - start >= LENGTH.size:
-            (size,) = LENGTH.unpack_from(buffer, start)
+        # Most often whole frames come in one piece: then nothing is copied
+        # to the buffer.
+        rest = self.buffer
+        if rest:
+            rest += data
+        source = rest or data
+        start, length = 0, len(source)
+        while length - start >= LENGTH.size:
+            (size,) = LENGTH.unpack_from(source, start)
             if size > MAX_FRAME:
                 self.drop()
                 return
             end = start + LENGTH.size + size
-            if len(buffer) < end:
+            if length < end:
                 break
-            frame = bytes(buffer[start + LENGTH.size : end])
+            self._frame(bytes(source[start + LENGTH.size : end]))
             start = end
-            self._frame(frame)
             if self.ended:
                 return
-        del buffer[:start]
+        if source is rest:
+            del rest[:start]
+        elif start < length:
+            rest += source[start:]
 
     def _frame(self, frame: bytes) -> None:
         flat = read_flat(frame)
--- a/bamboospring/pool.py
+++ b/bamboospring/pool.py
@@ -322,7 +322,8 @@
             asking.slot = ticket
             self._needing.append(asking)
             self._supply()
-            if asking in self._needing:
+            # Handed over at once, as most are, or still waiting?
+            if self._needing and asking in self._needing:
                 left = asking.deadline - self._reactor.now()
                 asking.timer = self._reactor.call_later(
                     max(0.0, left), lambda: self._needed_too_long(asking)
--- a/bamboospring/reads.py
+++ b/bamboospring/reads.py
@@ -12,6 +12,7 @@
 
 from bamboospring.blackboard import Blackboard
 from bamboospring.blackboard import Group
+from bamboospring.blackboard import TableRow
 from bamboospring.confirm import Confirmer
 from bamboospring.exchange import done_from
 from bamboospring.exchange import Exchange
@@ -82,7 +83,9 @@
 
     def run(self, stmt: Statement, group: Group, done: OnOutcome) -> None:
         """Run a read and call back once."""
-        _Read(runner=self, stmt=stmt, group=group, done=done).choose()
+        row = self.board.row(stmt.group, shard_of(stmt.group))
+        read = _Read(runner=self, stmt=stmt, group=group, row=row, done=done)
+        read.choose(row)
 
 
 class _Read:
@@ -106,6 +109,7 @@
         runner: ReadRunner,
         stmt: Statement,
         group: Group,
+        row: TableRow,
         done: OnOutcome,
     ) -> None:
         self._runner = runner
@@ -116,18 +120,21 @@
         self._rounds = 0
         self._shareless = False
         now = self._began = runner.reactor.now()
-        row = runner.board.row(stmt.group, shard_of(stmt.group))
         self._needs = ReadNeeds(
             token=stmt.token,
             fresh_since=fresh_since(row, stmt.staleness, now),
             wait_until=min(now + READ_WAIT, stmt.deadline),
         )
 
-    def choose(self) -> None:
+    def choose(self, row: TableRow | None = None) -> None:
+        """Choose a target by the table's row, the one in force if none."""
         runner = self._runner
+        if row is None:
+            name = self._stmt.group
+            row = runner.board.row(name, shard_of(name))
         choice = choose_read(
             self._group,
-            runner.board.row(self._stmt.group, shard_of(self._stmt.group)),
+            row,
             self._needs,
             zone=runner.board.me.availability_zone,
             now=runner.reactor.now(),
--- a/bamboospring/responses.py
+++ b/bamboospring/responses.py
@@ -39,17 +39,17 @@
 
 def encode_outcome(group: str, outcome: Outcome, token: str) -> Response:
     """Return the response for a statement's outcome."""
+    if isinstance(outcome, Done):
+        done = _result(group, outcome, token)
+        return Response(status=OK, body=orjson.dumps(done))
     status, kind = _status(outcome)
     body: dict[str, Any] = {
         "outcome": kind,
         "group": group,
         "token": token,
+        "reason": outcome.reason.value,
+        "message": outcome.message,
     }
-    if isinstance(outcome, Done):
-        body |= _result(outcome)
-    else:
-        body["reason"] = outcome.reason.value
-        body["message"] = outcome.message
     headers: dict[str, str] = {}
     if isinstance(outcome, NotRun | Overloaded | Unknown):
         body["retry_after_ms"] = outcome.retry_after_ms
@@ -87,10 +87,10 @@
     return "; ".join(parts)
 
 
-def _status(outcome: Outcome) -> tuple[int, str]:
+def _status(
+    outcome: Failed | NotRun | Overloaded | Unknown,
+) -> tuple[int, str]:
     match outcome:
-        case Done():
-            return OK, "done"
         case Failed():
             return UNPROCESSABLE, "failed"
         case NotRun(reason=reason) if reason in CALLERS_FAULTS:
@@ -103,8 +103,11 @@
             return TIMED_OUT, "unknown"
 
 
-def _result(outcome: Done) -> dict[str, Any]:
+def _result(group: str, outcome: Done, token: str) -> dict[str, Any]:
     return {
+        "outcome": "done",
+        "group": group,
+        "token": token,
         "term": outcome.term,
         "index": outcome.index,
         "target": outcome.target,
