--- /dev/null
+++ b/features/steps/promotion_faults.py
@@ -0,0 +1,110 @@
+"""Faults that the exploration of primary changes must find, by name."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+import contextlib
+from typing import Any
+from unittest import mock
+
+from bamboospring.blackboard import Group
+from bamboospring import commit
+from bamboospring import promotion
+from bamboospring.promotion import Change
+from bamboospring.promotion import GroupObject
+from bamboospring.promotion import OrderKind
+from bamboospring.promotion import Phase
+from bamboospring.statements import Position
+from bamboospring.target_api import Probe
+
+__all__ = ["MUTATIONS", "mutated"]
+
+
+def _skip_fence(change: Change, now: float) -> list[Any]:
+    """Promote by what was probed; stop only the one that is promoted."""
+    assert change._update is not None
+    change.term = change._update.value["term"]
+    change._enter(Phase.FENCE, now)
+    best = max(
+        change._probes, key=lambda n: promotion.log_end(change._probes[n])
+    )
+    change._majority = lambda: 1  # type: ignore[method-assign]
+    target = change._targets[best]
+    return [change._order(OrderKind.FENCE, target, now, change.term)]
+
+
+def _stopped_minority(
+    change: Change, name: str, accepted: bool, probe: Probe, now: float
+) -> list[Any]:
+    if not accepted or change.phase is not Phase.FENCE:
+        return []
+    change._fenced[name] = probe
+    with mock.patch.object(Change, "_majority", lambda change: 1):
+        return change._promote(now)
+
+
+def _choose_first(fenced: dict[str, Probe], *rest: Any, **more: Any) -> str:
+    return next(iter(fenced))
+
+
+def _trust_update(change: Change, now: float) -> list[Any]:
+    assert change._update is not None
+    return change.updated(change._update.if_version + 1, now)
+
+
+def _promote_another(change: Change, now: float) -> list[Any]:
+    if change.phase is Phase.PROMOTE and now - change._phase_at > 0.25:
+        others = [n for n in change._fenced if n != change.primary]
+        if others:
+            change.primary = others[0]
+            change._enter(Phase.PROMOTE, now)
+            target = change._targets[others[0]]
+            return [change._order(OrderKind.PROMOTE, target, now, change.term)]
+    return _TICK(change, now)
+
+
+def _ignore_nonce(change: Change, found: GroupObject, now: float) -> list[Any]:
+    value = {**found.value, "steward": change.nonce}
+    same = GroupObject(name=found.name, version=found.version, value=value)
+    return _RESOLVE(change, same, now)
+
+
+def _count_unmatched(group: Group, position: Position) -> int:
+    return sum(
+        state.term == position.term and state.received >= position.index
+        for state in group.states.values()
+    )
+
+
+_TICK = Change.tick
+_RESOLVE = Change._resolve
+
+MUTATIONS: dict[str, tuple[Any, str, Any]] = {
+    "skip_fence": (Change, "_won", _skip_fence),
+    "promote_with_minority_fenced": (Change, "_stopped", _stopped_minority),
+    "promote_first_that_answers": (
+        promotion,
+        "choose_primary",
+        _choose_first,
+    ),
+    "trust_unanswered_update": (Change, "unanswered", _trust_update),
+    "promote_another_at_same_term": (Change, "tick", _promote_another),
+    "take_other_stewards_term_for_own": (Change, "_resolve", _ignore_nonce),
+    "acknowledge_without_majority": (
+        commit,
+        "held_by_majority",
+        lambda group, position: True,
+    ),
+    "count_unmatched_replica": (commit, "count_holding", _count_unmatched),
+}
+
+
+@contextlib.contextmanager
+def mutated(name: str) -> Iterator[None]:
+    """Run with one of the faults, or with none if the name is empty."""
+    if not name:
+        yield
+        return
+    owner, attribute, replacement = MUTATIONS[name]
+    with mock.patch.object(owner, attribute, replacement):
+        yield
