--- a/bench/failover.py
+++ b/bench/failover.py
@@ -20,6 +20,7 @@
 from datetime import datetime
 import itertools
 import json
+import os
 from pathlib import Path
 import re
 import statistics
@@ -142,6 +143,7 @@
 def run_kind(kind: str, args: argparse.Namespace) -> dict[str, Any]:
     """Run one kind of fault again and again on one fleet."""
     fault = faults(args.delay_ms)[kind]
+    load = os.getloadavg()[0]
     estate = replace(SMALL, schema=SCHEMA)
     with Fleet(estate=estate, links=True, vms=args.vms) as fleet:
         fleet.wait_serving()
@@ -154,6 +156,7 @@
         lost = writers.rows - stored_rows(fleet)
     return {
         "summary": summarise(runs),
+        "load_average": [round(load, 1), round(os.getloadavg()[0], 1)],
         "acknowledged": len(writers.rows),
         "acknowledged_and_lost": len(lost),
         "outcomes": writers.outcomes,
