--- a/bamboospring/forwarding.py
+++ b/bamboospring/forwarding.py
@@ -7,6 +7,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Mapping
+from collections import Counter
 import dataclasses
 import itertools
 from typing import Any
@@ -73,12 +75,16 @@
     me: str,
     doubted: frozenset[str],
     turn: int,
+    outstanding: Mapping[str, int],
 ) -> list[Vm]:
     """Return the holders in the order in which to ask them.
 
-    This VM first if it is one, since that saves the way; the others take
-    turns. Leaving and doubted ones come last, not never: the list may be
-    old and the doubt wrong.
+    The one that owes this VM the fewest answers first, because each holder
+    has only its part of the targets' slots and a queue of its own: one queue
+    fills while another's slots are free, and callers are refused for it.
+    Of equals this VM first if it is one, since that saves the way; the
+    others take turns. Leaving and doubted ones come last, not never: the
+    list may be old and the doubt wrong.
     """
     if not holders:
         return []
@@ -86,6 +92,8 @@
     turned = [*holders[first:], *holders[:first]]
     # Of those of equal rank the order is kept: False comes first.
     turned.sort(key=lambda vm: vm.name != me)
+    if outstanding:
+        turned.sort(key=lambda vm: outstanding.get(vm.name, 0))
     turned.sort(key=lambda vm: vm.liveness is not Liveness.LIVE)
     if doubted:
         turned.sort(key=lambda vm: vm.name in doubted)
@@ -117,6 +125,7 @@
         self._budget = budget
         self._turn = itertools.count()
         self._shareless: dict[tuple[str, bool], dict[str, float]] = {}
+        self._outstanding: dict[str, Counter[str]] = {}
 
     def forward(self, stmt: Statement, done: OnOutcome) -> None:
         """Have a statement run and call back once."""
@@ -135,6 +144,7 @@
             me=self._board.me.name,
             doubted=doubted | self._without_share(stmt, now),
             turn=next(self._turn),
+            outstanding=self._outstanding.get(stmt.group, {}),
         )
         self._try(stmt, order[:MAX_TRIES], done)
 
@@ -148,6 +158,15 @@
             return NotRun(reason=Reason.UNKNOWN_GROUP)
         return _no_holder()
 
+    def _count(self, group: str, vm: str, change: int) -> None:
+        """Count an answer that a holder owes, or has given."""
+        counts = self._outstanding.setdefault(group, Counter())
+        counts[vm] += change
+        if counts[vm] <= 0:
+            del counts[vm]
+        if not counts:
+            del self._outstanding[group]
+
     # New work: any holder will do.
 
     def _try(
@@ -163,6 +182,7 @@
         first, *others = holders
 
         def answered(answer: Outcome | PeerLost) -> None:
+            self._count(stmt.group, first.name, -1)
             if isinstance(answer, PeerLost):
                 self._membership.lost(first.name, self._reactor.now())
                 outcome = _lost(stmt, answer)
@@ -182,6 +202,7 @@
             else:
                 self._settle(stmt, outcome, done, waits)
 
+        self._count(stmt.group, first.name, 1)
         self._ask(first, stmt, answered)
 
     def _settle(
