Give up answers of targets that have fallen silent altogether

The trace shows the statement sent at 34:05 and answer_lost at 34:25; polls of that target, on another connection, had been silent all the while. Ruled out: the refusal for want of a majority (it came for all later writes). Change: flights.py, split from writes.py, looks twice a second at what was sent: a target that has not been heard for 2 s at two looks will not answer, so the connection is closed as a silent one and the caller is told unknown. Tried and left out: no sending to a target that fell silent while the write waited for its connection; nothing failed without it, since a new connection is asked for first.

--- a/bamboospring/holder.py
+++ b/bamboospring/holder.py
@@ -18,6 +18,7 @@
 from bamboospring.events import group_doubted
 from bamboospring.exchange import Exchange
 from bamboospring.exchange import RETRY_SOON_MS
+from bamboospring.flights import Flights
 from bamboospring.outcomes import NotRun
 from bamboospring.outcomes import Outcome
 from bamboospring.outcomes import Reason
@@ -32,7 +33,6 @@
 from bamboospring.tokens import TokenCodec
 from bamboospring.transaction_runner import TransactionRunner
 from bamboospring.watcher import Watcher
-from bamboospring.writes import Flights
 from bamboospring.writes import WriteRunner
 
 __all__ = ["Holder"]
--- a/bamboospring/routing.py
+++ b/bamboospring/routing.py
@@ -39,6 +39,7 @@
     "confirmed_at",
     "find_target",
     "fresh_since",
+    "is_silent",
     "reaches_majority",
     "required_index",
     "satisfies",
@@ -199,6 +200,11 @@
     return left >= majority_of(len(record.targets))
 
 
+def is_silent(group: Group, target: str, now: float) -> bool:
+    """Tell whether a target that was heard before is not heard any more."""
+    return -1e9 < group.state(target).seen_at < now - LOST_AFTER
+
+
 def reaches_majority(group: Group, now: float) -> bool:
     """Tell whether enough targets are heard to acknowledge a write.
 
@@ -208,10 +214,7 @@
     None is in reach of a group whose targets were edited too far.
     """
     targets = group.record.targets
-    lost = sum(
-        -1e9 < group.state(target.name).seen_at < now - LOST_AFTER
-        for target in targets
-    )
+    lost = sum(is_silent(group, target.name, now) for target in targets)
     heard = len(targets) - lost
     return heard >= majority_of(len(targets)) and not group.record.torn
 
--- a/bamboospring/transaction_runner.py
+++ b/bamboospring/transaction_runner.py
@@ -9,6 +9,8 @@
 from bamboospring.exchange import failed_from
 from bamboospring.exchange import refusal_from
 from bamboospring.exchange import RETRY_SOON_MS
+from bamboospring.flights import Flight
+from bamboospring.flights import Flights
 from bamboospring.http_codec import HttpLost
 from bamboospring.outcomes import Done
 from bamboospring.outcomes import NotRun
@@ -31,8 +33,6 @@
 from bamboospring.transactions import Transaction
 from bamboospring.transactions import TransactionTable
 from bamboospring.watcher import Watcher
-from bamboospring.writes import Flight
-from bamboospring.writes import Flights
 from bamboospring.writes import TERM_GRACE
 
 __all__ = ["TransactionRunner"]
@@ -195,6 +195,7 @@
 
     def _send(self, leased: Leased) -> None:
         stmt = self._stmt
+        self.sent_on = leased
         self._runner.exchange.send(
             stmt,
             leased,
@@ -217,6 +218,7 @@
             self._runner.drop(self._transaction)
 
     def _answered(self, answer: TargetAnswer | HttpLost) -> None:
+        self.sent_on = None
         if isinstance(answer, HttpLost):
             self._lost(answer)
         elif answer.outcome != "ok":
--- a/bamboospring/writes.py
+++ b/bamboospring/writes.py
@@ -19,6 +19,9 @@
 from bamboospring.exchange import failed_from
 from bamboospring.exchange import refusal_from
 from bamboospring.exchange import RETRY_SOON_MS
+from bamboospring.flights import Flight
+from bamboospring.flights import Flights
+from bamboospring.flights import SilenceWatch
 from bamboospring.http_codec import HttpLost
 from bamboospring.outcomes import Done
 from bamboospring.outcomes import NotRun
@@ -40,7 +43,7 @@
 from bamboospring.target_api import TargetAnswer
 from bamboospring.watcher import Watcher
 
-__all__ = ["Flight", "Flights", "TERM_GRACE", "WriteRunner"]
+__all__ = ["TERM_GRACE", "WriteRunner"]
 
 # How many writes of a group may wait for a primary at one holder. One more is
 # refused at once, so that the memory of a long change is bounded and the
@@ -70,43 +73,6 @@
     OVER = "over"
 
 
-class Flight:
-    """A write or commit that is told when its group's term changes."""
-
-    term = 0
-
-    def term_ended(self) -> None:
-        """Take note that the group is at a newer term than this write."""
-        raise NotImplementedError
-
-
-class Flights:
-    """What is under way in each group."""
-
-    def __init__(self) -> None:
-        self._of_group: dict[str, set[Flight]] = {}
-
-    def __len__(self) -> int:
-        return sum(len(flights) for flights in self._of_group.values())
-
-    def add(self, group: str, flight: Flight) -> None:
-        """Note that something has begun."""
-        self._of_group.setdefault(group, set()).add(flight)
-
-    def remove(self, group: str, flight: Flight) -> None:
-        """Note that it is over."""
-        flights = self._of_group.get(group, set())
-        flights.discard(flight)
-        if not flights:
-            self._of_group.pop(group, None)
-
-    def group_changed(self, group: str, term: int) -> None:
-        """Tell those that began in an older term."""
-        for flight in list(self._of_group.get(group, ())):
-            if flight.term < term:
-                flight.term_ended()
-
-
 class WriteRunner:
     """Runs the writes of a holder and the first steps of transactions."""
 
@@ -131,6 +97,9 @@
         self.doubt = doubt
         self.on_begun = on_begun
         self.parked: dict[str, int] = {}
+        self._silence = SilenceWatch(
+            reactor=reactor, board=board, flights=flights
+        )
         self._unreachable: set[str] = set()
         self._trying: set[str] = set()
 
@@ -310,11 +279,13 @@
 
     def _send(self, choice: WriteAt, leased: Leased) -> None:
         self._phase = Phase.SENT
+        self.sent_on = leased
         state = self._group.state(choice.target.name)
         state.outstanding += 1
 
         def answered(answer: TargetAnswer | HttpLost) -> None:
             state.outstanding -= 1
+            self.sent_on = None
             if self._phase is not Phase.SENT:
                 # Given up meanwhile. A transaction that has begun after all
                 # is rolled back with its connection.
