--- a/bamboospring/confirm.py
+++ b/bamboospring/confirm.py
@@ -14,9 +14,9 @@
 
 from bamboospring.blackboard import Blackboard
 from bamboospring.blackboard import Group
-from bamboospring.http_codec import HttpAnswer
-from bamboospring.http_codec import HttpClient
-from bamboospring.http_codec import HttpLost
+from bamboospring.http_client import HttpAnswer
+from bamboospring.http_client import HttpClient
+from bamboospring.http_client import HttpLost
 from bamboospring.reactor import Reactor
 from bamboospring.target_api import decode_probe
 from bamboospring.target_api import Probe
--- a/bamboospring/drain.py
+++ b/bamboospring/drain.py
@@ -21,7 +21,7 @@
 
 from bamboospring.blackboard import Blackboard
 from bamboospring.events import drain_started
-from bamboospring.http_codec import HttpServer
+from bamboospring.http_server import HttpServer
 from bamboospring import logs
 from bamboospring.peers import envelope
 from bamboospring.peers import Peers
--- a/bamboospring/entry.py
+++ b/bamboospring/entry.py
@@ -17,10 +17,10 @@
 from bamboospring.blackboard import Blackboard
 from bamboospring.forwarding import Forwarder
 from bamboospring.forwarding import LocalHolder
-from bamboospring.http_codec import Bounds
-from bamboospring.http_codec import HttpServer
-from bamboospring.http_codec import Request
-from bamboospring.http_codec import Response
+from bamboospring.http_server import Bounds
+from bamboospring.http_server import HttpServer
+from bamboospring.http_server import Request
+from bamboospring.http_server import Response
 from bamboospring.membership import Membership
 from bamboospring.outcomes import Done
 from bamboospring.outcomes import Outcome
--- a/bamboospring/entry_only.py
+++ b/bamboospring/entry_only.py
@@ -13,11 +13,9 @@
 
 from bamboospring.blackboard import Vm
 from bamboospring.entry_facts import EntryFacts
-from bamboospring.fleet_view import FleetView
 from bamboospring.forwarding import OnOutcome
-from bamboospring.http_codec import Request
-from bamboospring.http_codec import Response
-from bamboospring.operators import Operators
+from bamboospring.http_server import Request
+from bamboospring.http_server import Response
 from bamboospring.operators import Respond
 from bamboospring.outcomes import NotRun
 from bamboospring.outcomes import Reason
@@ -72,18 +70,8 @@
             now=self.reactor.now,
             entry_of=cfg.entry.of,
         )
-        self.operators = Operators(
-            reactor=self._secured(
-                cfg.operators.tls, lambda s: s.operators.tls
-            ),
-            address=cfg.operators.listen,
-            token=lambda: self.cfg.operators.token,
-            board=self.board,
-            metrics=self.metrics,
+        self.operators = self._make_operators(
             status=status,
-            fleet=FleetView(
-                board=self.board, peers=self.peers, describe=status.describe
-            ),
             handle_table=self._refuse_table,
             hand_over=self._order_hand_over,
         )
--- a/bamboospring/exchange.py
+++ b/bamboospring/exchange.py
@@ -8,8 +8,8 @@
 
 import orjson
 
-from bamboospring.http_codec import HttpAnswer
-from bamboospring.http_codec import HttpLost
+from bamboospring.http_client import HttpAnswer
+from bamboospring.http_client import HttpLost
 from bamboospring.outcomes import Done
 from bamboospring.outcomes import Failed
 from bamboospring.outcomes import NotRun
--- a/bamboospring/load.py
+++ b/bamboospring/load.py
@@ -35,9 +35,9 @@
 import orjson
 
 from bamboospring.errors import BamboospringError
-from bamboospring.http_codec import HttpAnswer
-from bamboospring.http_codec import HttpConnection
-from bamboospring.http_codec import HttpLost
+from bamboospring.http_client import HttpAnswer
+from bamboospring.http_client import HttpConnection
+from bamboospring.http_client import HttpLost
 from bamboospring.reactor import Reactor
 
 __all__ = ["Fault", "LoadError", "LoadPlan", "LoadResult", "plot", "run"]
--- a/bamboospring/operators.py
+++ b/bamboospring/operators.py
@@ -29,9 +29,9 @@
 
 from bamboospring.blackboard import Blackboard
 from bamboospring.fleet_view import FleetView
-from bamboospring.http_codec import HttpServer
-from bamboospring.http_codec import Request
-from bamboospring.http_codec import Response
+from bamboospring.http_server import HttpServer
+from bamboospring.http_server import Request
+from bamboospring.http_server import Response
 from bamboospring.metrics import Metrics
 from bamboospring.metrics_export import Exporter
 from bamboospring.reactor import Reactor
--- a/bamboospring/platform_client.py
+++ b/bamboospring/platform_client.py
@@ -24,9 +24,9 @@
 
 import orjson
 
-from bamboospring.http_codec import HttpAnswer
-from bamboospring.http_codec import HttpClient
-from bamboospring.http_codec import HttpLost
+from bamboospring.http_client import HttpAnswer
+from bamboospring.http_client import HttpClient
+from bamboospring.http_client import HttpLost
 from bamboospring.reactor import Reactor
 
 __all__ = [
--- a/bamboospring/pool.py
+++ b/bamboospring/pool.py
@@ -32,9 +32,9 @@
 from bamboospring.breaker import Breaker
 from bamboospring.connections import Connections
 from bamboospring.connections import ConnectionTiming
-from bamboospring.http_codec import HttpAnswer
-from bamboospring.http_codec import HttpConnection
-from bamboospring.http_codec import HttpLost
+from bamboospring.http_client import HttpAnswer
+from bamboospring.http_client import HttpConnection
+from bamboospring.http_client import HttpLost
 from bamboospring.outcomes import NotRun
 from bamboospring.outcomes import Overloaded
 from bamboospring.outcomes import Reason
--- a/bamboospring/process.py
+++ b/bamboospring/process.py
@@ -12,11 +12,14 @@
 from bamboospring.blackboard import Vm
 from bamboospring.drain import Drain
 from bamboospring.entry import Entry
+from bamboospring.fleet_view import FleetView
 from bamboospring.forwarding import LocalHolder
-from bamboospring.http_codec import Bounds
+from bamboospring.http_server import Bounds
 from bamboospring import logs
 from bamboospring.membership import Membership
 from bamboospring.metrics import Metrics
+from bamboospring.operators import HandleTable
+from bamboospring.operators import HandOver
 from bamboospring.operators import Operators
 from bamboospring.peers import envelope
 from bamboospring.peers import Peers
@@ -26,6 +29,7 @@
 from bamboospring.rotation import Rotation
 from bamboospring.settings import Settings
 from bamboospring.settings import Tls
+from bamboospring.status_view import StatusView
 from bamboospring.status_view import unreadiness
 from bamboospring.tls import Keys
 from bamboospring.tls import secured
@@ -117,6 +121,28 @@
             limit=timing.drain_ms / 1000,
         ).register(self)
 
+    def _make_operators(
+        self,
+        *,
+        status: StatusView,
+        handle_table: HandleTable,
+        hand_over: HandOver,
+    ) -> Operators:
+        tls = self.cfg.operators.tls
+        return Operators(
+            reactor=self._secured(tls, lambda s: s.operators.tls),
+            address=self.cfg.operators.listen,
+            token=lambda: self.cfg.operators.token,
+            board=self.board,
+            metrics=self.metrics,
+            status=status,
+            fleet=FleetView(
+                board=self.board, peers=self.peers, describe=status.describe
+            ),
+            handle_table=handle_table,
+            hand_over=hand_over,
+        )
+
     def _secured(
         self,
         tls: Tls | None,
--- a/bamboospring/reads.py
+++ b/bamboospring/reads.py
@@ -19,7 +19,7 @@
 from bamboospring.exchange import failed_from
 from bamboospring.exchange import refusal_from
 from bamboospring.exchange import RETRY_SOON_MS
-from bamboospring.http_codec import HttpLost
+from bamboospring.http_client import HttpLost
 from bamboospring.outcomes import NotRun
 from bamboospring.outcomes import Outcome
 from bamboospring.outcomes import Overloaded
--- a/bamboospring/responses.py
+++ b/bamboospring/responses.py
@@ -7,7 +7,7 @@
 import orjson
 from pydantic import ValidationError
 
-from bamboospring.http_codec import Response
+from bamboospring.http_server import Response
 from bamboospring.outcomes import Done
 from bamboospring.outcomes import Failed
 from bamboospring.outcomes import NotRun
--- a/bamboospring/server.py
+++ b/bamboospring/server.py
@@ -5,10 +5,8 @@
 from bamboospring.connections import ConnectionTiming
 from bamboospring.entry_processes import EntryProcesses
 from bamboospring.facts import Facts
-from bamboospring.fleet_view import FleetView
 from bamboospring.holder import Holder
 from bamboospring.lease import LeaseTiming
-from bamboospring.operators import Operators
 from bamboospring.platform_client import CallTiming
 from bamboospring.platform_client import PlatformClient
 from bamboospring.pool import Pools
@@ -136,18 +134,8 @@
             now=self.reactor.now,
             processes=self.entry_processes.as_vms,
         )
-        self.operators = Operators(
-            reactor=self._secured(
-                cfg.operators.tls, lambda s: s.operators.tls
-            ),
-            address=cfg.operators.listen,
-            token=lambda: self.cfg.operators.token,
-            board=self.board,
-            metrics=self.metrics,
+        self.operators = self._make_operators(
             status=status,
-            fleet=FleetView(
-                board=self.board, peers=self.peers, describe=status.describe
-            ),
             handle_table=self.table_pages.handle,
             hand_over=self._order_hand_over,
         )
--- a/bamboospring/table_pages.py
+++ b/bamboospring/table_pages.py
@@ -29,11 +29,11 @@
 
 from bamboospring.blackboard import Blackboard
 from bamboospring.blackboard import TableRow
-from bamboospring.http_codec import HttpAnswer
-from bamboospring.http_codec import HttpClient
-from bamboospring.http_codec import HttpLost
-from bamboospring.http_codec import Request
-from bamboospring.http_codec import Response
+from bamboospring.http_client import HttpAnswer
+from bamboospring.http_client import HttpClient
+from bamboospring.http_client import HttpLost
+from bamboospring.http_server import Request
+from bamboospring.http_server import Response
 from bamboospring.platform_client import Changes
 from bamboospring.platform_client import PlatformClient
 from bamboospring.platform_client import Unavailable
--- a/bamboospring/target_orders.py
+++ b/bamboospring/target_orders.py
@@ -8,9 +8,9 @@
 
 import orjson
 
-from bamboospring.http_codec import HttpAnswer
-from bamboospring.http_codec import HttpClient
-from bamboospring.http_codec import HttpLost
+from bamboospring.http_client import HttpAnswer
+from bamboospring.http_client import HttpClient
+from bamboospring.http_client import HttpLost
 from bamboospring.promotion import Order
 from bamboospring.promotion import OrderKind
 from bamboospring.reactor import Reactor
--- a/bamboospring/terminations.py
+++ b/bamboospring/terminations.py
@@ -13,9 +13,9 @@
 
 import orjson
 
-from bamboospring.http_codec import HttpAnswer
-from bamboospring.http_codec import HttpClient
-from bamboospring.http_codec import HttpLost
+from bamboospring.http_client import HttpAnswer
+from bamboospring.http_client import HttpClient
+from bamboospring.http_client import HttpLost
 from bamboospring.reactor import Reactor
 
 __all__ = ["Terminations"]
--- a/bamboospring/watcher.py
+++ b/bamboospring/watcher.py
@@ -24,9 +24,9 @@
 from bamboospring.blackboard import Role
 from bamboospring.blackboard import Target
 from bamboospring.commit import held_by_majority
-from bamboospring.http_codec import HttpAnswer
-from bamboospring.http_codec import HttpClient
-from bamboospring.http_codec import HttpLost
+from bamboospring.http_client import HttpAnswer
+from bamboospring.http_client import HttpClient
+from bamboospring.http_client import HttpLost
 from bamboospring.reactor import Reactor
 from bamboospring.reactor import Timer
 from bamboospring.rendezvous import Placement
--- a/bamboospring/writes.py
+++ b/bamboospring/writes.py
@@ -22,7 +22,7 @@
 from bamboospring.flights import Flight
 from bamboospring.flights import Flights
 from bamboospring.flights import SilenceWatch
-from bamboospring.http_codec import HttpLost
+from bamboospring.http_client import HttpLost
 from bamboospring.outcomes import Done
 from bamboospring.outcomes import NotRun
 from bamboospring.outcomes import Outcome
--- a/features/steps/target_exchange_steps.py
+++ b/features/steps/target_exchange_steps.py
@@ -9,9 +9,9 @@
 from behave import then
 from behave import when
 
-from bamboospring.http_codec import HttpAnswer
-from bamboospring.http_codec import HttpConnection
-from bamboospring.http_codec import HttpLost
+from bamboospring.http_client import HttpAnswer
+from bamboospring.http_client import HttpConnection
+from bamboospring.http_client import HttpLost
 
 
 class FakeStream:
--- a/features/steps/target_polls_steps.py
+++ b/features/steps/target_polls_steps.py
@@ -16,8 +16,8 @@
 from bamboospring.blackboard import GroupRecord
 from bamboospring.blackboard import Target
 from bamboospring.blackboard import Vm
-from bamboospring.http_codec import HttpAnswer
-from bamboospring.http_codec import HttpLost
+from bamboospring.http_client import HttpAnswer
+from bamboospring.http_client import HttpLost
 from bamboospring.promotion import Order
 from bamboospring.promotion import OrderKind
 from bamboospring.rendezvous import Placement
