--- a/bench/workers.py
+++ b/bench/workers.py
@@ -197,7 +197,13 @@
     """A run of bench/control.py with an entry-only process beside."""
 
     def __init__(self, seconds: float) -> None:
-        case = control.Case(groups=GROUPS, vms=VMS, watcher=False)
+        case = control.Case(
+            groups=GROUPS,
+            vms=VMS,
+            watcher=False,
+            steward=False,
+            wanted_groups=0,
+        )
         super().__init__(case, seconds)
         self._entry: dict[str, Any] = {}
 
