Watch a group for as long as work of it is left at a former holder

Cause: found while reading. A VM that other VMs replace as a holder stopped asking the group's targets at once, so that nothing it still had could be seen held by a majority: each commit of an open transaction ended as unknown, no_majority, although it was done, and writes that waited for a majority did so until their deadline. Ruled out: the pool and the transaction itself, which do go on. Change: the watcher keeps a group while a write or transaction of it is under way, and looks again every half second. Seen failing: transaction.feature 'The holder loses its place in the middle' on the code before (unknown, no_majority).

--- a/bamboospring/flights.py
+++ b/bamboospring/flights.py
@@ -58,6 +58,10 @@
             if flight.term < term:
                 flight.term_ended()
 
+    def has(self, group: str) -> bool:
+        """Tell whether something of a group is under way."""
+        return group in self._of_group
+
     def groups(self) -> list[str]:
         """Return the groups with something under way."""
         return list(self._of_group)
--- a/bamboospring/holder.py
+++ b/bamboospring/holder.py
@@ -71,6 +71,7 @@
         self._budget = budget or RetryBudget()
         exchange = Exchange(reactor=reactor)
         self._flights = Flights()
+        watcher.still_needed = self.has_work
         self.transactions = TransactionRunner(
             reactor=reactor,
             vm=board.me.name,
@@ -107,6 +108,12 @@
         """Return how much a graceful shutdown still has to wait for."""
         return self._running + len(self.transactions.table)
 
+    def has_work(self, group: str) -> bool:
+        """Tell whether a write or transaction of a group is under way."""
+        return self._flights.has(group) or any(
+            self.transactions.table.of_group(group)
+        )
+
     def run(self, stmt: Statement, done: OnOutcome) -> None:
         """Run a statement and call back once with what became of it."""
         self._running += 1
--- a/bamboospring/watcher.py
+++ b/bamboospring/watcher.py
@@ -56,6 +56,8 @@
 # replica's data is, and how far apart in seconds: they cover 6.4 s or more.
 SIGHTINGS = 128
 SIGHTING_INTERVAL = 0.05
+# How often a group that others hold now is looked at, while work is left.
+LINGER_CHECK = 0.5
 
 
 # Gets group, target, term and the judgement of that primary.
@@ -83,6 +85,7 @@
     suspected: bool = False
     report_at: float = -1e9
     hint_at: float = -1e9
+    lingers: bool = False
 
 
 class Watcher(BaseComponent):
@@ -108,6 +111,8 @@
         self.on_verdict: OnVerdict | None = None
         # Gets the group and term in which a steward has something to do.
         self.on_hint: Callable[[str, int], None] | None = None
+        # Says whether this process still has work of a group.
+        self.still_needed: Callable[[str], bool] = lambda name: False
 
     def wait_majority(
         self,
@@ -207,7 +212,7 @@
         holders = self._placement.holders(name)
         mine = any(vm.name == self._board.me.name for vm in holders)
         group = self._board.groups.get(name)
-        if not mine or group is None:
+        if group is None or not (mine or self._lingers(name)):
             watched = self._watched.pop(name, None)
             if watched is not None:
                 for poller in watched.pollers.values():
@@ -224,6 +229,27 @@
                 poller.start()
         self._release(watched)
 
+    def _lingers(self, name: str) -> bool:
+        """Tell whether a group is still watched though others hold it now.
+
+        A write under way or an open transaction ends here. Without this no
+        majority would ever be seen to hold it: its caller would be told
+        unknown of a commit that is done.
+        """
+        watched = self._watched.get(name)
+        if watched is None:
+            return False
+        if not (watched.waiting or self.still_needed(name)):
+            return False
+        if not watched.lingers:
+            watched.lingers = True
+            self._reactor.call_later(LINGER_CHECK, lambda: self._look(watched))
+        return True
+
+    def _look(self, watched: _Watched) -> None:
+        watched.lingers = False
+        self._follow(watched.group.record.name)
+
     def _note_primary(self, watched: _Watched) -> None:
         """Give a new primary the time to be heard as such.
 
--- a/features/steps/transaction_steps.py
+++ b/features/steps/transaction_steps.py
@@ -18,6 +18,7 @@
 from bamboospring.testing.fleet import Fleet
 from bamboospring.testing.fleet import TOKEN_KEYS
 from bamboospring.testing.fleet import wait_until
+from bamboospring.testing.operator import Operator
 from bamboospring.tokens import TokenCodec
 from bamboospring.tokens import TokenKey
 from bamboospring.tokens import TransactionHandle
@@ -148,6 +149,28 @@
     context.fleet.kill(context.holder)
 
 
+@when("a transaction has written a row and its holder is no holder any more")
+def when_holder_moves(context: Any) -> None:
+    begin_and_write(context)
+    fleet = context.fleet
+    fleet.publish_vms(leaving=[context.holder])
+
+    def seen() -> bool:
+        # A new write there is refused; a read would go elsewhere.
+        status = Operator(fleet=fleet, vm=context.holder).call(
+            "GET", "/status.json"
+        )
+        return bool(status["vms_revision"] > 1)
+
+    wait_until(seen, seconds=20, what="the new list at the holder")
+
+
+@then("its commit is done")
+def then_commit_done(context: Any) -> None:
+    answer = context.caller.commit(GROUP, context.handle)
+    assert answer.done, answer
+
+
 @then("its next statement is not_run with transaction_lost")
 def then_statement_lost(context: Any) -> None:
     answer = context.caller.statement(GROUP, context.handle, INSERT, [BODY])
--- a/features/transaction.feature
+++ b/features/transaction.feature
@@ -27,6 +27,16 @@
     And its commit is unknown with transaction_lost
     And the row is at no target, and another write goes through
 
+  Scenario: The holder loses its place in the middle
+    # VMs come and go, and groups get other holders for it. The one with the
+    # open transaction still runs its steps, and so it must still see what the
+    # targets hold: else each such commit ends as unknown, though it is done.
+    # So do writes that wait for a majority at that moment.
+    Given a transaction fleet
+    When a transaction has written a row and its holder is no holder any more
+    Then its commit is done
+    And exactly 1 row of it is at every target
+
   Scenario: The entry dies in the middle
     # An entry keeps nothing of a transaction. The caller goes on with its
     # handle through another one, and the commit has its effect once.
