--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -919,9 +919,11 @@
     lines += [
         "- anything on real VMs, over real networks, or with more than a "
         "few hundred processes; latencies between zones and regions",
-        "- several processes on one VM with more load than one load process gives",
+        "- several processes on one VM with more load than one load "
+        "process gives",
         "- callers that come back all at once after the loss of a zone",
-        "- times while regions are apart (what holds then is tested: regions.feature)",
+        "- times while regions are apart (what holds then is tested: "
+        "regions.feature)",
     ]
     return "\n".join(lines)
 
