List the limit exceeded by a lone VM that is cut off and replaced

A VM alone on its last list hears nobody in any case, so that it can't tell a cut from an outage of the platform; giving up its share then would stop a fleet of one in each outage. No product code changed.

--- a/features/exploration.feature
+++ b/features/exploration.feature
@@ -33,6 +33,14 @@
     When two VMs leave the list of three and one of them is cut off
     Then the limit of the target is kept until both are gone
 
+  Scenario: The only VM on the list is cut off and replaced
+    # Its last list names nobody but itself, so it hears nobody in any case and
+    # can't tell this from an outage of the platform. It goes on; the one that
+    # replaced it takes the whole limit once the grace time is over, and the
+    # target gets twice what it allows. Listed in KNOWN-RED.txt.
+    When the only VM on the list is cut off while another takes its place
+    Then the limit of the target is kept until both are gone
+
   Scenario: Majorities of edited targets are known to meet or not
     # An acknowledged write is at a majority of the old targets. If a majority
     # of the new ones could miss it, the group must not change its primary.
--- a/features/steps/exploration_steps.py
+++ b/features/steps/exploration_steps.py
@@ -53,6 +53,17 @@
     context.machine.disturb(kind="cut", name="a")
 
 
+@when("the only VM on the list is cut off while another takes its place")
+def replace_only(context: Any) -> None:
+    context.machine = SharesFleet()
+    context.machine.join_or_leave(name="a")
+    context.machine.join_or_leave(name="b")
+    context.machine.pass_time(seconds=5)
+    context.machine.disturb(kind="cut", name="c")
+    context.machine.join_or_leave(name="d")
+    context.machine.join_or_leave(name="c")
+
+
 @then("the limit of the target is kept until both are gone")
 def limit_kept(context: Any) -> None:
     for _ in range(10):
