--- a/bamboospring/admission.py
+++ b/bamboospring/admission.py
@@ -41,11 +41,15 @@
 
 @dataclass(slots=True, kw_only=True, eq=False)
 class Ticket:
-    """A statement that asked for a slot. `item` is the adapter's own."""
+    """A statement that asked for a slot. `item` is the adapter's own.
+
+    A lower `urgency` goes before all of a higher one.
+    """
 
     caller: str
     deadline: float
     item: Any
+    urgency: int = 0
     round: int = 0
     number: int = 0
 
@@ -53,9 +57,9 @@
         return self.key < other.key
 
     @property
-    def key(self) -> tuple[int, float, int]:
+    def key(self) -> tuple[int, int, float, int]:
         """Return what the queue is ordered by."""
-        return self.round, self.deadline, self.number
+        return self.urgency, self.round, self.deadline, self.number
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -153,6 +157,10 @@
             self.cancel(ticket)
         return [self._refuse(ticket, Reason.DEADLINE, now) for ticket in late]
 
+    def waits(self, ticket: Ticket) -> bool:
+        """Tell whether a ticket is in the queue."""
+        return ticket in self._queue
+
     def cancel(self, ticket: Ticket) -> None:
         """Take back a ticket that waits."""
         self._queue.remove(ticket)
--- a/bamboospring/blackboard.py
+++ b/bamboospring/blackboard.py
@@ -60,6 +60,7 @@
 
     `slots` is the number of statements that may execute at once and
     `connections` the number of statement connections, over all holders.
+    `born` tells one life of the target from the next where it is known.
     """
 
     name: str
@@ -68,6 +69,7 @@
     site: str
     slots: int = 3
     connections: int = 20
+    born: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/bamboospring/connections.py
+++ b/bamboospring/connections.py
@@ -12,8 +12,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
+from typing import Any
 from typing import Generic
 from typing import Protocol
 from typing import TypeVar
@@ -21,12 +23,16 @@
 __all__ = ["ConnectionTiming", "Connections"]
 
 NEVER = -1e9
+# A target that had no connection left is asked again after so many times the
+# usual pause: others give theirs up when their statement ends, not sooner.
+FULL_PAUSE = 2
 
 
 class Heard(Protocol):
     """A connection as far as this module needs it."""
 
     heard_at: float
+    used_at: float
 
 
 T = TypeVar("T", bound=Heard)
@@ -38,13 +44,18 @@
 
     `pace` is the usual time between two openings, `forgotten` how long a
     connection that went silent counts as open at a target that does not
-    confirm its end.
+    confirm its end, `scarce` how long a target that was full counts as such.
+    A connection that was not used for `idle` is closed, at a target that was
+    full lately after `idle_scarce`: others wait for it.
     """
 
     pace: float = 0.02
     heartbeat: float = 1.0
     heartbeat_timeout: float = 1.0
     forgotten: float = 60.0
+    scarce: float = 5.0
+    idle: float = float("inf")
+    idle_scarce: float = float("inf")
 
 
 @dataclass(slots=True, kw_only=True)
@@ -58,6 +69,7 @@
     _idle: list[T] = field(default_factory=list)
     _next_open_at: float = NEVER
     _silent: list[float] = field(default_factory=list)
+    _full_until: float = NEVER
 
     @property
     def total(self) -> int:
@@ -78,12 +90,23 @@
             self.open -= 1
         return closed
 
-    def take(self, now: float) -> T | None:
-        """Take the idle connection used last, if it was heard lately."""
+    def take(
+        self, now: float, merit: Callable[[Any], int] | None = None
+    ) -> T | None:
+        """Take the idle connection used last, if it was heard lately.
+
+        With `merit` the one of the highest merit is taken, of equals the
+        one used last.
+        """
         oldest = now - 2 * self.timing.heartbeat
-        if self._idle and self._idle[-1].heard_at >= oldest:
+        if not self._idle or self._idle[-1].heard_at < oldest:
+            return None
+        if merit is None or len(self._idle) == 1:
             return self._idle.pop()
-        return None
+        fit = [c for c in self._idle if c.heard_at >= oldest]
+        best = max(reversed(fit), key=merit)
+        self._idle.remove(best)
+        return best
 
     def give_back(self, conn: T) -> bool:
         """Put a connection back; False if it has to be closed."""
@@ -131,6 +154,17 @@
         self.opening += 1
         self._next_open_at = now + self.timing.pace * (0.5 + draw)
 
+    def target_full(self, now: float) -> None:
+        """Note that the target itself allows no more connections now."""
+        self._full_until = now + self.timing.scarce
+        self._next_open_at = max(
+            self._next_open_at, now + FULL_PAUSE * self.timing.pace
+        )
+
+    def is_scarce(self, now: float) -> bool:
+        """Tell whether the target's connections were used up lately."""
+        return now < self._full_until
+
     def opened(self, conn: T) -> bool:
         """Take a new connection in; False if it has to be closed."""
         self.opening -= 1
@@ -148,6 +182,19 @@
         self._idle = [conn for conn in self._idle if conn.heard_at > oldest]
         return due
 
+    def expired(self, now: float) -> list[T]:
+        """Take out the idle connections that are to be closed now."""
+        timing = self.timing
+        limit = timing.idle_scarce if self.is_scarce(now) else timing.idle
+        oldest = now - limit
+        out = [conn for conn in self._idle if conn.used_at < oldest]
+        if out:
+            self._idle = [
+                conn for conn in self._idle if conn.used_at >= oldest
+            ]
+            self.open -= len(out)
+        return out
+
     def suspect_idle(self) -> None:
         """Have all idle connections checked before they are used."""
         for conn in self._idle:
--- a/bamboospring/lease.py
+++ b/bamboospring/lease.py
@@ -95,6 +95,10 @@
     ) -> None:
         self.bucket = bucket
         self.valid_until = NEVER
+        # The version of the object with which this holding began. Versions
+        # only grow, so orders under it are told from those of any other
+        # holding, also one by the same VM.
+        self.fence = 0
         self._vm = vm
         self._nonce = nonce
         self._timing = timing
@@ -227,8 +231,11 @@
         self._unsure.clear()
         if seen.value.vm != self._vm or not self._is_mine():
             self.valid_until = NEVER
+            self.fence = 0
             self._next_at = self._next_look(now)
             return
+        if not self.fence or now >= self.valid_until:
+            self.fence = seen.version
         if sent_at is not None:
             self.valid_until = sent_at + seen.value.duration
             self._next_at = sent_at + self._timing.renew
--- a/bamboospring/lease_client.py
+++ b/bamboospring/lease_client.py
@@ -24,7 +24,13 @@
 from bamboospring.reactor import Reactor
 from bamboospring.rendezvous import BUCKETS
 
-__all__ = ["Leases"]
+__all__ = [
+    "Leases",
+    "Result",
+    "encode_lease",
+    "read_lease",
+    "report_to_keeper",
+]
 
 CALL_TIMEOUT = 1.0
 
@@ -77,7 +83,7 @@
 
         def on_result(result: Result) -> None:
             now = self._reactor.now()
-            _report(keeper, action, result, sent_at, now)
+            report_to_keeper(keeper, action, result, sent_at, now)
             self._board.leases[keeper.bucket] = keeper.as_lease()
 
         match action:
@@ -90,35 +96,37 @@
                     "lease",
                     name,
                     action.if_version,
-                    _encode(action.value),
+                    encode_lease(action.value),
                     purpose,
                     on_result,
                     timeout=CALL_TIMEOUT,
                 )
 
 
-def _report(
+def report_to_keeper(
     keeper: LeaseKeeper,
     action: LeaseAction,
     result: Result,
     sent_at: float,
     now: float,
 ) -> None:
+    """Tell the keeper what became of its call."""
     match result:
         case Stored() if isinstance(action, WriteLease):
             keeper.stored(sent_at, now, action, result.version)
         case Found():
-            keeper.read(sent_at, now, _seen(result.version, result.value))
+            keeper.read(sent_at, now, read_lease(result.version, result.value))
         case Missing():
-            keeper.read(sent_at, now, _seen(0, None))
+            keeper.read(sent_at, now, read_lease(0, None))
         case Conflict():
-            seen = _seen(result.version, result.value)
+            seen = read_lease(result.version, result.value)
             keeper.conflicted(sent_at, now, seen)
         case _:
             keeper.unanswered(sent_at, now, action)
 
 
-def _encode(value: LeaseValue) -> dict[str, Any]:
+def encode_lease(value: LeaseValue) -> dict[str, Any]:
+    """Return the value to store."""
     return {
         "vm": value.vm,
         "nonce": value.nonce,
@@ -126,7 +134,8 @@
     }
 
 
-def _seen(version: int, raw: Any) -> SeenLease:
+def read_lease(version: int, raw: Any) -> SeenLease:
+    """Read a stored lease; what is none counts as given up."""
     raw = raw if isinstance(raw, dict) else {}
     value = LeaseValue(
         vm=str(raw.get("vm", "")),
--- a/bamboospring/logs.py
+++ b/bamboospring/logs.py
@@ -19,6 +19,7 @@
 from datetime import timezone
 from enum import IntEnum
 import json
+import os
 import re
 import sys
 import time
@@ -26,7 +27,17 @@
 
 import eliot
 
-__all__ = ["Level", "configure", "enabled", "log_event"]
+__all__ = [
+    "Level",
+    "LineSink",
+    "configure",
+    "configure_node",
+    "enabled",
+    "flush",
+    "left_out",
+    "log_event",
+    "wanted",
+]
 
 
 class Level(IntEnum):
@@ -72,6 +83,114 @@
     return level >= _threshold
 
 
+def configure_node(*, level: str, vm: str) -> None:
+    """Log to standard output, bounded and without ever waiting for it."""
+    global _sink
+    if _sink is None:
+        _sink = LineSink(fd=sys.stdout.fileno())
+    configure(level=level, write=_sink.write, vm=vm)
+
+
+def wanted(name: str, level: Level) -> bool:
+    """Tell whether one more event of a name is within this second's bound.
+
+    Under load there are thousands of a kind. What went well is left out
+    first; a later line of the same name says how many were.
+    """
+    if level < _threshold:
+        return False
+    return _bounds.allow(name, level, time.monotonic())
+
+
+def left_out() -> int:
+    """Return how many lines were left out since the start."""
+    lost = _sink.dropped if _sink is not None else 0
+    return _bounds.total + lost
+
+
+def flush() -> None:
+    """Write what is still held back, as far as it is taken."""
+    if _sink is not None:
+        _sink.flush()
+
+
+class _Bounds:
+    """How many lines of each name may be written in a second."""
+
+    # Lines a second of one name: of what went well enough to see the usual
+    # case, of what did not as many as a person can be expected to need.
+    GOOD = 5
+    BAD = 100
+
+    def __init__(self) -> None:
+        self.total = 0
+        self._second = 0
+        self._counts: dict[tuple[str, bool], int] = {}
+
+    def allow(self, name: str, level: Level, now: float) -> bool:
+        if int(now) != self._second:
+            self._begin_second(int(now))
+        bad = level >= Level.WARNING
+        key = (name, bad)
+        count = self._counts[key] = self._counts.get(key, 0) + 1
+        return count <= (self.BAD if bad else self.GOOD)
+
+    def _begin_second(self, second: int) -> None:
+        counts, self._counts = self._counts, {}
+        self._second = second
+        for (name, bad), count in counts.items():
+            over = count - (self.BAD if bad else self.GOOD)
+            if over > 0:
+                self.total += over
+                log_event("left_out", of=name, bad=bad, lines=over)
+
+
+class LineSink:
+    """Writes lines to a descriptor and never waits for its reader.
+
+    A reader that has stopped fills the pipe; a process that then waited in a
+    write would keep every caller waiting. What does not fit is held up to a
+    bound, and then dropped and counted.
+    """
+
+    MOST_HELD = 256 * 1024
+    WRITE_AT_ONCE = 16 * 1024
+
+    def __init__(self, *, fd: int) -> None:
+        self.dropped = 0
+        self._fd = fd
+        self._held = bytearray()
+        os.set_blocking(fd, False)
+
+    def write(self, line: str) -> None:
+        """Take one line with its newline."""
+        data = line.encode("utf-8", "replace")
+        if len(self._held) + len(data) > self.MOST_HELD:
+            self.dropped += 1
+            return
+        self._held += data
+        self.flush()
+
+    def flush(self) -> None:
+        """Write as much as is taken now."""
+        while self._held:
+            try:
+                sent = os.write(self._fd, self._held[: self.WRITE_AT_ONCE])
+            except BlockingIOError:
+                return
+            except OSError:
+                # Whoever reads is gone. Serving goes on: a proxy that stops
+                # because its log pipe broke would cut every caller.
+                self.dropped += self._held.count(b"\n")
+                self._held.clear()
+                return
+            del self._held[:sent]
+
+
+_bounds = _Bounds()
+_sink: LineSink | None = None
+
+
 def log_event(
     name: str, /, *, level: Level = Level.INFO, **fields: Any
 ) -> None:
--- a/bamboospring/metrics.py
+++ b/bamboospring/metrics.py
@@ -219,6 +219,10 @@
         """Return all metrics as they are now."""
         yield self._durations()
         yield from self._by_group()
+        yield from self.sources()
+
+    def sources(self) -> Iterator[Series]:
+        """Return what is watched, without what callers got."""
         for source in self._sources:
             yield Series(
                 name=source.name,
--- /dev/null
+++ b/bamboospring/platform/outside.py
@@ -0,0 +1,57 @@
+"""The adapters of this platform, as a VM that serves sessions takes them."""
+
+from __future__ import annotations
+
+from bamboospring.blackboard import Target
+from bamboospring.platform.caller_lines import CallerServer
+from bamboospring.platform.entries import CATALOG_KIND
+from bamboospring.platform.entries import CATALOG_NAME
+from bamboospring.platform.entries import read_catalog
+from bamboospring.platform.entries import read_target
+from bamboospring.platform.entries import TARGET_KIND
+from bamboospring.platform.orders import Promotions
+from bamboospring.platform.store import StoreDialect
+from bamboospring.platform.target_lines import LineDialer
+from bamboospring.reactor import Reactor
+from bamboospring.sessions.outside import Admit
+from bamboospring.sessions.outside import MakeSession
+from bamboospring.sessions.outside import Outside
+
+__all__ = ["make_outside"]
+
+READINESS_PATH = "/api/readiness"
+
+
+def make_outside() -> Outside:
+    """Return the adapters."""
+    return Outside(
+        dialect=StoreDialect(),
+        catalog_kind=CATALOG_KIND,
+        catalog_name=CATALOG_NAME,
+        target_kind=TARGET_KIND,
+        readiness_path=READINESS_PATH,
+        read_catalog=read_catalog,
+        read_target=read_target,
+        make_dialer=_make_dialer,
+        make_orders=_make_orders,
+        make_listener=_make_listener,
+    )
+
+
+def _make_dialer(reactor: Reactor, target: Target, group: str) -> LineDialer:
+    return LineDialer(reactor=reactor, target=target, service=group)
+
+
+def _make_orders(reactor: Reactor, address: str) -> Promotions:
+    return Promotions(reactor=reactor, address=address)
+
+
+def _make_listener(
+    reactor: Reactor, address: str, admit: Admit, make_session: MakeSession
+) -> CallerServer:
+    return CallerServer(
+        reactor=reactor,
+        address=address,
+        admit=admit,
+        make_session=make_session,
+    )
--- a/bamboospring/platform_client.py
+++ b/bamboospring/platform_client.py
@@ -21,12 +21,26 @@
 from http import HTTPStatus
 import random
 from typing import Any
+from typing import TypeVar
 
 import orjson
 
 from bamboospring.http_client import HttpAnswer
 from bamboospring.http_client import HttpClient
 from bamboospring.http_client import HttpLost
+from bamboospring import logs
+from bamboospring.object_store import Call
+from bamboospring.object_store import Changes
+from bamboospring.object_store import Conflict
+from bamboospring.object_store import Deleted
+from bamboospring.object_store import Found
+from bamboospring.object_store import HistoryLost
+from bamboospring.object_store import Missing
+from bamboospring.object_store import ObjectDialect
+from bamboospring.object_store import OwnDialect
+from bamboospring.object_store import Rejected
+from bamboospring.object_store import Stored
+from bamboospring.object_store import Unavailable
 from bamboospring.reactor import Reactor
 
 __all__ = [
@@ -35,7 +49,9 @@
     "CallTiming",
     "Changes",
     "Conflict",
+    "Deleted",
     "Found",
+    "HistoryLost",
     "Missing",
     "PlatformClient",
     "Rejected",
@@ -58,72 +74,7 @@
 
 SERVER_ERRORS = 500
 
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Found:
-    """An object as the platform has it."""
-
-    kind: str
-    name: str
-    version: int
-    value: Any
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Missing:
-    """There is no such object."""
-
-    kind: str
-    name: str
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Stored:
-    """The conditional update was done; the object has this version now."""
-
-    version: int
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Conflict:
-    """Nothing was stored: the object is at another version.
-
-    Version 0 without a value means that there is no object.
-    """
-
-    version: int
-    value: Any
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Rejected:
-    """The platform refuses the value itself, for example as too large."""
-
-    status: int
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Unavailable:
-    """No answer that tells anything.
-
-    `maybe_applied` is true where an update may have taken effect, or may
-    still do so. `retry_after` is in seconds; a call before then is refused.
-    """
-
-    maybe_applied: bool
-    retry_after: float
-    reason: str = ""
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Changes:
-    """Objects of a kind; deleted ones have version 0 and no value.
-
-    `revision` is where the next watch goes on from.
-    """
-
-    objects: tuple[Found, ...]
-    revision: int
+T = TypeVar("T")
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -155,11 +106,14 @@
 
     `timeout` bounds a call from when it is sent; the pause after a failed
     call starts at `first_backoff` and doubles up to `longest_backoff`.
+    `watch_margin` is how much later than its waiting time a watch may be
+    answered before its connection is taken for silent.
     """
 
     timeout: float = 2.0
     first_backoff: float = FIRST_BACKOFF
     longest_backoff: float = 5.0
+    watch_margin: float = WATCH_MARGIN
 
 
 @dataclass(slots=True, kw_only=True)
@@ -230,8 +184,10 @@
         address: str,
         timing: CallTiming = CallTiming(),
         chance: Callable[[], float] = random.random,
+        dialect: ObjectDialect = OwnDialect(),
     ) -> None:
         self.counts: dict[str, CallCounts] = {}
+        self._dialect = dialect
         self._reactor = reactor
         self._address = address
         self._timing = timing
@@ -256,10 +212,11 @@
                 case HttpAnswer(status=HTTPStatus.NOT_FOUND):
                     on_result(Missing(kind=kind, name=name))
                 case HttpAnswer():
-                    on_result(_found(orjson.loads(answer.body)))
+                    read = self._dialect.found
+                    on_result(self._read(lambda: read(answer.body)))
 
-        path = f"/objects/{kind}/{name}"
-        self._call("GET", path, purpose, b"", timeout, answered)
+        call = self._dialect.get(kind, name)
+        self._call(call, purpose, timeout, answered)
 
     def put(
         self,
@@ -284,22 +241,48 @@
             match answer:
                 case Unavailable():
                     on_result(answer)
-                case HttpAnswer(status=HTTPStatus.OK):
-                    body = orjson.loads(answer.body)
-                    on_result(Stored(version=body["version"]))
+                case HttpAnswer(status=HTTPStatus.OK | HTTPStatus.CREATED):
+                    read = dialect.stored
+                    on_result(self._read(lambda: read(answer.body)))
                 case HttpAnswer(
                     status=HTTPStatus.NOT_FOUND | HTTPStatus.CONFLICT
                 ):
-                    body = orjson.loads(answer.body)
+                    status, body = answer.status, answer.body
                     on_result(
-                        Conflict(version=body["version"], value=body["value"])
+                        self._read(lambda: dialect.conflict(status, body))
                     )
                 case HttpAnswer():
                     on_result(Rejected(status=answer.status))
 
-        path = f"/objects/{kind}/{name}"
-        body = orjson.dumps({"if_version": if_version, "value": value})
-        self._call("PUT", path, purpose, body, timeout, answered)
+        dialect = self._dialect
+        call = dialect.put(kind, name, if_version, value)
+        self._call(call, purpose, timeout, answered)
+
+    def delete(
+        self,
+        kind: str,
+        name: str,
+        if_version: int,
+        purpose: str,
+        on_result: Callable[[Deleted | Conflict | Unavailable], None],
+    ) -> None:
+        """Remove an object if it is at `if_version`."""
+
+        def answered(answer: HttpAnswer | Unavailable) -> None:
+            match answer:
+                case Unavailable():
+                    on_result(answer)
+                case HttpAnswer(status=HTTPStatus.CONFLICT):
+                    status, body = answer.status, answer.body
+                    on_result(
+                        self._read(lambda: dialect.conflict(status, body))
+                    )
+                case HttpAnswer():
+                    on_result(Deleted())
+
+        dialect = self._dialect
+        call = dialect.delete(kind, name, if_version)
+        self._call(call, purpose, None, answered)
 
     def list(
         self,
@@ -309,11 +292,36 @@
         *,
         timeout: float | None = None,
     ) -> None:
-        """Read all objects of a kind."""
-        path = f"/objects/{kind}"
+        """Read all objects of a kind, however many pages they fill.
+
+        The result is of the revision of the first page: a watch from there
+        brings again what changed while the others were read.
+        """
         timeout = timeout or LIST_FACTOR * self._timing.timeout
-        answered = _changes_to(on_result)
-        self._call("GET", path, purpose, b"", timeout, answered)
+        objects: list[Found] = []
+        revision = 0
+
+        def answered(answer: HttpAnswer | Unavailable) -> None:
+            nonlocal revision
+            if isinstance(answer, Unavailable):
+                on_result(answer)
+                return
+            page = self._read(lambda: dialect.page(kind, answer.body))
+            if isinstance(page, Unavailable):
+                on_result(page)
+                return
+            objects.extend(page.changes.objects)
+            revision = revision or page.changes.revision
+            if page.after:
+                ask(page.after)
+                return
+            on_result(Changes(objects=tuple(objects), revision=revision))
+
+        def ask(after: str) -> None:
+            self._call(dialect.list(kind, after), purpose, timeout, answered)
+
+        dialect = self._dialect
+        ask("")
 
     def watch(
         self,
@@ -321,18 +329,28 @@
         after: int,
         wait_ms: int,
         purpose: str,
-        on_result: Callable[[Changes | Unavailable], None],
+        on_result: Callable[[Changes | HistoryLost | Unavailable], None],
     ) -> None:
         """Wait for objects that changed after a revision.
 
         The call waits on a connection of its own, so that it holds up no
         other call of its purpose.
         """
-        path = f"/watch/{kind}?after={after}&wait_ms={wait_ms}"
-        timeout = wait_ms / 1000 + WATCH_MARGIN
+
+        def answered(answer: HttpAnswer | Unavailable) -> None:
+            match answer:
+                case Unavailable():
+                    on_result(answer)
+                case HttpAnswer(status=HTTPStatus.GONE):
+                    on_result(HistoryLost())
+                case HttpAnswer():
+                    read = self._dialect.events
+                    on_result(self._read(lambda: read(kind, answer.body)))
+
+        timeout = wait_ms / 1000 + self._timing.watch_margin
         lane = f"{purpose}/watch/{kind}"
-        answered = _changes_to(on_result)
-        self._call("GET", path, lane, b"", timeout, answered)
+        call = self._dialect.watch(kind, after, wait_ms)
+        self._call(call, lane, timeout, answered)
 
     def vms(
         self,
@@ -354,19 +372,34 @@
                     on_result(VmsFound(revision=body["revision"], vms=vms))
 
         path = f"/vms?after={after}" if after else "/vms"
-        self._call("GET", path, purpose, b"", timeout, answered)
+        call = Call(method="GET", path=path)
+        self._call(call, purpose, timeout, answered)
 
     def close(self) -> None:
         """Close all connections; calls under way end as unavailable."""
         for lane in self._lanes.values():
             lane.client.close()
 
+    def _read(self, read: Callable[[], T]) -> T | Unavailable:
+        """Read a body; one that can't be read tells nothing."""
+        try:
+            return read()
+        except (ValueError, KeyError, TypeError) as exc:
+            logs.log_event(
+                "platform_answer_unreadable",
+                level=logs.Level.WARNING,
+                reason=f"{type(exc).__name__}: {exc}",
+            )
+            return Unavailable(
+                maybe_applied=True,
+                retry_after=self._timing.first_backoff,
+                reason="unreadable",
+            )
+
     def _call(
         self,
-        method: str,
-        path: str,
+        call: Call,
         purpose: str,
-        body: bytes,
         timeout: float | None,
         on_answer: OnAnswer,
     ) -> None:
@@ -381,14 +414,16 @@
 
         def answered(answer: HttpAnswer | HttpLost) -> None:
             lane.busy = False
-            judged = self._judge(lane, counts, method, answer)
+            judged = self._judge(lane, counts, call.method, answer)
             self._send_next(lane)
             on_answer(judged)
 
         def send() -> None:
             counts.calls += 1
-            header = f"X-Purpose: {_counted_as(purpose)}\r\n"
-            lane.client.request(method, path, body, limit, answered, header)
+            header = self._dialect.header(_counted_as(purpose))
+            lane.client.request(
+                call.method, call.path, call.body, limit, answered, header
+            )
 
         if len(lane.waiting) >= MAX_WAITING:
             refuse(_held(FIRST_BACKOFF))
@@ -459,27 +494,3 @@
 
 def _counted_as(purpose: str) -> str:
     return purpose.partition("/")[0]
-
-
-def _found(body: dict[str, Any]) -> Found:
-    return Found(
-        kind=body["kind"],
-        name=body["name"],
-        version=body["version"],
-        value=body["value"],
-    )
-
-
-def _changes_to(
-    on_result: Callable[[Changes | Unavailable], None],
-) -> OnAnswer:
-    def answered(answer: HttpAnswer | Unavailable) -> None:
-        match answer:
-            case Unavailable():
-                on_result(answer)
-            case HttpAnswer():
-                body = orjson.loads(answer.body)
-                objects = tuple(_found(item) for item in body["objects"])
-                on_result(Changes(objects=objects, revision=body["revision"]))
-
-    return answered
--- a/bamboospring/platform_watch.py
+++ b/bamboospring/platform_watch.py
@@ -14,8 +14,10 @@
 
 from bamboospring.blackboard import Blackboard
 from bamboospring.fact_store import FactStore
+from bamboospring import logs
 from bamboospring.platform_client import Changes
 from bamboospring.platform_client import Found
+from bamboospring.platform_client import HistoryLost
 from bamboospring.platform_client import PlatformClient
 from bamboospring.platform_client import Unavailable
 from bamboospring.platform_client import VmsFound
@@ -97,12 +99,18 @@
             self._answered,
         )
 
-    def _answered(self, result: Changes | Unavailable) -> None:
+    def _answered(self, result: Changes | HistoryLost | Unavailable) -> None:
         self._busy = False
         match result:
             case Changes():
                 self._take(result)
                 self._next()
+            case HistoryLost():
+                # What changed meanwhile will never come by a watch, so all
+                # is read anew.
+                logs.log_event("history_lost", kind=self.kind)
+                self.listed = False
+                self._next()
             case Unavailable():
                 self._tell_listed(False)
                 wait = max(RETRY_DELAY, result.retry_after)
--- a/bamboospring/pool.py
+++ b/bamboospring/pool.py
@@ -19,8 +19,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 import random
-
-import orjson
+from typing import Generic
 
 from bamboospring.admission import Admission
 from bamboospring.admission import Refused
@@ -32,18 +31,28 @@
 from bamboospring.breaker import Breaker
 from bamboospring.connections import Connections
 from bamboospring.connections import ConnectionTiming
-from bamboospring.http_client import HttpAnswer
-from bamboospring.http_client import HttpConnection
-from bamboospring.http_client import HttpLost
 from bamboospring.outcomes import NotRun
 from bamboospring.outcomes import Overloaded
 from bamboospring.outcomes import Reason
 from bamboospring.reactor import Reactor
 from bamboospring.reactor import Timer
 from bamboospring.shares import Units
-from bamboospring.terminations import Terminations
-
-__all__ = ["Leased", "Pool", "PoolCounters", "PoolTiming", "Pools"]
+from bamboospring.target_link import Dialer
+from bamboospring.target_link import Health
+from bamboospring.target_link import LinkT
+from bamboospring.target_link import Opened
+from bamboospring.target_link import OpenFailed
+
+__all__ = [
+    "Asked",
+    "Leased",
+    "MakeDialer",
+    "Merit",
+    "Pool",
+    "PoolCounters",
+    "PoolTiming",
+    "Pools",
+]
 
 CONNECT_TIMEOUT = 1.0
 RETRY_SOON_MS = 100
@@ -54,7 +63,6 @@
     """Times of all pools, in seconds."""
 
     tick: float = 0.25
-    idle_transaction: float = 35.0
     connect_timeout: float = CONNECT_TIMEOUT
     connections: ConnectionTiming = field(default_factory=ConnectionTiming)
 
@@ -66,11 +74,12 @@
     opened: int = 0
     failed: int = 0
     dead: int = 0
+    full: int = 0
     refused: int = 0
 
 
 @dataclass(slots=True, kw_only=True, eq=False)
-class Leased:
+class Leased(Generic[LinkT]):
     """A statement connection in the hands of one statement.
 
     `slot` and `gate` are the tickets that it holds, `heard_at` is when the
@@ -80,8 +89,9 @@
     """
 
     target: Target
-    conn: HttpConnection
+    conn: LinkT
     heard_at: float = 0.0
+    used_at: float = 0.0
     leased_at: float = 0.0
     slot: Ticket | None = None
     gate: Ticket | None = None
@@ -89,23 +99,38 @@
     number: int = 0
 
 
-OnReady = Callable[[Leased | NotRun | Overloaded], None]
+OnReady = Callable[[Leased[LinkT] | NotRun | Overloaded], None]
+# How well a connection suits a statement; the highest is taken.
+Merit = Callable[[LinkT], int]
+
+
+MakeDialer = Callable[[Target, Callable[[list[int]], None]], Dialer[LinkT]]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Asked:
+    """What was asked of a pool; `withdraw` forgets it while it waits."""
+
+    withdraw: Callable[[], None]
 
 
 @dataclass(slots=True, kw_only=True, eq=False)
-class _Asking:
+class _Asking(Generic[LinkT]):
     """A statement on its way to a connection."""
 
     caller: str
     deadline: float
-    on_ready: OnReady
+    on_ready: OnReady[LinkT]
+    urgency: int = 0
+    merit: Merit[LinkT] | None = None
     gate: Ticket | None = None
     slot: Ticket | None = None
-    leased: Leased | None = None
+    ticket: Ticket | None = None
+    leased: Leased[LinkT] | None = None
     timer: Timer | None = None
 
 
-class Pool:
+class Pool(Generic[LinkT]):
     """The connections of one holder to one target."""
 
     def __init__(
@@ -113,7 +138,7 @@
         *,
         reactor: Reactor,
         target: Target,
-        vm: str,
+        make_dialer: MakeDialer[LinkT],
         queue_limit: int,
         timing: PoolTiming,
         chance: Callable[[], float],
@@ -121,24 +146,23 @@
         self.target = target
         self.counters = PoolCounters()
         self.breaker = Breaker()
+        # The last opening was refused at once: no process listens there.
+        self.port_closed = False
         self._reactor = reactor
-        self._vm = vm
         self._timing = timing
         self._chance = chance
+        self._dialer = make_dialer(target, self._on_ended)
         self._share = Units()
         self._slots = Admission(slots=0, queue_limit=queue_limit)
         self._gate = Admission(slots=0, queue_limit=queue_limit)
-        self._connections = Connections[Leased](timing=timing.connections)
-        self._needing: deque[_Asking] = deque()
-        self._leased: set[Leased] = set()
-        self._pinned: set[Leased] = set()
+        self._connections = Connections[Leased[LinkT]](
+            timing=timing.connections
+        )
+        self._needing: deque[_Asking[LinkT]] = deque()
+        self._leased: set[Leased[LinkT]] = set()
+        self._pinned: set[Leased[LinkT]] = set()
         self._opener: Timer | None = None
         self._silent: set[int] = set()
-        self._terminations = Terminations(
-            reactor=reactor,
-            address=target.address,
-            on_ended=self._on_ended,
-        )
 
     @property
     def used(self) -> Units:
@@ -174,12 +198,20 @@
         self,
         caller: str,
         deadline: float,
-        on_ready: OnReady,
+        on_ready: OnReady[LinkT],
         *,
         writes: bool,
-    ) -> None:
+        urgency: int = 0,
+        merit: Merit[LinkT] | None = None,
+    ) -> Asked:
         """Call back with a connection, or with why there is none."""
-        asking = _Asking(caller=caller, deadline=deadline, on_ready=on_ready)
+        asking = _Asking[LinkT](
+            caller=caller,
+            deadline=deadline,
+            on_ready=on_ready,
+            urgency=urgency,
+            merit=merit,
+        )
         refusal = self._refusal()
         if refusal is not None:
             self.counters.refused += 1
@@ -188,8 +220,9 @@
             self._submit(self._gate, asking)
         else:
             self._submit(self._slots, asking)
+        return Asked(withdraw=lambda: self._withdraw(asking))
 
-    def release(self, leased: Leased, *, healthy: bool) -> None:
+    def release(self, leased: Leased[LinkT], *, healthy: bool) -> None:
         """Give a connection back; one in doubt is closed."""
         if leased not in self._leased:
             return
@@ -202,7 +235,7 @@
             self._gate.finished(leased.gate, seconds)
             leased.gate = None
         if healthy and leased.conn.usable:
-            leased.heard_at = now
+            leased.heard_at = leased.used_at = now
             keep = self._connections.give_back(leased)
             if not keep:
                 leased.conn.close()
@@ -216,17 +249,21 @@
         self._apply_share()
         self._serve()
 
-    def park(self, leased: Leased) -> None:
+    def park(self, leased: Leased[LinkT]) -> None:
         """Keep a transaction's connection and give its slot back."""
         self._pinned.add(leased)
         self._free_slot(leased, self._reactor.now())
         self._serve()
 
     def resume(
-        self, leased: Leased, caller: str, deadline: float, on_ready: OnReady
+        self,
+        leased: Leased[LinkT],
+        caller: str,
+        deadline: float,
+        on_ready: OnReady[LinkT],
     ) -> None:
         """Get a slot again for the next statement of a transaction."""
-        asking = _Asking(
+        asking = _Asking[LinkT](
             caller=caller, deadline=deadline, on_ready=on_ready, leased=leased
         )
         self._submit(self._slots, asking)
@@ -247,10 +284,10 @@
         for leased in list(self._leased):
             leased.conn.close()
 
-    def _give_up(self, leased: Leased) -> None:
+    def _give_up(self, leased: Leased[LinkT]) -> None:
         """Close a connection in doubt, at the target as well."""
         leased.conn.close()
-        self._terminations.end(leased.number)
+        self._dialer.end(leased.number)
 
     def _on_ended(self, numbers: list[int]) -> None:
         ended = self._silent.intersection(numbers)
@@ -287,16 +324,20 @@
             retry_after_ms=max(RETRY_SOON_MS, int(left * 1000)),
         )
 
-    def _submit(self, admission: Admission, asking: _Asking) -> None:
+    def _submit(self, admission: Admission, asking: _Asking[LinkT]) -> None:
         ticket = Ticket(
-            caller=asking.caller, deadline=asking.deadline, item=asking
+            caller=asking.caller,
+            deadline=asking.deadline,
+            urgency=asking.urgency,
+            item=asking,
         )
+        asking.ticket = ticket
         now = self._reactor.now()
         self._take(admission.submit(ticket, now), admission)
 
     def _take(self, verdicts: list[Verdict], admission: Admission) -> None:
         for verdict in verdicts:
-            asking: _Asking = verdict.ticket.item
+            asking: _Asking[LinkT] = verdict.ticket.item
             match verdict:
                 case Run(ticket=ticket):
                     self._stop_timer(asking)
@@ -310,7 +351,7 @@
                     asking.on_ready(outcome)
 
     def _granted(
-        self, asking: _Asking, ticket: Ticket, admission: Admission
+        self, asking: _Asking[LinkT], ticket: Ticket, admission: Admission
     ) -> None:
         if admission is self._gate:
             asking.gate = ticket
@@ -329,8 +370,22 @@
                     max(0.0, left), lambda: self._needed_too_long(asking)
                 )
 
+    def _withdraw(self, asking: _Asking[LinkT]) -> None:
+        """Forget an asking whose caller has gone, wherever it waits."""
+        self._stop_timer(asking)
+        if asking in self._needing:
+            self._needing.remove(asking)
+            self._give_slot_back(asking)
+            self._serve()
+            return
+        ticket = asking.ticket
+        for admission in (self._gate, self._slots):
+            if ticket is not None and admission.waits(ticket):
+                admission.cancel(ticket)
+                self._give_gate_back(asking)
+
     def _start_timer(
-        self, asking: _Asking, ticket: Ticket, admission: Admission
+        self, asking: _Asking[LinkT], ticket: Ticket, admission: Admission
     ) -> None:
         def late() -> None:
             self._take(admission.expire(self._reactor.now()), admission)
@@ -338,17 +393,17 @@
         left = asking.deadline - self._reactor.now()
         asking.timer = self._reactor.call_later(max(0.0, left), late)
 
-    def _stop_timer(self, asking: _Asking) -> None:
+    def _stop_timer(self, asking: _Asking[LinkT]) -> None:
         if asking.timer is not None:
             asking.timer.cancel()
             asking.timer = None
 
-    def _free_slot(self, leased: Leased, now: float) -> None:
+    def _free_slot(self, leased: Leased[LinkT], now: float) -> None:
         if leased.slot is not None:
             self._slots.finished(leased.slot, now - leased.leased_at)
             leased.slot = None
 
-    def _give_gate_back(self, asking: _Asking) -> None:
+    def _give_gate_back(self, asking: _Asking[LinkT]) -> None:
         if asking.gate is not None:
             self._gate.finished(asking.gate, self._gate.estimate)
             asking.gate = None
@@ -367,7 +422,8 @@
         """Give waiting statements open connections, and open new ones."""
         now = self._reactor.now()
         while self._needing:
-            leased = self._connections.take(now)
+            merit = self._needing[0].merit
+            leased = self._connections.take(now, merit and _by_link(merit))
             if leased is None:
                 break
             if not leased.conn.usable:
@@ -378,7 +434,7 @@
             self._check_idle()
             self._open_or_wait(now)
 
-    def _needed_too_long(self, asking: _Asking) -> None:
+    def _needed_too_long(self, asking: _Asking[LinkT]) -> None:
         asking.timer = None
         if asking in self._needing:
             self._needing.remove(asking)
@@ -388,13 +444,13 @@
             )
             self._serve()
 
-    def _give_slot_back(self, asking: _Asking) -> None:
+    def _give_slot_back(self, asking: _Asking[LinkT]) -> None:
         if asking.slot is not None:
             self._slots.finished(asking.slot, self._slots.estimate)
             asking.slot = None
         self._give_gate_back(asking)
 
-    def _hand(self, asking: _Asking, leased: Leased) -> None:
+    def _hand(self, asking: _Asking[LinkT], leased: Leased[LinkT]) -> None:
         self._stop_timer(asking)
         leased.slot = asking.slot
         if asking.gate is not None:
@@ -423,38 +479,40 @@
         self._supply()
 
     def _open(self) -> None:
-        conn = HttpConnection(
-            reactor=self._reactor, address=self.target.address
-        )
-        timeout = self._timing.connect_timeout
-
-        def opened(ok: bool) -> None:
-            if not ok:
-                self._open_failed()
-                return
-            body = self._hello()
-            conn.request("POST", "/connect", body, timeout, answered)
-
-        def answered(answer: HttpAnswer | HttpLost) -> None:
-            if isinstance(answer, HttpLost) or answer.status != 200:
-                conn.close()
-                self._open_failed()
-                return
-            self._opened(conn, _number(answer))
-
-        conn.connect(timeout, opened)
-
-    def _hello(self) -> bytes:
-        idle_tx_ms = int(self._timing.idle_transaction * 1000)
-        body = {"id": 0, "holder": self._vm, "idle_tx_ms": idle_tx_ms}
-        return orjson.dumps(body)
-
-    def _opened(self, conn: HttpConnection, number: int) -> None:
+        def done(result: Opened[LinkT] | OpenFailed) -> None:
+            match result:
+                case Opened():
+                    self._opened(result.link, result.number)
+                case OpenFailed(full=True):
+                    self._target_full()
+                case OpenFailed():
+                    self.port_closed = result.refused
+                    self._open_failed()
+
+        self._dialer.open(self._timing.connect_timeout, done)
+
+    def _target_full(self) -> None:
+        """Take back an opening that the target's own limit forbids.
+
+        The target is well, so its circuit stays closed; but others need its
+        connections too, so ours that rest are closed soon for a while.
+        """
+        self.counters.full += 1
+        self._connections.open_failed()
+        self._connections.target_full(self._reactor.now())
+        self._serve()
+
+    def _opened(self, conn: LinkT, number: int) -> None:
         now = self._reactor.now()
         self.counters.opened += 1
+        self.port_closed = False
         self.breaker.opened(now)
         leased = Leased(
-            target=self.target, conn=conn, heard_at=now, number=number
+            target=self.target,
+            conn=conn,
+            heard_at=now,
+            used_at=now,
+            number=number,
         )
         if not self._connections.opened(leased):
             conn.close()
@@ -491,69 +549,70 @@
         self._check_idle()
 
     def _check_idle(self) -> None:
-        for leased in self._connections.due(self._reactor.now()):
+        now = self._reactor.now()
+        for leased in self._connections.expired(now):
+            leased.conn.close()
+        for leased in self._connections.due(now):
             self._check(leased)
 
-    def _check(self, leased: Leased) -> None:
+    def _check(self, leased: Leased[LinkT]) -> None:
         if not leased.conn.usable:
             self._connections.lost()
             leased.conn.close()
             return
         timeout = self._timing.connections.heartbeat_timeout
 
-        def answered(answer: HttpAnswer | HttpLost) -> None:
-            if isinstance(answer, HttpLost):
-                self.counters.dead += 1
-                silent = answer.reason == "timeout"
-                now = self._reactor.now()
-                self._connections.lost(silent_at=now if silent else None)
-                if silent:
-                    self._silent.add(leased.number)
-                self._give_up(leased)
-                if silent:
-                    self._suspect()
-            else:
+        def checked(health: Health) -> None:
+            if health is Health.ALIVE:
                 leased.heard_at = self._reactor.now()
                 if not self._connections.give_back(leased):
                     leased.conn.close()
+            else:
+                self._found_dead(leased, silent=health is Health.SILENT)
             self._supply()
 
-        leased.conn.request("GET", "/probe", b"", timeout, answered)
+        self._dialer.check(leased.conn, timeout, checked)
+
+    def _found_dead(self, leased: Leased[LinkT], *, silent: bool) -> None:
+        self.counters.dead += 1
+        now = self._reactor.now()
+        self._connections.lost(silent_at=now if silent else None)
+        if silent:
+            self._silent.add(leased.number)
+        self._give_up(leased)
+        if silent:
+            self._suspect()
 
 
-def _number(answer: HttpAnswer) -> int:
-    """Return the connection's number at the target, 0 if it gave none."""
-    try:
-        return int(orjson.loads(answer.body).get("connection", 0))
-    except (ValueError, TypeError, AttributeError):
-        return 0
+def _by_link(merit: Merit[LinkT]) -> Callable[[Leased[LinkT]], int]:
+    return lambda leased: merit(leased.conn)
 
 
-class Pools:
+class Pools(Generic[LinkT]):
     """All pools of this process, made when first asked for."""
 
     def __init__(
         self,
         *,
         reactor: Reactor,
-        vm: str,
+        make_dialer: MakeDialer[LinkT],
         queue_limit: int = 256,
         timing: PoolTiming | None = None,
         chance: Callable[[], float] = random.random,
     ) -> None:
         self._reactor = reactor
-        self._vm = vm
+        self._make_dialer = make_dialer
         self._queue_limit = queue_limit
         self._timing = timing or PoolTiming()
         self._chance = chance
-        self._pools: dict[str, Pool] = {}
+        self._pools: dict[tuple[str, str, int], Pool[LinkT]] = {}
 
     def start(self) -> None:
         """Begin to check pools at each interval."""
-        for address, pool in list(self._pools.items()):
+        for key, pool in list(self._pools.items()):
             pool.tick()
             if pool.share == Units() and pool.used == Units():
-                del self._pools[address]
+                del self._pools[key]
         self._reactor.call_later(self._timing.tick, self.start)
 
     def acquire(
@@ -561,45 +620,65 @@
         target: Target,
         deadline: float,
         caller: str,
-        on_ready: OnReady,
+        on_ready: OnReady[LinkT],
         *,
         writes: bool = False,
-    ) -> None:
+        urgency: int = 0,
+        merit: Merit[LinkT] | None = None,
+    ) -> Asked:
         """Ask for a connection to a target on behalf of a caller.
 
-        `writes` is true for what may wait for a lock at the target.
+        `writes` is true for what may wait for a lock at the target; the
+        lowest `urgency` goes first; of idle connections the one of the
+        highest `merit` is given.
         """
-        self.pool(target).acquire(caller, deadline, on_ready, writes=writes)
+        return self.pool(target).acquire(
+            caller,
+            deadline,
+            on_ready,
+            writes=writes,
+            urgency=urgency,
+            merit=merit,
+        )
 
-    def release(self, leased: Leased, *, healthy: bool) -> None:
+    def release(self, leased: Leased[LinkT], *, healthy: bool) -> None:
         """Give a connection back."""
         self.pool(leased.target).release(leased, healthy=healthy)
 
-    def park(self, leased: Leased) -> None:
+    def park(self, leased: Leased[LinkT]) -> None:
         """Give a transaction's slot back between its statements."""
         self.pool(leased.target).park(leased)
 
     def resume(
-        self, leased: Leased, deadline: float, caller: str, on_ready: OnReady
+        self,
+        leased: Leased[LinkT],
+        deadline: float,
+        caller: str,
+        on_ready: OnReady,
     ) -> None:
         """Get a slot for a transaction's next statement."""
         pool = self.pool(leased.target)
         pool.resume(leased, caller, deadline, on_ready)
 
-    def pool(self, target: Target) -> Pool:
-        """Return the pool of a target."""
-        found = self._pools.get(target.address)
+    def pool(self, target: Target) -> Pool[LinkT]:
+        """Return the pool of a target.
+
+        Addresses are used again, and a target that has started anew keeps
+        nothing of its old connections, so each life has a pool of its own.
+        """
+        key = (target.address, target.name, target.born)
+        found = self._pools.get(key)
         if found is None:
-            found = self._pools[target.address] = Pool(
+            found = self._pools[key] = Pool(
                 reactor=self._reactor,
                 target=target,
-                vm=self._vm,
+                make_dialer=self._make_dialer,
                 queue_limit=self._queue_limit,
                 timing=self._timing,
                 chance=self._chance,
             )
         return found
 
-    def all(self) -> list[Pool]:
+    def all(self) -> list[Pool[LinkT]]:
         """Return all pools."""
         return list(self._pools.values())
--- a/bamboospring/reactor.py
+++ b/bamboospring/reactor.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Callable
 import errno
+from functools import partial
 import heapq
 import itertools
 import os
@@ -280,7 +281,7 @@
 class Reactor(BaseComponent):
     """Wait for sockets and timers on behalf of all other components.
 
-    Times are seconds of `time.monotonic`. Register it on the manager before
+    Times are seconds of `CLOCK_BOOTTIME`. Register it on the manager before
     any other component, so that the base library brings no poller of its own.
     """
 
@@ -297,13 +298,15 @@
         self._waiting = False
         self.watch(self._wake_in, select.EPOLLIN, self._drain_wake)
 
-    # The monotonic time in seconds. A statement asks for it some thirty
-    # times, so it is the library's function itself.
-    now = staticmethod(time.monotonic)
+    # Seconds since the machine started, also those in which it was suspended.
+    # The monotonic clock leaves these out: a process that slept through the
+    # end of a lease, or of a proof, would go on by it for as long as it
+    # slept. A statement asks some thirty times, so nothing of ours is called.
+    now = staticmethod(partial(time.clock_gettime, time.CLOCK_BOOTTIME))
 
     def call_later(self, delay: float, callback: Callable[[], None]) -> Timer:
         """Call back once after `delay` seconds."""
-        when = time.monotonic() + delay
+        when = self.now() + delay
         timer = Timer(reactor=self, when=when, callback=callback)
         entry = (timer.when, next(self._sequence), timer)
         heapq.heappush(self._timers, entry)
@@ -412,11 +415,11 @@
     def _wait_time(self, time_left: float) -> float:
         if not self._timers:
             return time_left
-        due = max(0.0, self._timers[0][0] - time.monotonic())
+        due = max(0.0, self._timers[0][0] - self.now())
         return due if time_left < 0 else min(due, time_left)
 
     def _run_due(self) -> None:
-        now = time.monotonic()
+        now = self.now()
         timers = self._timers
         while timers and timers[0][0] <= now:
             timer = heapq.heappop(timers)[2]
--- a/bamboospring/rotation.py
+++ b/bamboospring/rotation.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from pathlib import Path
 import signal
 from typing import Any
 
@@ -20,15 +21,26 @@
 
 __all__ = ["Rotation"]
 
-Apply = Callable[[Settings], None]
+Apply = Callable[[Any], None]
+
+# Seconds between two looks at a settings file that may change silently.
+FOLLOW_INTERVAL = 2.0
 
 
 class Rotation:
     """Read the settings again and hand them to whoever can take them."""
 
-    def __init__(self, *, reactor: Reactor, path: str) -> None:
+    def __init__(
+        self,
+        *,
+        reactor: Reactor,
+        path: str,
+        load: Callable[[str], Any] = settings.load,
+    ) -> None:
         self._reactor = reactor
         self._path = path
+        self._load = load
+        self._seen: str | None = None
         self._keys: list[tuple[Keys, Callable[[Settings], Tls | None]]] = []
         self._apply: list[Apply] = []
 
@@ -49,7 +61,7 @@
     def read_again(self) -> bool:
         """Take what the file says now; False if it can't be used."""
         try:
-            cfg = settings.load(self._path)
+            cfg = self._load(self._path)
             for keys, find in self._keys:
                 tls = find(cfg)
                 if tls is not None:
@@ -61,9 +73,29 @@
             return False
         for apply in self._apply:
             apply(cfg)
-        logs.log_event("settings_taken", keys=[k.id for k in cfg.token_keys])
+        ids = [key.id for key in getattr(cfg, "token_keys", ())]
+        logs.log_event("settings_taken", keys=ids)
         return True
 
+    def follow(self) -> None:
+        """Look at the file now and then: it may change without a signal."""
+        text = self._text()
+        if self._seen is not None and text not in (None, self._seen):
+            self.read_again()
+        self._seen = text if text is not None else self._seen
+        self._reactor.call_later(FOLLOW_INTERVAL, self.follow)
+
+    def _text(self) -> str | None:
+        try:
+            return Path(self._path).read_text(encoding="utf-8")
+        except (OSError, UnicodeDecodeError) as exc:
+            logs.log_event(
+                "settings_unreadable",
+                level=logs.Level.WARNING,
+                reason=str(exc),
+            )
+            return None
+
     def _on_signal(self, number: int, frame: Any) -> None:
         # In a signal handler anything may be half done; the work is left to
         # the loop, which is woken.
--- a/bamboospring/server.py
+++ b/bamboospring/server.py
@@ -2,16 +2,23 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
+from bamboospring.blackboard import Target
 from bamboospring.connections import ConnectionTiming
 from bamboospring.entry_processes import EntryProcesses
 from bamboospring.facts import Facts
 from bamboospring.holder import Holder
+from bamboospring.http_client import HttpConnection
+from bamboospring.http_dialer import HttpDialer
 from bamboospring.lease import LeaseTiming
 from bamboospring.platform_client import CallTiming
 from bamboospring.platform_client import PlatformClient
+from bamboospring.pool import MakeDialer
 from bamboospring.pool import Pools
 from bamboospring.pool import PoolTiming
 from bamboospring.process import Process
+from bamboospring.reactor import Reactor
 from bamboospring.rendezvous import bucket_of
 from bamboospring.retry_budget import RetryBudget
 from bamboospring.server_metrics import watch_main
@@ -48,7 +55,7 @@
         )
         self.pools = Pools(
             reactor=to_targets,
-            vm=cfg.vm,
+            make_dialer=_dial_over_http(cfg, to_targets),
             queue_limit=cfg.limits.queue_length,
             timing=_pool_timing(cfg),
         )
@@ -151,11 +158,29 @@
             self._send_hand_over(vm, group, target)
 
 
+def _dial_over_http(
+    cfg: Settings, reactor: Reactor
+) -> MakeDialer[HttpConnection]:
+    # After the holder itself has given the transaction up.
+    idle = cfg.timing.transaction_idle_ms / 1000 + 5
+
+    def dial(
+        target: Target, on_ended: Callable[[list[int]], None]
+    ) -> HttpDialer:
+        return HttpDialer(
+            reactor=reactor,
+            target=target,
+            vm=cfg.vm,
+            idle_transaction=idle,
+            on_ended=on_ended,
+        )
+
+    return dial
+
+
 def _pool_timing(cfg: Settings) -> PoolTiming:
     return PoolTiming(
         connect_timeout=cfg.timing.connect_timeout_ms / 1000,
-        # After the holder itself has given the transaction up.
-        idle_transaction=cfg.timing.transaction_idle_ms / 1000 + 5,
         connections=ConnectionTiming(
             pace=cfg.timing.connect_interval_ms / 1000,
             heartbeat=cfg.timing.target_heartbeat_ms / 1000,
--- /dev/null
+++ b/bamboospring/sessions/catalog_keeper.py
@@ -0,0 +1,82 @@
+"""Keep the configuration in force: the newest that was ever seen."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from bamboospring import logs
+from bamboospring.object_store import Found
+from bamboospring.platform_client import PlatformClient
+from bamboospring.platform_watch import KindWatch
+from bamboospring.reactor import Reactor
+from bamboospring.sessions.model import Catalog
+from bamboospring.sessions.model import SessionBoard
+
+__all__ = ["CatalogKeeper"]
+
+# A watch is asked anew after this many milliseconds. A connection that has
+# gone silent shows only by then; with the margin of the client's watches a
+# change is in force within two seconds also where that happens.
+WATCH_MS = 1200
+
+
+class CatalogKeeper:
+    """Follows the configuration's object.
+
+    `read` turns it into a catalog, None if it can't be used; `on_changed` is
+    called after each change.
+    """
+
+    def __init__(
+        self,
+        *,
+        reactor: Reactor,
+        board: SessionBoard,
+        platform: PlatformClient,
+        kind: str,
+        name: str,
+        read: Callable[[Found], Catalog | None],
+        on_changed: Callable[[], None],
+    ) -> None:
+        self._board = board
+        self._name = name
+        self._read = read
+        self._on_changed = on_changed
+        self._stored_as = 0
+        self._watch = KindWatch(
+            reactor=reactor,
+            platform=platform,
+            kind=kind,
+            wait_ms=WATCH_MS,
+            on_objects=self._take,
+        )
+
+    def start(self) -> None:
+        """Follow from now on."""
+        self._watch.set_watching(True)
+
+    def _take(self, objects: tuple[Found, ...]) -> None:
+        for found in objects:
+            # The store's versions only grow. One that comes late, from a
+            # lagging copy or an answer overtaken by another, must not undo
+            # what callers have already seen in force.
+            if found.name != self._name or found.version <= self._stored_as:
+                continue
+            catalog = self._read(found)
+            if catalog is None:
+                continue
+            self._stored_as = found.version
+            self._put_in_force(catalog)
+
+    def _put_in_force(self, catalog: Catalog) -> None:
+        self._board.catalog = catalog
+        for name in catalog.groups:
+            self._board.group(name)
+        logs.log_event(
+            "catalog",
+            version=catalog.version,
+            stored_as=self._stored_as,
+            routes=len(catalog.routes),
+            groups=len(catalog.groups),
+        )
+        self._on_changed()
--- /dev/null
+++ b/bamboospring/sessions/farewell.py
@@ -0,0 +1,150 @@
+"""Leave without cutting a statement: the shutdown of a VM with sessions.
+
+The process says at once that it is not ready, so that the platform sends new
+connections elsewhere; that takes it two looks. Sessions at rest are closed a
+few at a time: their callers reconnect elsewhere, and all at once would be a
+herd. Sessions in a transaction have half of the time to end it. Whoever is
+answered last is closed with that answer.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from circuits import BaseComponent
+from circuits import handler
+
+from bamboospring.drain import DrainPlan
+from bamboospring.drain import judge_phase
+from bamboospring.drain import Phase
+from bamboospring.drain import SIGNALS
+from bamboospring import logs
+from bamboospring.outcomes import Reason
+from bamboospring.reactor import Reactor
+from bamboospring.sessions.model import SessionBoard
+from bamboospring.sessions.outside import CallerListener
+
+__all__ = ["Farewell", "plan_farewell", "sessions_to_close"]
+
+CHECK_INTERVAL = 0.05
+# The parts of the grace time: the platform has noticed, sessions at rest are
+# closed, open transactions are ended, the process has gone.
+NOTICED = 0.42
+RESTING_CLOSED = 0.40
+TRANSACTIONS_END = 0.5
+GONE = 0.88
+
+
+def plan_farewell(begun_at: float, grace: float) -> DrainPlan:
+    """Return the times of a shutdown that has `grace` seconds."""
+    return DrainPlan(
+        begun_at=begun_at,
+        notice=grace * NOTICED,
+        patience=grace * (GONE - NOTICED),
+        limit=grace * GONE,
+    )
+
+
+def sessions_to_close(
+    resting: int, elapsed: float, grace: float, interval: float
+) -> int:
+    """Return how many sessions at rest to close now.
+
+    They are spread evenly over what is left of their time.
+    """
+    left = grace * RESTING_CLOSED - elapsed
+    if left <= interval:
+        return resting
+    return -(-resting * interval // left).__int__()
+
+
+class Farewell(BaseComponent):
+    """Ends the process on SIGTERM, at once on a second one."""
+
+    channel = "*"
+
+    def __init__(
+        self,
+        *,
+        reactor: Reactor,
+        board: SessionBoard,
+        callers: CallerListener,
+        grace: float,
+        held: Callable[[], int],
+    ) -> None:
+        super().__init__()
+        self._reactor = reactor
+        self._board = board
+        self._callers = callers
+        self._grace = grace
+        self._held = held
+        self._plan: DrainPlan | None = None
+        self._transactions_ended = False
+
+    def begin(self) -> None:
+        """Start the shutdown; does nothing when it is under way."""
+        if self._plan is not None:
+            return
+        self._plan = plan_farewell(self._reactor.now(), self._grace)
+        self._board.draining = True
+        logs.log_event("stopping", sessions=len(self._callers.sessions()))
+        for session in self._callers.sessions():
+            session.leaving = True
+        self._check()
+
+    @handler("signal", channel="*")
+    def _on_signal(self, number: int, _frame: Any) -> None:
+        if number not in SIGNALS:
+            return
+        if self._plan is None:
+            # In a later turn: the signal may have come amid anything.
+            self._reactor.call_later(0, self.begin)
+        else:
+            self.root.stop()
+
+    def _check(self) -> None:
+        assert self._plan is not None
+        now = self._reactor.now()
+        elapsed = now - self._plan.begun_at
+        sessions = self._callers.sessions()
+        self._close_some(elapsed)
+        if elapsed >= self._grace * TRANSACTIONS_END:
+            self._end_transactions()
+        work = sum(not session.at_rest for session in sessions)
+        phase = judge_phase(
+            self._plan,
+            now=now,
+            work=work + self._held(),
+            connections=len(sessions),
+        )
+        if phase is Phase.FAREWELL:
+            self._end(elapsed)
+            return
+        self._reactor.call_later(CHECK_INTERVAL, self._check)
+
+    def _close_some(self, elapsed: float) -> None:
+        resting = [s for s in self._callers.sessions() if s.at_rest]
+        count = sessions_to_close(
+            len(resting), elapsed, self._grace, CHECK_INTERVAL
+        )
+        for session in resting[:count]:
+            session.leave()
+
+    def _end_transactions(self) -> None:
+        if self._transactions_ended:
+            return
+        self._transactions_ended = True
+        for session in self._callers.sessions():
+            session.abandon_transaction(Reason.DRAINING)
+
+    def _end(self, elapsed: float) -> None:
+        left = [s for s in self._callers.sessions() if not s.at_rest]
+        logs.log_event(
+            "stopped",
+            level=logs.Level.WARNING if left else logs.Level.INFO,
+            seconds=elapsed,
+            unfinished=len(left),
+        )
+        self._callers.listener.close()
+        self.root.stop()
--- /dev/null
+++ b/bamboospring/sessions/link_setup.py
@@ -0,0 +1,61 @@
+"""What must be told to a connection before a session's statement runs on it.
+
+A connection serves many sessions. Before each statement its values must be
+exactly those of the session, none more, and the shape that is to run must be
+prepared on it.
+"""
+
+from __future__ import annotations
+
+from bamboospring.sessions.ports import Assign
+from bamboospring.sessions.ports import BeginWork
+from bamboospring.sessions.ports import Clear
+from bamboospring.sessions.ports import Order
+from bamboospring.sessions.ports import PrepareShape
+from bamboospring.sessions.ports import SessionLink
+from bamboospring.sessions.ports import Shape
+
+__all__ = ["link_merit", "orders_before"]
+
+# A connection with more shapes than this is cleared before it gets another:
+# each costs the target memory for as long as the connection lives.
+MAX_SHAPES = 256
+
+
+def orders_before(
+    link: SessionLink,
+    values: dict[str, str],
+    shape: Shape | None,
+    begin: BeginWork | None,
+) -> list[Order]:
+    """Return the orders that make a connection fit, in their order."""
+    orders: list[Order] = []
+    has_values, has_shapes = link.values, link.shapes
+    too_many = shape is not None and len(has_shapes) >= MAX_SHAPES
+    if not has_values.keys() <= values.keys() or too_many:
+        orders.append(Clear())
+        has_values, has_shapes = {}, set()
+    orders.extend(
+        Assign(name=name, value=value)
+        for name, value in values.items()
+        if has_values.get(name) != value
+    )
+    if shape is not None and shape not in has_shapes:
+        orders.append(PrepareShape(shape=shape))
+    if begin is not None:
+        orders.append(begin)
+    return orders
+
+
+def link_merit(
+    link: SessionLink, values: dict[str, str], shape: Shape | None
+) -> int:
+    """Return how little has to be done before a connection fits."""
+    merit = 0
+    if link.values == values:
+        merit = 4
+    elif link.values.keys() <= values.keys():
+        merit = 2
+    if shape is not None and shape in link.shapes:
+        merit += 1
+    return merit
--- /dev/null
+++ b/bamboospring/sessions/model.py
@@ -0,0 +1,218 @@
+"""What is known of routes, groups and targets, as plain data.
+
+Times are the reactor's, in seconds; durations are seconds.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from enum import Enum
+
+from bamboospring.blackboard import Target
+from bamboospring.sessions.freshness import SampleLog
+from bamboospring.sessions.proofs import Proof
+from bamboospring.statements import Position
+
+__all__ = [
+    "Catalog",
+    "Change",
+    "Freshness",
+    "GroupLimits",
+    "GroupView",
+    "Leadership",
+    "Route",
+    "SessionBoard",
+    "TargetNews",
+    "TargetView",
+]
+
+# A target that was never used counts as this fast, in seconds.
+FIRST_LATENCY = 0.02
+# The estimate of a target's latency follows each answer by this part.
+LATENCY_SMOOTHING = 0.1
+# Each lost or failed answer adds this to a target's trouble, each good one
+# takes this part of it away.
+TROUBLE_STEP = 1.0
+TROUBLE_DECAY = 0.1
+MOST_TROUBLE = 8.0
+
+
+class Freshness(Enum):
+    """What a route's reads must have seen."""
+
+    PRIMARY = "primary"
+    BOUNDED = "bounded"
+    OWN_WRITES = "own_writes"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Route:
+    """Where the statements of one database go, and how.
+
+    `time_limit` bounds one statement, `objective` is the time in which a
+    whole operation should be done, `max_age` the age of data that reads
+    accept (None: no age is accepted). The lowest `urgency` goes first.
+    """
+
+    name: str
+    database: str
+    group: str
+    freshness: Freshness
+    time_limit: float
+    objective: float
+    urgency: int = 0
+    max_age: float | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class GroupLimits:
+    """What a group allows: connections to each of its targets.
+
+    `receipts` is the number of replicas that hold a commit before it is
+    acknowledged.
+    """
+
+    name: str
+    connections: int
+    receipts: int = 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Catalog:
+    """One accepted configuration: routes by database, groups by name."""
+
+    version: int
+    routes: dict[str, Route] = field(default_factory=dict)
+    groups: dict[str, GroupLimits] = field(default_factory=dict)
+    idle_transaction: float = 3.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TargetNews:
+    """What a target says of itself in the platform's list.
+
+    `leads` is its own belief that it is the primary; a primary that is
+    leaving may be used until `usable_until`.
+    """
+
+    target: Target
+    group: str
+    leaving: bool = False
+    leads: bool = False
+    usable_until: float = float("inf")
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Change:
+    """A change of primary that has begun and is not recorded as done.
+
+    `term` is what the targets are told to hold; `vm` and `nonce` name the
+    process that leads it.
+    """
+
+    term: int
+    vm: str
+    nonce: str
+    cause: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Leadership:
+    """What has been agreed of a group's primary; `version` orders records."""
+
+    group: str
+    version: int
+    term: int
+    primary: str
+    change: Change | None = None
+
+
+@dataclass(slots=True, kw_only=True)
+class TargetView:
+    """What this process has seen of one life of a target.
+
+    `applied` is the newest position that the target has shown, at
+    `applied_at`. Until `behind_until` it is not tried for reads that need
+    more than that. `heard_at` is when it last answered anything.
+    """
+
+    outstanding: int = 0
+    latency: float = FIRST_LATENCY
+    trouble: float = 0.0
+    applied: Position = Position()
+    applied_at: float = -1e9
+    behind_until: float = -1e9
+    heard_at: float = -1e9
+
+    def answered(self, seconds: float, now: float) -> None:
+        """Note a good answer after `seconds`."""
+        self.latency += LATENCY_SMOOTHING * (seconds - self.latency)
+        self.trouble -= TROUBLE_DECAY * self.trouble
+        self.heard_at = now
+
+    def failed(self) -> None:
+        """Note an answer that was lost, or told of a fault of the target."""
+        self.trouble = min(MOST_TROUBLE, self.trouble + TROUBLE_STEP)
+
+    def shows(self, position: Position, now: float) -> None:
+        """Note a position that the target has shown."""
+        if position >= self.applied:
+            self.applied = position
+            self.applied_at = now
+
+
+@dataclass(slots=True, kw_only=True)
+class GroupView:
+    """A group: what is agreed of it and what was seen of its targets."""
+
+    name: str
+    leadership: Leadership | None = None
+    proof: Proof = field(default_factory=Proof)
+    samples: SampleLog = field(default_factory=SampleLog)
+    targets: dict[str, TargetNews] = field(default_factory=dict)
+    views: dict[str, TargetView] = field(default_factory=dict)
+
+    def view(self, name: str) -> TargetView:
+        """Return what was seen of a target, creating an empty view."""
+        found = self.views.get(name)
+        if found is None:
+            found = self.views[name] = TargetView()
+        return found
+
+    def primary(self) -> TargetNews | None:
+        """Return the agreed primary, None while it is being changed."""
+        agreed = self.leadership
+        if agreed is None or agreed.change is not None:
+            return None
+        return self.targets.get(agreed.primary)
+
+
+@dataclass(slots=True, kw_only=True)
+class SessionBoard:
+    """The one view that the controllers of sessions share.
+
+    `targets_seen_at` is when the list of targets that is in force was asked
+    for.
+    """
+
+    vm: str
+    availability_zone: str
+    catalog: Catalog | None = None
+    groups: dict[str, GroupView] = field(default_factory=dict)
+    targets_seen_at: float = -1e9
+    vms: int = 1
+    draining: bool = False
+
+    def group(self, name: str) -> GroupView:
+        """Return the view of a group, creating an empty one."""
+        found = self.groups.get(name)
+        if found is None:
+            found = self.groups[name] = GroupView(name=name)
+        return found
+
+    def route(self, database: str) -> Route | None:
+        """Return the route of a database in the catalog in force."""
+        if self.catalog is None:
+            return None
+        return self.catalog.routes.get(database)
--- /dev/null
+++ b/bamboospring/sessions/node.py
@@ -0,0 +1,256 @@
+"""Wire the components of a VM that serves sessions together."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from http import HTTPStatus
+
+from circuits import Component
+
+from bamboospring.blackboard import Target
+from bamboospring.connections import ConnectionTiming
+from bamboospring.http_server import HttpServer
+from bamboospring.http_server import Request
+from bamboospring.http_server import Response
+from bamboospring.lease import LeaseTiming
+from bamboospring import logs
+from bamboospring.outcomes import NotRun
+from bamboospring.outcomes import Overloaded
+from bamboospring.outcomes import Reason
+from bamboospring.platform_client import CallTiming
+from bamboospring.platform_client import PlatformClient
+from bamboospring.pool import Pools
+from bamboospring.pool import PoolTiming
+from bamboospring.reactor import Reactor
+from bamboospring.retry_budget import RetryBudget
+from bamboospring.rotation import Rotation
+from bamboospring.sessions.catalog_keeper import CatalogKeeper
+from bamboospring.sessions.farewell import Farewell
+from bamboospring.sessions.leader import Leader
+from bamboospring.sessions.model import SessionBoard
+from bamboospring.sessions.outside import Outside
+from bamboospring.sessions.ports import CallerChannel
+from bamboospring.sessions.ports import SessionLink
+from bamboospring.sessions.questions import TargetQuestions
+from bamboospring.sessions.readiness import unreadiness
+from bamboospring.sessions.record_keeper import RecordKeeper
+from bamboospring.sessions.runner import StatementRunner
+from bamboospring.sessions.session import Session
+from bamboospring.sessions.session_metrics import SessionMetrics
+from bamboospring.sessions.settings import load
+from bamboospring.sessions.settings import SessionSettings
+from bamboospring.sessions.story import StoryTeller
+from bamboospring.sessions.target_keeper import TargetKeeper
+from bamboospring.target_link import Dialer
+
+__all__ = ["SessionNode"]
+
+# A watch that is answered so many seconds after its waiting time has a
+# connection that went silent.
+WATCH_MARGIN = 0.6
+# How long connections to targets rest before they are checked and closed, in
+# seconds: a new one costs 12 ms of a slot, a check a short exchange.
+LINK_TIMING = ConnectionTiming(
+    pace=0.005,
+    heartbeat=2.5,
+    heartbeat_timeout=0.5,
+    idle=6.0,
+    idle_scarce=0.3,
+)
+NO_CATALOG_RETRY_MS = 500
+
+
+class SessionNode(Component):
+    """All that such a process is made of."""
+
+    def __init__(
+        self, cfg: SessionSettings, outside: Outside, path: str = ""
+    ) -> None:
+        super().__init__()
+        self.cfg = cfg
+        self.outside = outside
+        self.reactor = Reactor().register(self)
+        self.rotation = Rotation(reactor=self.reactor, path=path, load=load)
+        self.rotation.add(self._take_settings)
+        self.board = SessionBoard(
+            vm=cfg.vm, availability_zone=cfg.availability_zone
+        )
+        self.metrics = SessionMetrics(board=self.board)
+        self.platform = PlatformClient(
+            reactor=self.reactor,
+            address=cfg.platform,
+            timing=CallTiming(
+                timeout=cfg.timing.platform_timeout_ms / 1000,
+                longest_backoff=cfg.timing.longest_backoff_ms / 1000,
+                watch_margin=WATCH_MARGIN,
+            ),
+            dialect=outside.dialect,
+        )
+        self.pools: Pools[SessionLink] = Pools(
+            reactor=self.reactor,
+            make_dialer=self._dial,
+            queue_limit=cfg.limits.queue_length,
+            timing=PoolTiming(
+                connect_timeout=cfg.timing.connect_timeout_ms / 1000,
+                connections=LINK_TIMING,
+            ),
+        )
+        self._make_keepers()
+        self._make_service()
+        self.metrics.watch_node(
+            pools=self.pools,
+            platform=self.platform,
+            leader=self.leader,
+            listener=self.callers,
+            now=self.reactor.now,
+        )
+
+    def start_work(self) -> None:
+        """Begin to learn and to serve."""
+        self.catalog.start()
+        self.targets.start()
+        self.records.start()
+        self.leader.start()
+        self.pools.start()
+        self.rotation.follow()
+
+    def _make_keepers(self) -> None:
+        outside = self.outside
+        self.targets = TargetKeeper(
+            reactor=self.reactor,
+            board=self.board,
+            platform=self.platform,
+            pools=self.pools,
+            kind=outside.target_kind,
+            read=outside.read_target,
+            leaving_limit=self.cfg.timing.target_leaving_ms / 1000,
+        )
+        self.catalog = CatalogKeeper(
+            reactor=self.reactor,
+            board=self.board,
+            platform=self.platform,
+            kind=outside.catalog_kind,
+            name=outside.catalog_name,
+            read=outside.read_catalog,
+            on_changed=self.targets.apply_bounds,
+        )
+        self.questions = TargetQuestions(
+            reactor=self.reactor, pools=self.pools
+        )
+        self.records = RecordKeeper(
+            reactor=self.reactor,
+            board=self.board,
+            platform=self.platform,
+            questions=self.questions,
+        )
+        self.leader = Leader(
+            reactor=self.reactor,
+            board=self.board,
+            platform=self.platform,
+            questions=self.questions,
+            records=self.records,
+            orders=outside.make_orders(self.reactor, self.cfg.orders),
+            missing_since=self.targets.missing_since,
+            timing=LeaseTiming(
+                duration=self.cfg.lease.duration_ms / 1000,
+                renew=self.cfg.lease.renew_ms / 1000,
+                margin=self.cfg.lease.margin_ms / 1000,
+            ),
+        )
+
+    def _make_service(self) -> None:
+        cfg = self.cfg
+        self.runner = StatementRunner(
+            reactor=self.reactor,
+            board=self.board,
+            pools=self.pools,
+            budget=RetryBudget(percent=cfg.limits.retry_percent),
+            teller=StoryTeller(on_told=self.metrics.told),
+            doubt=self.records.doubt,
+        )
+        self.callers = self.outside.make_listener(
+            self.reactor, cfg.callers, self._admit, self._make_session
+        )
+        self.readiness = HttpServer(
+            reactor=self.reactor,
+            address=cfg.readiness,
+            handler=self._say_ready,
+        )
+        if cfg.operators is not None:
+            self.operators = HttpServer(
+                reactor=self.reactor,
+                address=cfg.operators,
+                handler=self._show_metrics,
+            )
+        self.farewell = Farewell(
+            reactor=self.reactor,
+            board=self.board,
+            callers=self.callers,
+            grace=cfg.timing.grace_ms / 1000,
+            held=self.leader.holds_for_others,
+        ).register(self)
+
+    def _dial(
+        self, target: Target, on_ended: Callable[[list[int]], None]
+    ) -> Dialer[SessionLink]:
+        return self.outside.make_dialer(
+            self.reactor, target, self._group_of(target)
+        )
+
+    def _group_of(self, target: Target) -> str:
+        for group in self.board.groups.values():
+            news = group.targets.get(target.name)
+            if news is not None and news.target == target:
+                return group.name
+        return ""
+
+    def _admit(self, database: str) -> NotRun | Overloaded | None:
+        if self.board.catalog is None:
+            return Overloaded(
+                reason=Reason.DRAINING, retry_after_ms=NO_CATALOG_RETRY_MS
+            )
+        if self.board.route(database) is None:
+            return NotRun(reason=Reason.UNKNOWN_GROUP, message=database)
+        return None
+
+    def _make_session(
+        self, database: str, caller: str, channel: CallerChannel
+    ) -> Session:
+        return Session(
+            caller=caller,
+            database=database,
+            reactor=self.reactor,
+            board=self.board,
+            worker=self.runner,
+            channel=channel,
+            leaving=self.board.draining,
+        )
+
+    def _say_ready(
+        self, req: Request, respond: Callable[[Response], None]
+    ) -> None:
+        if req.path.partition("?")[0] != self.outside.readiness_path:
+            respond(Response(status=HTTPStatus.NOT_FOUND))
+            return
+        why = unreadiness(self.board, self.reactor.now())
+        self.metrics.said_ready(why)
+        status = HTTPStatus.SERVICE_UNAVAILABLE if why else HTTPStatus.OK
+        respond(Response(status=status))
+
+    def _show_metrics(
+        self, req: Request, respond: Callable[[Response], None]
+    ) -> None:
+        if req.path.partition("?")[0] != "/metrics":
+            respond(Response(status=HTTPStatus.NOT_FOUND))
+            return
+        body = self.metrics.text()
+        respond(
+            Response(
+                body=body,
+                content_type="text/plain; version=0.0.4; charset=utf-8",
+            )
+        )
+
+    def _take_settings(self, cfg: SessionSettings) -> None:
+        self.cfg = cfg
+        logs.configure_node(level=cfg.logs.level, vm=cfg.vm)
--- /dev/null
+++ b/bamboospring/sessions/questions.py
@@ -0,0 +1,97 @@
+"""Ask targets for their place in the group, and give them orders."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from bamboospring.outcomes import NotRun
+from bamboospring.outcomes import Overloaded
+from bamboospring.pool import Leased
+from bamboospring.pool import Pools
+from bamboospring.reactor import Reactor
+from bamboospring.sessions.model import GroupView
+from bamboospring.sessions.ports import AskReport
+from bamboospring.sessions.ports import HoldTerm
+from bamboospring.sessions.ports import LinkLost
+from bamboospring.sessions.ports import ResumeReceiving
+from bamboospring.sessions.ports import SessionLink
+from bamboospring.sessions.ports import StepDown
+from bamboospring.sessions.ports import TargetReply
+from bamboospring.sessions.proofs import Report
+
+__all__ = ["NoReport", "Question", "TargetQuestions"]
+
+Question = AskReport | HoldTerm | ResumeReceiving | StepDown
+
+# Control goes before all statements.
+URGENCY = -1
+CALLER = "control"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class NoReport:
+    """Nothing was heard; `refused` if no process listens there."""
+
+    refused: bool = False
+    busy: bool = False
+
+
+OnReport = Callable[[Report | NoReport], None]
+
+
+class TargetQuestions:
+    """Questions to targets over the connections of the pools."""
+
+    def __init__(self, *, reactor: Reactor, pools: Pools[SessionLink]) -> None:
+        self._reactor = reactor
+        self._pools = pools
+
+    def ask(
+        self,
+        group: GroupView,
+        name: str,
+        question: Question,
+        timeout: float,
+        on_report: OnReport,
+    ) -> None:
+        """Ask one target; calls back once, within about `timeout`."""
+        news = group.targets.get(name)
+        if news is None:
+            self._reactor.call_later(0, lambda: on_report(NoReport()))
+            return
+        target = news.target
+        began = self._reactor.now()
+
+        def ready(
+            leased: Leased[SessionLink] | NotRun | Overloaded,
+        ) -> None:
+            if not isinstance(leased, Leased):
+                refused = self._pools.pool(target).port_closed
+                on_report(NoReport(refused=refused))
+                return
+            left = max(0.05, began + timeout - self._reactor.now())
+            leased.conn.send([question], left, lambda r: done(leased, r))
+
+        def done(
+            leased: Leased[SessionLink], result: list[TargetReply] | LinkLost
+        ) -> None:
+            lost = isinstance(result, LinkLost)
+            self._pools.release(leased, healthy=not lost)
+            if isinstance(result, LinkLost):
+                on_report(NoReport())
+                return
+            now = self._reactor.now()
+            view = group.view(name)
+            view.heard_at = now
+            reply = result[0]
+            if reply.position is not None:
+                view.shows(reply.position, now)
+            if reply.report is None:
+                on_report(NoReport(busy=True))
+                return
+            on_report(reply.report)
+
+        self._pools.acquire(
+            target, began + timeout, CALLER, ready, urgency=URGENCY
+        )
--- /dev/null
+++ b/bamboospring/sessions/readiness.py
@@ -0,0 +1,34 @@
+"""Whether callers may be sent to this VM."""
+
+from __future__ import annotations
+
+from bamboospring.sessions.model import SessionBoard
+from bamboospring.sessions.proofs import PROOF_LIFE
+
+__all__ = ["unreadiness"]
+
+# Proofs that have lapsed for longer than this, in seconds, mean that this VM
+# is cut off while others may not be.
+LAPSED = PROOF_LIFE + 1.0
+
+
+def unreadiness(board: SessionBoard, now: float) -> str:
+    """Return why callers should go elsewhere, empty if they need not.
+
+    A VM that can prove no primary for long serves only a part of what it is
+    asked for. A change of primary is no reason: it is the same everywhere.
+    """
+    if board.draining:
+        return "leaving"
+    if board.catalog is None:
+        return "no catalog yet"
+    wanted = {route.group for route in board.catalog.routes.values()}
+    groups = [board.groups[name] for name in wanted if name in board.groups]
+    known = [group for group in groups if group.leadership is not None]
+    if groups and not known:
+        return "no record of any group yet"
+    settled = [group for group in known if group.primary() is not None]
+    lapsed = [g for g in settled if now - g.proof.asked_at > LAPSED]
+    if settled and len(lapsed) == len(settled):
+        return "no primary can be proven"
+    return ""
--- /dev/null
+++ b/bamboospring/sessions/record_keeper.py
@@ -0,0 +1,232 @@
+"""Keep the groups' records and the proofs of their primaries.
+
+Each read of the records proves, for a while, every primary that they show.
+Where the store does not answer, each group's other targets are asked instead.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from bamboospring import logs
+from bamboospring.object_store import Changes
+from bamboospring.object_store import Found
+from bamboospring.object_store import Unavailable
+from bamboospring.platform_client import PlatformClient
+from bamboospring.reactor import Reactor
+from bamboospring.sessions.model import GroupView
+from bamboospring.sessions.model import Leadership
+from bamboospring.sessions.model import SessionBoard
+from bamboospring.sessions.ports import AskReport
+from bamboospring.sessions.proofs import others_agree
+from bamboospring.sessions.proofs import PROOF_LIFE
+from bamboospring.sessions.proofs import Report
+from bamboospring.sessions.questions import NoReport
+from bamboospring.sessions.questions import TargetQuestions
+from bamboospring.sessions.records import read_record
+from bamboospring.sessions.records import RECORD_KIND
+
+__all__ = ["RecordKeeper"]
+
+# Seconds between two reads of the records: a proof then outlives one read
+# that is lost, and is renewed by the next.
+INTERVAL = PROOF_LIFE * 0.45
+TIMEOUT = PROOF_LIFE * 0.35
+# Reads made because something spoke against a record are this far apart.
+DOUBT_INTERVAL = 0.15
+# A proof of this age, in seconds, is renewed by asking the targets.
+RENEW_BY_TARGETS = PROOF_LIFE * 0.68
+TARGETS_TIMEOUT = PROOF_LIFE * 0.28
+CHECK_INTERVAL = 0.2
+
+# Called with what else is stored with the records, when it was asked for.
+OnOther = Callable[[Found, float], None]
+
+
+class RecordKeeper:
+    """Reads the records of all groups at an interval."""
+
+    def __init__(
+        self,
+        *,
+        reactor: Reactor,
+        board: SessionBoard,
+        platform: PlatformClient,
+        questions: TargetQuestions,
+    ) -> None:
+        self._reactor = reactor
+        self._board = board
+        self._platform = platform
+        self._questions = questions
+        self._asking: set[str] = set()
+        self._busy = False
+        self._asked_at = -1e9
+        self._due = 0.0
+        self.read_at = -1e9
+        self.reachable = True
+        self.on_other: OnOther | None = None
+        self.on_read: Callable[[float], None] | None = None
+
+    def start(self) -> None:
+        """Read now and from then on."""
+        self._tick()
+
+    def doubt(self, group: str) -> None:
+        """Read soon: something speaks against the record of a group."""
+        soon = max(self._reactor.now(), self._asked_at + DOUBT_INTERVAL)
+        if soon < self._due:
+            self._due = soon
+            self._reactor.call_later(
+                max(0.0, soon - self._reactor.now()), self._ask_if_due
+            )
+
+    def take(self, record: Leadership, asked_at: float | None = None) -> None:
+        """Take a record in; with `asked_at` it also is a proof."""
+        group = self._board.group(record.group)
+        known = group.leadership
+        if known is not None and record.version < known.version:
+            # Overtaken on the way by a newer one.
+            return
+        if known is None or record.version > known.version:
+            self._replace(group, record)
+        if asked_at is not None and record.change is None:
+            group.proof.renew(asked_at)
+
+    def _replace(self, group: GroupView, record: Leadership) -> None:
+        known = group.leadership
+        same = (
+            known is not None
+            and known.primary == record.primary
+            and known.term == record.term
+        )
+        group.leadership = record
+        if record.change is not None:
+            group.proof.void()
+        if not same:
+            group.proof.void()
+            group.samples.clear()
+        logs.log_event(
+            "record",
+            group=group.name,
+            version=record.version,
+            term=record.term,
+            primary=record.primary,
+            changing=record.change is not None,
+            by=record.change.vm if record.change else "",
+        )
+
+    def _tick(self) -> None:
+        self._ask_if_due()
+        self._renew_by_targets()
+        self._reactor.call_later(CHECK_INTERVAL, self._tick)
+
+    def _ask_if_due(self) -> None:
+        now = self._reactor.now()
+        if self._busy or now < self._due:
+            return
+        self._busy = True
+        self._asked_at = now
+        self._due = now + INTERVAL
+        self._platform.list(
+            RECORD_KIND, "records", self._answered, timeout=TIMEOUT
+        )
+
+    def _answered(self, result: Changes | Unavailable) -> None:
+        self._busy = False
+        asked_at = self._asked_at
+        match result:
+            case Changes(objects=objects):
+                self._reached(True)
+                self.read_at = asked_at
+                for found in objects:
+                    self._take_object(found, asked_at)
+                if self.on_read is not None:
+                    self.on_read(asked_at)
+            case Unavailable(retry_after=retry_after, reason=reason):
+                self._reached(False, reason)
+                now = self._reactor.now()
+                self._due = min(self._due, now + max(retry_after, 0.05))
+
+    def _take_object(self, found: Found, asked_at: float) -> None:
+        if isinstance(found.value, dict) and "primary" in found.value:
+            record = read_record(found)
+            if record is not None:
+                self.take(record, asked_at)
+        elif self.on_other is not None:
+            self.on_other(found, asked_at)
+
+    def _reached(self, reachable: bool, reason: str = "") -> None:
+        if reachable == self.reachable:
+            return
+        self.reachable = reachable
+        age = self._reactor.now() - self.read_at
+        logs.log_event(
+            "platform_regained" if reachable else "platform_lost",
+            level=logs.Level.INFO if reachable else logs.Level.WARNING,
+            reason=reason,
+            records_age_ms=round(min(age, 1e6) * 1000),
+        )
+
+    # Proofs without the store.
+
+    def _renew_by_targets(self) -> None:
+        now = self._reactor.now()
+        for group in self._board.groups.values():
+            if now - group.proof.asked_at < RENEW_BY_TARGETS:
+                continue
+            # A first proof always comes from the store: what a process that
+            # has just started knows of targets may be far too old.
+            if group.primary() is not None and now - self.read_at > 0.5:
+                if self.read_at > 0:
+                    self._ask_others(group, now)
+
+    def _ask_others(self, group: GroupView, now: float) -> None:
+        record = group.leadership
+        if record is None or group.name in self._asking:
+            return
+        others = [name for name in group.targets if name != record.primary]
+        if not others:
+            return
+        self._asking.add(group.name)
+        reports: dict[str, Report | None] = {}
+        left = len(others)
+
+        def heard(name: str, result: Report | NoReport) -> None:
+            nonlocal left
+            left -= 1
+            if isinstance(result, Report):
+                reports[name] = result
+            elif result.refused:
+                reports[name] = None
+            if left == 0:
+                self._asking.discard(group.name)
+                self._judge_others(group, record, others, reports, now)
+
+        for name in others:
+            self._questions.ask(
+                group,
+                name,
+                AskReport(),
+                TARGETS_TIMEOUT,
+                lambda result, name=name: heard(name, result),  # type: ignore
+            )
+
+    def _judge_others(
+        self,
+        group: GroupView,
+        record: Leadership,
+        others: list[str],
+        reports: dict[str, Report | None],
+        asked_at: float,
+    ) -> None:
+        agree = others_agree(others, reports, record.term)
+        if agree and group.leadership is record and record.change is None:
+            group.proof.renew(asked_at)
+        logs.log_event(
+            "asked_targets",
+            group=group.name,
+            agree=agree,
+            heard=sum(r is not None for r in reports.values()),
+            asked=len(others),
+            term=record.term,
+        )
--- /dev/null
+++ b/bamboospring/sessions/records.py
@@ -0,0 +1,86 @@
+"""The groups' records as the platform's store keeps them."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from pydantic import BaseModel
+from pydantic import ConfigDict
+from pydantic import ValidationError
+
+from bamboospring import logs
+from bamboospring.object_store import Found
+from bamboospring.sessions.model import Change
+from bamboospring.sessions.model import Leadership
+
+__all__ = ["RECORD_KIND", "encode_record", "read_record"]
+
+RECORD_KIND = "groups"
+
+
+class _Change(BaseModel):
+    model_config = ConfigDict(strict=True)
+
+    term: int
+    vm: str
+    nonce: str
+    cause: str
+
+
+class _Record(BaseModel):
+    model_config = ConfigDict(strict=True)
+
+    term: int
+    primary: str
+    change: _Change | None = None
+
+
+def encode_record(record: Leadership) -> dict[str, Any]:
+    """Return the value to store."""
+    change = record.change
+    return {
+        "term": record.term,
+        "primary": record.primary,
+        "change": (
+            None
+            if change is None
+            else {
+                "term": change.term,
+                "vm": change.vm,
+                "nonce": change.nonce,
+                "cause": change.cause,
+            }
+        ),
+    }
+
+
+def read_record(found: Found) -> Leadership | None:
+    """Read a stored record; None, with a log line, if it is none."""
+    try:
+        raw = _Record.model_validate(found.value)
+    except ValidationError as exc:
+        logs.log_event(
+            "record_unreadable",
+            level=logs.Level.ERROR,
+            group=found.name,
+            version=found.version,
+            reason=str(exc.errors()[0]["type"]),
+        )
+        return None
+    change = raw.change
+    return Leadership(
+        group=found.name,
+        version=found.version,
+        term=raw.term,
+        primary=raw.primary,
+        change=(
+            None
+            if change is None
+            else Change(
+                term=change.term,
+                vm=change.vm,
+                nonce=change.nonce,
+                cause=change.cause,
+            )
+        ),
+    )
--- /dev/null
+++ b/bamboospring/sessions/session.py
@@ -0,0 +1,429 @@
+"""One caller's session: its values, names, transaction and pending work.
+
+Statements are handled one at a time, in order. What needs no target is
+answered here: values, prepared names, the beginning and the rollback of a
+transaction. A transaction takes a connection only with its first statement,
+so that a caller who pauses after `begin` holds nothing of a target.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections import deque
+from dataclasses import dataclass
+from dataclasses import field
+
+from bamboospring.outcomes import Failed
+from bamboospring.outcomes import NotRun
+from bamboospring.outcomes import Reason
+from bamboospring.pool import Leased
+from bamboospring.reactor import Reactor
+from bamboospring.reactor import Timer
+from bamboospring.sessions.model import Route
+from bamboospring.sessions.model import SessionBoard
+from bamboospring.sessions.ports import Acknowledged
+from bamboospring.sessions.ports import Begin
+from bamboospring.sessions.ports import CallerChannel
+from bamboospring.sessions.ports import Commit
+from bamboospring.sessions.ports import Execute
+from bamboospring.sessions.ports import Malformed
+from bamboospring.sessions.ports import Prepare
+from bamboospring.sessions.ports import Release
+from bamboospring.sessions.ports import Rollback
+from bamboospring.sessions.ports import Served
+from bamboospring.sessions.ports import SessionAnswer
+from bamboospring.sessions.ports import SessionOutcome
+from bamboospring.sessions.ports import SessionState
+from bamboospring.sessions.ports import SetValue
+from bamboospring.sessions.ports import Shape
+from bamboospring.sessions.ports import Statement
+from bamboospring.sessions.ports import Work
+from bamboospring.statements import Position
+
+__all__ = ["Job", "MAX_PENDING", "Session", "Transaction", "Worker"]
+
+# Statements that a caller may have sent ahead; the connection is not read on
+# beyond them.
+MAX_PENDING = 64
+MAX_NAMES = 1024
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class Transaction:
+    """An open transaction; `leased` once it has a connection.
+
+    `lost` names why it can't go on, for the next statement's answer.
+    """
+
+    route: Route
+    read_only: bool
+    began_at: float
+    leased: Leased | None = None
+    at_replica: bool = False
+    wrote: bool = False
+    lost: Reason | None = None
+
+
+@dataclass(slots=True, kw_only=True)
+class Job:
+    """One statement that a target has to run.
+
+    `text` is None for a prepared statement, whose shape and arguments are
+    given instead.
+    """
+
+    id: str
+    writes: bool
+    route: Route
+    received_at: float
+    text: str | None = None
+    shape: Shape | None = None
+    arguments: str = ""
+
+
+OnOutcome = Callable[[SessionOutcome, Position | None], None]
+
+
+class Worker:
+    """What a session needs of whoever carries its statements out."""
+
+    def run(
+        self, session: Session, job: Job, tx: Transaction | None, on: OnOutcome
+    ) -> None:
+        """Run a statement, in a transaction if there is one."""
+        raise NotImplementedError
+
+    def commit(
+        self,
+        session: Session,
+        tx: Transaction,
+        id: str,
+        received_at: float,
+        on: OnOutcome,
+    ) -> None:
+        """Commit a transaction."""
+        raise NotImplementedError
+
+    def roll_back(self, tx: Transaction) -> None:
+        """Roll a transaction back and give its connection up."""
+        raise NotImplementedError
+
+    def withdraw(self, session: Session) -> None:
+        """Forget what a caller who has gone still waits for."""
+        raise NotImplementedError
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Pending:
+    id: str
+    statement: Statement
+    received_at: float
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class Session:
+    """The state of one session and what it does with each statement."""
+
+    caller: str
+    database: str
+    reactor: Reactor
+    board: SessionBoard
+    worker: Worker
+    channel: CallerChannel
+    values: dict[str, str] = field(default_factory=dict)
+    names: dict[str, Shape] = field(default_factory=dict)
+    state: SessionState = SessionState.IDLE
+    written: Position = Position()
+    busy: bool = False
+    ended: bool = False
+    leaving: bool = False
+    transaction: Transaction | None = None
+    _pending: deque[_Pending] = field(default_factory=deque)
+    _idle_timer: Timer | None = None
+
+    @property
+    def is_full(self) -> bool:
+        """Tell whether the caller has sent too much ahead."""
+        return len(self._pending) >= MAX_PENDING
+
+    @property
+    def at_rest(self) -> bool:
+        """Tell whether nothing is under way and nothing is open."""
+        return (
+            not self.busy
+            and not self._pending
+            and self.state is SessionState.IDLE
+        )
+
+    def submit(self, id: str, statement: Statement) -> None:
+        """Take a statement; it is handled after those before it."""
+        self._pending.append(
+            _Pending(
+                id=id, statement=statement, received_at=self.reactor.now()
+            )
+        )
+        if not self.busy:
+            self._next()
+
+    def end(self) -> None:
+        """Forget everything: the caller has gone."""
+        if self.ended:
+            return
+        self.ended = True
+        self._pending.clear()
+        self._stop_timer()
+        self.worker.withdraw(self)
+        if not self.busy:
+            self._drop_transaction()
+
+    def leave(self) -> None:
+        """Close as soon as nothing is under way and nothing is open."""
+        self.leaving = True
+        if self.at_rest and not self.ended:
+            self.channel.close()
+
+    def abandon_transaction(self, reason: Reason) -> None:
+        """Roll back an open transaction on which nothing is under way.
+
+        The caller learns it with the answer to its next statement: whatever
+        is sent without being asked for would be taken for that answer.
+        """
+        tx = self.transaction
+        if tx is None or tx.lost is not None or self.busy:
+            return
+        tx.lost = reason
+        self.worker.roll_back(tx)
+
+    # One statement after the other.
+
+    def _next(self) -> None:
+        while self._pending and not self.busy and not self.ended:
+            pending = self._pending.popleft()
+            self._stop_timer()
+            self.busy = True
+            self._handle(pending)
+
+    def _handle(self, pending: _Pending) -> None:
+        match pending.statement:
+            case SetValue(name=name, value=value):
+                self._locally(lambda: self.values.__setitem__(name, value))
+            case Prepare():
+                self._prepare(pending.statement)
+            case Release(name=name):
+                self._release(name)
+            case Malformed(message=message):
+                self._reject(message)
+            case _ if self.state is SessionState.FAILED:
+                self._handle_failed(pending.statement)
+            case Begin(read_only=read_only):
+                self._begin(read_only, pending.received_at)
+            case Rollback():
+                self._roll_back()
+            case Commit():
+                self._commit(pending)
+            case Work(writes=writes, text=text):
+                self._work(pending, writes=writes, text=text)
+            case Execute(name=name, arguments=arguments):
+                self._execute(pending, name, arguments)
+
+    def _locally(self, act: Callable[[], None]) -> None:
+        if self.state is SessionState.FAILED:
+            self._reject("the transaction has failed")
+            return
+        act()
+        self._answer(Acknowledged())
+
+    def _prepare(self, statement: Prepare) -> None:
+        if len(self.names) >= MAX_NAMES and statement.name not in self.names:
+            self._reject("too many prepared statements")
+            return
+        name, shape = statement.name, statement.shape
+        self._locally(lambda: self.names.__setitem__(name, shape))
+
+    def _release(self, name: str) -> None:
+        if name not in self.names and self.state is not SessionState.FAILED:
+            self._unknown_name(name)
+            return
+        self._locally(lambda: self.names.__delitem__(name))
+
+    def _handle_failed(self, statement: Statement) -> None:
+        """Answer in a failed transaction: all that helps is to end it."""
+        match statement:
+            case Rollback():
+                self._end_transaction()
+                self._answer(Acknowledged())
+            case Commit():
+                self._end_transaction()
+                self._answer(
+                    NotRun(
+                        reason=Reason.TRANSACTION_LOST,
+                        message="the transaction had failed: rolled back",
+                    )
+                )
+            case _:
+                self._reject("the transaction has failed")
+
+    def _begin(self, read_only: bool, received_at: float) -> None:
+        if self.transaction is not None:
+            self._reject("a transaction is open already")
+            return
+        route = self.board.route(self.database)
+        if route is None:
+            self._answer(self._no_route())
+            return
+        self.transaction = Transaction(
+            route=route, read_only=read_only, began_at=received_at
+        )
+        self.state = SessionState.OPEN
+        self._answer(Acknowledged())
+
+    def _roll_back(self) -> None:
+        if self.transaction is None:
+            self._reject("no transaction is open")
+            return
+        self._drop_transaction()
+        self.state = SessionState.IDLE
+        self._answer(Acknowledged())
+
+    def _commit(self, pending: _Pending) -> None:
+        tx = self.transaction
+        if tx is None:
+            self._reject("no transaction is open")
+            return
+        if tx.lost is not None:
+            reason = tx.lost
+            self._end_transaction()
+            self._answer(NotRun(reason=reason))
+            return
+
+        def done(outcome: SessionOutcome, position: Position | None) -> None:
+            self.transaction = None
+            self.state = SessionState.IDLE
+            if isinstance(outcome, Served) and tx.wrote and position:
+                self.written = max(self.written, position)
+            self._answer(outcome, position)
+
+        self.worker.commit(self, tx, pending.id, pending.received_at, done)
+
+    def _work(self, pending: _Pending, *, writes: bool, text: str) -> None:
+        self._run(pending, writes=writes, text=text)
+
+    def _execute(self, pending: _Pending, name: str, arguments: str) -> None:
+        shape = self.names.get(name)
+        if shape is None:
+            self._unknown_name(name)
+            return
+        self._run(
+            pending, writes=shape.writes, shape=shape, arguments=arguments
+        )
+
+    def _run(
+        self,
+        pending: _Pending,
+        *,
+        writes: bool,
+        text: str | None = None,
+        shape: Shape | None = None,
+        arguments: str = "",
+    ) -> None:
+        tx = self.transaction
+        route = tx.route if tx else self.board.route(self.database)
+        if route is None:
+            self._answer(self._no_route())
+            return
+        if tx is not None and tx.lost is not None:
+            self.state = SessionState.FAILED
+            self._answer(NotRun(reason=tx.lost))
+            return
+        job = Job(
+            id=pending.id,
+            writes=writes,
+            route=route,
+            received_at=pending.received_at,
+            text=text,
+            shape=shape,
+            arguments=arguments,
+        )
+
+        def done(outcome: SessionOutcome, position: Position | None) -> None:
+            served = isinstance(outcome, Served)
+            if tx is not None and not served:
+                self.state = SessionState.FAILED
+            elif served and writes and tx is None and position:
+                self.written = max(self.written, position)
+            self._answer(outcome, position)
+
+        self.worker.run(self, job, tx, done)
+
+    # Answers.
+
+    def _reject(self, message: str) -> None:
+        """Refuse what makes no sense here; a transaction then has failed."""
+        if self.state is SessionState.OPEN:
+            self.state = SessionState.FAILED
+            self._drop_transaction_work()
+        self._answer(Failed(reason=Reason.BAD_REQUEST, message=message))
+
+    def _unknown_name(self, name: str) -> None:
+        if self.state is SessionState.OPEN:
+            self.state = SessionState.FAILED
+            self._drop_transaction_work()
+        self._answer(Failed(reason=Reason.NO_STATEMENT, message=name))
+
+    def _no_route(self) -> NotRun:
+        return NotRun(reason=Reason.UNKNOWN_GROUP, message=self.database)
+
+    def _answer(
+        self, outcome: SessionOutcome, position: Position | None = None
+    ) -> None:
+        self.busy = False
+        if self.ended:
+            self._drop_transaction()
+            return
+        self.channel.answer(
+            SessionAnswer(outcome=outcome, state=self.state, position=position)
+        )
+        if self.transaction is not None and not self._pending:
+            self._start_timer()
+        if self.leaving:
+            self.leave()
+        # A later turn: a long row of statements must not nest its calls.
+        if self._pending:
+            self.reactor.call_later(0, self._resume)
+
+    def _resume(self) -> None:
+        if not self.busy:
+            self._next()
+
+    # The end of transactions.
+
+    def _end_transaction(self) -> None:
+        self._drop_transaction()
+        self.state = SessionState.IDLE
+
+    def _drop_transaction(self) -> None:
+        self._drop_transaction_work()
+        self.transaction = None
+
+    def _drop_transaction_work(self) -> None:
+        tx = self.transaction
+        if tx is not None and tx.leased is not None:
+            self.worker.roll_back(tx)
+
+    def _start_timer(self) -> None:
+        catalog = self.board.catalog
+        if catalog is not None:
+            self._idle_timer = self.reactor.call_later(
+                catalog.idle_transaction, self._idle_too_long
+            )
+
+    def _stop_timer(self) -> None:
+        if self._idle_timer is not None:
+            self._idle_timer.cancel()
+            self._idle_timer = None
+
+    def _idle_too_long(self) -> None:
+        # A transaction that rests keeps a connection, and a lock, that all
+        # others of the group may be waiting for.
+        self._idle_timer = None
+        self.abandon_transaction(Reason.TRANSACTION_IDLE)
--- /dev/null
+++ b/bamboospring/sessions/session_metrics.py
@@ -0,0 +1,238 @@
+"""Counters and latency histograms of a VM that serves sessions."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import time
+from typing import TYPE_CHECKING
+
+from bamboospring import logs
+from bamboospring.metrics import Distribution
+from bamboospring.metrics import Kind
+from bamboospring.metrics import Metrics
+from bamboospring.metrics import Point
+from bamboospring.metrics import Series
+from bamboospring.metrics_export import Exporter
+from bamboospring.sessions.model import SessionBoard
+from bamboospring.sessions.ports import Served
+from bamboospring.sessions.ports import SessionOutcome
+from bamboospring.sessions.story import kind_of
+from bamboospring.sessions.story import Story
+from bamboospring.sessions.story import word_of
+from bamboospring.status_view import resident_bytes
+
+if TYPE_CHECKING:
+    from bamboospring.platform_client import PlatformClient
+    from bamboospring.pool import Pools
+    from bamboospring.sessions.leader import Leader
+    from bamboospring.sessions.outside import CallerListener
+    from bamboospring.sessions.ports import SessionLink
+
+__all__ = ["SessionMetrics"]
+
+# Routes are named by operators; more than this are counted together.
+MAX_ROUTES = 64
+OTHER_ROUTES = "_other"
+
+
+class SessionMetrics:
+    """Counts what became of statements, and shows what the node holds."""
+
+    def __init__(self, *, board: SessionBoard) -> None:
+        self._board = board
+        self._metrics = Metrics(
+            knows=lambda group: True, slow_after=lambda group: 1.0
+        )
+        self._exporter: Exporter | None = None
+        self._durations: dict[str, Distribution] = {}
+        self._waits: dict[str, Distribution] = {}
+        self._outcomes: dict[tuple[str, str, str], int] = {}
+        self._replica_reads = 0
+        self._hedged = 0
+        self._unready = ""
+
+    def told(
+        self, story: Story, outcome: SessionOutcome, seconds: float
+    ) -> None:
+        """Count a statement whose outcome is known."""
+        kind = kind_of(story.job)
+        self._record(self._durations, kind, seconds)
+        if story.sent_at:
+            waited = story.sent_at - story.job.received_at
+            self._record(self._waits, kind, waited)
+        cause = word_of(outcome)
+        reason = getattr(outcome, "reason", None)
+        if reason is not None:
+            cause = f"{cause}.{reason.value}"
+        key = (self._route(story.job.route.name), kind, cause)
+        self._outcomes[key] = self._outcomes.get(key, 0) + 1
+        self._hedged += story.hedged
+        if isinstance(outcome, Served) and outcome.at_replica:
+            self._replica_reads += 1
+
+    def said_ready(self, why: str) -> None:
+        """Note the answer to the platform, and log it when it changes."""
+        if why != self._unready:
+            self._unready = why
+            logs.log_event("readiness", ready=not why, reason=why)
+
+    def watch_node(
+        self,
+        *,
+        pools: Pools[SessionLink],
+        platform: PlatformClient,
+        leader: Leader,
+        listener: CallerListener,
+        now: Callable[[], float],
+    ) -> None:
+        """Show what the components of the node hold and have counted."""
+        watch = self._metrics.watch
+        watch(
+            "process.cpu.time",
+            time.process_time,
+            kind=Kind.COUNTER,
+            unit="s",
+            description="Processor time used.",
+        )
+        watch(
+            "process.memory.usage",
+            resident_bytes,
+            unit="By",
+            description="Resident memory.",
+        )
+        watch(
+            "bamboospring.sessions",
+            lambda: len(listener.sessions()),
+            description="Sessions of callers.",
+        )
+        watch(
+            "bamboospring.target.connections",
+            lambda: {p.target.name: p.used.connections for p in pools.all()},
+            label="target",
+            description="Connections to each target.",
+        )
+        watch(
+            "bamboospring.statements.waiting",
+            lambda: {p.target.name: p.waiting for p in pools.all()},
+            label="target",
+            description="Statements that wait for each target.",
+        )
+        watch(
+            "bamboospring.target.connections.full",
+            lambda: {p.target.name: p.counters.full for p in pools.all()},
+            kind=Kind.COUNTER,
+            label="target",
+            description="Connections that the target's limit forbade.",
+        )
+        watch(
+            "bamboospring.platform.calls",
+            lambda: {k: c.calls for k, c in platform.counts.items()},
+            kind=Kind.COUNTER,
+            label="purpose",
+            description="Calls to the platform's store.",
+        )
+        watch(
+            "bamboospring.platform.calls.failed",
+            lambda: {k: c.failed for k, c in platform.counts.items()},
+            kind=Kind.COUNTER,
+            label="purpose",
+            description="Calls to the store that told nothing.",
+        )
+        watch(
+            "bamboospring.leads",
+            lambda: int(leader.leads),
+            description="1 where changes of primary are led.",
+        )
+        watch(
+            "bamboospring.proof.age",
+            lambda: {
+                name: min(1e6, now() - group.proof.asked_at)
+                for name, group in self._board.groups.items()
+            },
+            unit="s",
+            label="group",
+            description="Age of the proof of each primary.",
+        )
+        watch(
+            "bamboospring.logs.left_out",
+            logs.left_out,
+            kind=Kind.COUNTER,
+            description="Log lines left out to keep within bounds.",
+        )
+
+    def text(self) -> bytes:
+        """Return all of it as Prometheus reads it."""
+        if self._exporter is None:
+            self._exporter = Exporter(
+                vm=self._board.vm,
+                availability_zone=self._board.availability_zone,
+            )
+        return self._exporter.text(self._series())
+
+    def _series(self) -> Iterator[Series]:
+        yield from self._metrics.sources()
+        yield _histogram(
+            "db.client.operation.duration",
+            "Time from a caller's request to its answer.",
+            self._durations,
+        )
+        yield _histogram(
+            "bamboospring.statement.wait",
+            "Time from a caller's request until it was sent to a target.",
+            self._waits,
+        )
+        yield Series(
+            name="bamboospring.statements",
+            kind=Kind.COUNTER,
+            unit="1",
+            description="Statements by route, kind and outcome.",
+            points=[
+                Point(
+                    attributes={
+                        "route": route,
+                        "db.operation.name": kind,
+                        "outcome": cause,
+                    },
+                    value=count,
+                )
+                for (route, kind, cause), count in self._outcomes.items()
+            ],
+        )
+        for name, value, text in (
+            ("reads.replica", self._replica_reads, "Reads at replicas."),
+            ("reads.hedged", self._hedged, "Reads also sent elsewhere."),
+        ):
+            yield Series(
+                name=f"bamboospring.{name}",
+                kind=Kind.COUNTER,
+                unit="1",
+                description=text,
+                points=[Point(attributes={}, value=value)],
+            )
+
+    def _route(self, name: str) -> str:
+        known = {route for route, _kind, _cause in self._outcomes}
+        if name in known or len(known) < MAX_ROUTES:
+            return name
+        return OTHER_ROUTES
+
+    def _record(
+        self, where: dict[str, Distribution], kind: str, seconds: float
+    ) -> None:
+        where.setdefault(kind, Distribution()).record(seconds)
+
+
+def _histogram(
+    name: str, description: str, by_kind: dict[str, Distribution]
+) -> Series:
+    return Series(
+        name=name,
+        kind=Kind.HISTOGRAM,
+        unit="s",
+        description=description,
+        points=[
+            Point(attributes={"db.operation.name": kind}, value=value)
+            for kind, value in by_kind.items()
+        ],
+    )
--- /dev/null
+++ b/bamboospring/sessions/settings.py
@@ -0,0 +1,96 @@
+"""The settings of a VM that serves sessions: JSON with comments, checked."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from pydantic import Field
+
+from bamboospring.settings import Address
+from bamboospring.settings import Lease
+from bamboospring.settings import load_as
+from bamboospring.settings import Logs
+from bamboospring.settings import milliseconds
+from bamboospring.settings import percent
+from bamboospring.settings import Section
+
+__all__ = ["SessionSettings", "SessionTiming", "load"]
+
+
+class SessionTiming(Section):
+    """Durations of a VM that serves sessions."""
+
+    grace_ms: int = milliseconds(
+        6_000,
+        500,
+        600_000,
+        "Time between the order to stop and the end of the process.",
+    )
+    target_leaving_ms: int = milliseconds(
+        7_000,
+        100,
+        600_000,
+        "Time after which a leaving target may get no more work.",
+    )
+    connect_timeout_ms: int = milliseconds(
+        500, 10, 60_000, "Longest time to open a connection to a target."
+    )
+    platform_timeout_ms: int = milliseconds(
+        1_000, 10, 60_000, "Longest time for a call to the platform."
+    )
+    longest_backoff_ms: int = milliseconds(
+        800, 1, 600_000, "Longest pause after failed calls to the platform."
+    )
+
+
+class SessionLimits(Section):
+    """Bounds on what one process takes on."""
+
+    queue_length: int = Field(
+        default=256,
+        ge=1,
+        le=100_000,
+        description="Statements that wait for a connection to one target.",
+    )
+    retry_percent: float = percent(
+        20.0, 0.0, 100.0, "Retries allowed, as a share of first tries."
+    )
+
+
+class SessionSettings(Section):
+    """All settings of a VM that serves sessions."""
+
+    vm: str = Field(min_length=1, description="Name of this VM.")
+    availability_zone: str = Field(
+        min_length=1, description="Availability zone of this VM."
+    )
+    region: str = Field(default="", description="Region of this VM.")
+    callers: Address = Field(description="Where callers connect, `ip:port`.")
+    readiness: Address = Field(
+        description="Where the platform asks whether callers may be sent here."
+    )
+    operators: Address | None = Field(
+        default=None, description="Where metrics are served; null: nowhere."
+    )
+    platform: Address = Field(description="The platform's object store.")
+    orders: Address = Field(
+        description="Who promotes targets on the platform."
+    )
+    limits: SessionLimits = Field(
+        default_factory=lambda: SessionLimits(), description="Bounds on work."
+    )
+    timing: SessionTiming = Field(
+        default_factory=lambda: SessionTiming(), description="Durations."
+    )
+    lease: Lease = Field(
+        default_factory=lambda: Lease(
+            duration_ms=2_000, renew_ms=600, margin_ms=300
+        ),
+        description="The lease under which changes of primary are led.",
+    )
+    logs: Logs = Field(default_factory=lambda: Logs(), description="Logs.")
+
+
+def load(path: str | Path) -> SessionSettings:
+    """Return the settings in a file; raise `SettingsError` if unusable."""
+    return load_as(SessionSettings, path)
--- /dev/null
+++ b/bamboospring/sessions/story.py
@@ -0,0 +1,121 @@
+"""What became of each statement, for logs and metrics.
+
+A story gathers the inputs of the decisions on a statement's way; it is told
+once, with the outcome. Statements that failed are always told, others up to a
+bound a second.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+
+from bamboospring import logs
+from bamboospring.outcomes import Failed
+from bamboospring.outcomes import NotRun
+from bamboospring.outcomes import Overloaded
+from bamboospring.outcomes import Unknown
+from bamboospring.sessions.ports import Acknowledged
+from bamboospring.sessions.ports import Served
+from bamboospring.sessions.ports import SessionOutcome
+from bamboospring.sessions.session import Job
+from bamboospring.sessions.session import Session
+from bamboospring.statements import Position
+
+__all__ = ["Story", "StoryTeller", "kind_of", "word_of"]
+
+
+@dataclass(slots=True, kw_only=True)
+class Story:
+    """One statement's way: where it was sent, on what knowledge."""
+
+    session: Session
+    job: Job
+    transaction: bool
+    targets: list[str] = field(default_factory=list)
+    after: Position | None = None
+    proof_age: float | None = None
+    hedged: bool = False
+    sent_at: float = 0.0
+
+    def sent(
+        self, target: str, *, after: Position | None, proof_age: float | None
+    ) -> None:
+        """Note a try and what spoke for it."""
+        self.targets.append(target)
+        self.after = after
+        self.proof_age = proof_age
+        if not self.sent_at:
+            self.sent_at = self.session.reactor.now()
+
+
+OnTold = Callable[[Story, SessionOutcome, float], None]
+
+
+class StoryTeller:
+    """Writes the story of statements and hands it on to be counted."""
+
+    def __init__(self, *, on_told: OnTold) -> None:
+        self._on_told = on_told
+
+    def tell(self, story: Story, outcome: SessionOutcome) -> None:
+        """Log a statement whose outcome is known."""
+        now = story.session.reactor.now()
+        took = now - story.job.received_at
+        self._on_told(story, outcome, took)
+        bad = not isinstance(outcome, (Served, Acknowledged))
+        level = logs.Level.WARNING if bad else logs.Level.INFO
+        if not logs.wanted("answered", level):
+            return
+        waited = (story.sent_at or now) - story.job.received_at
+        job = story.job
+        logs.log_event(
+            "answered",
+            level=level,
+            trace=job.id,
+            caller=story.session.caller,
+            group=job.route.group,
+            route=job.route.name,
+            kind=kind_of(job),
+            transaction=story.transaction,
+            outcome=word_of(outcome),
+            reason=getattr(outcome, "reason", ""),
+            targets=",".join(story.targets),
+            after=_text(story.after),
+            proof_age_ms=_ms(story.proof_age),
+            waited_ms=_ms(waited),
+            took_ms=_ms(took),
+            hedged=story.hedged,
+        )
+
+
+_WORDS: dict[type, str] = {
+    Served: "served",
+    Acknowledged: "acknowledged",
+    Failed: "failed",
+    NotRun: "not_run",
+    Overloaded: "overloaded",
+    Unknown: "unknown",
+}
+
+
+def word_of(outcome: SessionOutcome) -> str:
+    """Return the word for an outcome in logs and metrics."""
+    return _WORDS[type(outcome)]
+
+
+def kind_of(job: Job) -> str:
+    """Return what a job is: read, write or commit."""
+    if job.text is None and job.shape is None:
+        return "commit"
+    return "write" if job.writes else "read"
+
+
+def _text(position: Position | None) -> str:
+    return "-" if position is None else f"{position.term}.{position.index}"
+
+
+def _ms(seconds: float | None) -> int:
+    # A proof that never was shows as the longest age that anybody reads.
+    return -1 if seconds is None else round(min(seconds, 1e6) * 1000)
--- /dev/null
+++ b/bamboospring/sessions/target_choice.py
@@ -0,0 +1,159 @@
+"""Where a statement goes: which target, and what its log must have.
+
+A read that accepts some age goes to the target that should answer first
+among those that have what it must see, replicas before the primary. Writes
+and reads that accept no age go to the primary, under a proof.
+
+Pure decisions over the board; times are passed in.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from dataclasses import dataclass
+
+from bamboospring.outcomes import Reason
+from bamboospring.sessions.freshness import required_position
+from bamboospring.sessions.model import Freshness
+from bamboospring.sessions.model import GroupView
+from bamboospring.sessions.model import Route
+from bamboospring.sessions.model import TargetNews
+from bamboospring.sessions.model import TargetView
+from bamboospring.statements import Position
+
+__all__ = ["Choice", "Needs", "NoTarget", "SendTo", "choose", "expected_time"]
+
+# What another zone costs, in seconds: the way there and back, about 2 ms, and
+# as much again for the bytes that zones are charged for.
+OTHER_ZONE = 0.004
+# What a read costs the primary more than a replica, as a part of its time:
+# the primary alone can serve writes and reads that accept no age.
+PRIMARY_BURDEN = 1.0
+# The age that a read accepts is taken to be this much shorter, in seconds:
+# for the rates of clocks, and a statement that waits in a queue first.
+AGE_MARGIN = 0.05
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Needs:
+    """What one statement asks of a target.
+
+    `received_at` is when its first bytes were read, `written` the session's
+    own last commit. `at_primary` says that only a primary can run it.
+    """
+
+    received_at: float
+    at_primary: bool
+    written: Position = Position()
+    excluded: Collection[str] = frozenset()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SendTo:
+    """Send it to this target, whose log must have `after`."""
+
+    news: TargetNews
+    after: Position | None
+    at_replica: bool
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class NoTarget:
+    """Nobody can run it now."""
+
+    reason: Reason
+
+
+Choice = SendTo | NoTarget
+
+
+def choose(
+    group: GroupView, route: Route, needs: Needs, *, zone: str, now: float
+) -> Choice:
+    """Choose the target of one statement."""
+    if needs.at_primary or route.freshness is Freshness.PRIMARY:
+        return _primary(group, needs, now)
+    after = None
+    if route.max_age is not None:
+        since = needs.received_at - route.max_age + AGE_MARGIN
+        after = required_position(
+            group.samples, since=since, written=needs.written
+        )
+    if after is None:
+        return _primary(group, needs, now)
+    found = [
+        news
+        for news in group.targets.values()
+        if _may_read(group, news, needs, after, now)
+    ]
+    if not found:
+        return _without_replica(group, needs, after, now)
+    best = min(found, key=lambda news: _read_cost(group, news, zone))
+    return SendTo(
+        news=best,
+        after=after,
+        at_replica=not _is_primary(group, best),
+    )
+
+
+def expected_time(view: TargetView) -> float:
+    """Return the seconds in which a target should answer one more."""
+    return (view.outstanding + 1) * view.latency * (1 + view.trouble)
+
+
+def _primary(group: GroupView, needs: Needs, now: float) -> Choice:
+    news = group.primary()
+    if news is None:
+        return NoTarget(reason=Reason.NO_PRIMARY)
+    if now >= news.usable_until:
+        return NoTarget(reason=Reason.TARGET_LEAVING)
+    if not group.proof.covers(needs.received_at):
+        return NoTarget(reason=Reason.PRIMARY_CHANGED)
+    if news.target.name in needs.excluded:
+        return NoTarget(reason=Reason.TARGET_UNREACHABLE)
+    return SendTo(news=news, after=None, at_replica=False)
+
+
+def _without_replica(
+    group: GroupView, needs: Needs, after: Position, now: float
+) -> Choice:
+    """Return the primary for a read that no target should have tried.
+
+    With a position to ask for it needs no proof: whoever has the position
+    has all that the read must see.
+    """
+    agreed = group.leadership
+    news = group.targets.get(agreed.primary) if agreed is not None else None
+    if news is None or news.target.name in needs.excluded:
+        return NoTarget(reason=Reason.STALE)
+    if now >= news.usable_until:
+        return NoTarget(reason=Reason.TARGET_LEAVING)
+    return SendTo(news=news, after=after, at_replica=False)
+
+
+def _may_read(
+    group: GroupView,
+    news: TargetNews,
+    needs: Needs,
+    after: Position,
+    now: float,
+) -> bool:
+    name = news.target.name
+    if news.leaving or name in needs.excluded:
+        return False
+    view = group.view(name)
+    return view.applied >= after or now >= view.behind_until
+
+
+def _read_cost(group: GroupView, news: TargetNews, zone: str) -> float:
+    cost = expected_time(group.view(news.target.name))
+    if news.target.availability_zone != zone:
+        cost += OTHER_ZONE
+    if _is_primary(group, news):
+        cost *= 1 + PRIMARY_BURDEN
+    return cost
+
+
+def _is_primary(group: GroupView, news: TargetNews) -> bool:
+    agreed = group.leadership
+    return agreed is not None and agreed.primary == news.target.name
--- /dev/null
+++ b/bamboospring/sessions/target_keeper.py
@@ -0,0 +1,169 @@
+"""Keep the list of targets, and this VM's bounds on connections to them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import dataclasses
+
+from bamboospring import logs
+from bamboospring.object_store import Changes
+from bamboospring.object_store import Found
+from bamboospring.object_store import Unavailable
+from bamboospring.platform_client import PlatformClient
+from bamboospring.pool import Pools
+from bamboospring.reactor import Reactor
+from bamboospring.sessions.model import GroupView
+from bamboospring.sessions.model import SessionBoard
+from bamboospring.sessions.model import TargetNews
+from bamboospring.sessions.ports import SessionLink
+from bamboospring.shares import Units
+
+__all__ = ["TargetKeeper"]
+
+# Seconds between two looks at the list. A leaving target may get work for 7 s
+# and is not chosen after this much of them.
+INTERVAL = 1.5
+TIMEOUT = 1.0
+# A leaving primary is used for this part of its time: the word that it
+# leaves is up to two looks old when it is read.
+LEAVING_PART = 0.55
+# An entry that is missing is kept this long, in seconds: after an outage of
+# the platform entries of live targets are back within two.
+GONE_AFTER = 2.2
+# The part of a target's connections that one VM may use at most. Connections
+# are opened when they are needed and closed when they rest; the target itself
+# refuses what goes beyond its limit.
+SHARE_DIVISOR = 3
+FEWEST_CONNECTIONS = 2
+
+
+class TargetKeeper:
+    """Reads the list of targets at an interval.
+
+    `read` turns an entry into news, None if it names nothing to use.
+    `leaving_limit` is the time after which a leaving target may get no work.
+    """
+
+    def __init__(
+        self,
+        *,
+        reactor: Reactor,
+        board: SessionBoard,
+        platform: PlatformClient,
+        pools: Pools[SessionLink],
+        kind: str,
+        read: Callable[[Found], TargetNews | None],
+        leaving_limit: float,
+    ) -> None:
+        self._leaving_limit = leaving_limit * LEAVING_PART
+        self._reactor = reactor
+        self._board = board
+        self._platform = platform
+        self._pools = pools
+        self._kind = kind
+        self._read = read
+        self._missing: dict[str, float] = {}
+        self._asked_at = 0.0
+
+    def start(self) -> None:
+        """Look at the list now and from then on."""
+        self._ask()
+
+    def apply_bounds(self) -> None:
+        """Give each target its bound by the catalog in force."""
+        for group in self._board.groups.values():
+            for news in group.targets.values():
+                self._bound(news)
+
+    def missing_since(self, name: str) -> float | None:
+        """Return since when a target's entry is missing, None if it is not."""
+        return self._missing.get(name)
+
+    def _ask(self) -> None:
+        self._asked_at = self._reactor.now()
+        self._platform.list(
+            self._kind, "targets", self._answered, timeout=TIMEOUT
+        )
+
+    def _answered(self, result: Changes | Unavailable) -> None:
+        wait = INTERVAL
+        match result:
+            case Changes(objects=objects):
+                self._take(objects)
+            case Unavailable(retry_after=retry_after):
+                wait = min(INTERVAL, max(retry_after, 0.1))
+        self._reactor.call_later(wait, self._ask)
+
+    def _take(self, objects: tuple[Found, ...]) -> None:
+        self._board.targets_seen_at = self._asked_at
+        now = self._reactor.now()
+        listed = {}
+        for found in objects:
+            news = self._read(found)
+            if news is not None:
+                listed[news.target.name] = news
+        for news in listed.values():
+            self._take_one(news, now)
+        for group in self._board.groups.values():
+            for name in list(group.targets):
+                if name not in listed:
+                    self._take_missing(group, name, now)
+
+    def _take_one(self, news: TargetNews, now: float) -> None:
+        name = news.target.name
+        self._missing.pop(name, None)
+        group = self._board.group(news.group)
+        old = group.targets.get(name)
+        if news.leaving:
+            until = now + self._leaving_limit
+            if old is not None and old.leaving:
+                until = old.usable_until
+            news = dataclasses.replace(news, usable_until=until)
+        if old == news:
+            return
+        if old is not None and old.target != news.target:
+            # Another life, or another address: nothing seen before holds.
+            self._drop(group, old)
+            old = None
+        group.targets[name] = news
+        self._bound(news)
+        logs.log_event(
+            "target",
+            group=news.group,
+            target=name,
+            address=news.target.address,
+            born=news.target.born,
+            zone=news.target.availability_zone,
+            leaving=news.leaving,
+            leads=news.leads,
+            known=old is not None,
+        )
+
+    def _take_missing(self, group: GroupView, name: str, now: float) -> None:
+        since = self._missing.setdefault(name, now)
+        if now - since < GONE_AFTER:
+            return
+        news = group.targets[name]
+        self._drop(group, news)
+        logs.log_event(
+            "target_gone",
+            group=group.name,
+            target=name,
+            missing_ms=round((now - since) * 1000),
+        )
+
+    def _drop(self, group: GroupView, news: TargetNews) -> None:
+        group.targets.pop(news.target.name, None)
+        group.views.pop(news.target.name, None)
+        self._pools.pool(news.target).set_share(Units())
+
+    def _bound(self, news: TargetNews) -> None:
+        catalog = self._board.catalog
+        limits = catalog.groups.get(news.group) if catalog else None
+        if limits is None:
+            return
+        bound = max(FEWEST_CONNECTIONS, limits.connections // SHARE_DIVISOR)
+        share = Units(slots=bound, connections=bound)
+        pool = self._pools.pool(news.target)
+        if pool.share != share:
+            pool.set_share(share)
--- a/bamboospring/settings.py
+++ b/bamboospring/settings.py
@@ -17,6 +17,7 @@
 from typing import Annotated
 from typing import Any
 from typing import Literal
+from typing import TypeVar
 
 from pydantic import AfterValidator
 from pydantic import BaseModel
@@ -32,6 +33,7 @@
 from bamboospring.settings_faults import first_fault
 
 __all__ = [
+    "Address",
     "Callers",
     "EntryOnly",
     "Lease",
@@ -42,13 +44,18 @@
     "Operators",
     "Peers",
     "Platform",
+    "Section",
     "Settings",
     "Targets",
     "Timing",
     "Tls",
     "TokenKey",
     "load",
+    "load_as",
+    "milliseconds",
     "parse",
+    "parse_as",
+    "percent",
     "split_address",
 ]
 
@@ -77,7 +84,8 @@
     return text
 
 
-def _milliseconds(default: int, low: int, high: int, description: str) -> Any:
+def milliseconds(default: int, low: int, high: int, description: str) -> Any:
+    """Return the field of a duration; its key ends in `_ms`."""
     return Field(
         default=default,
         ge=low,
@@ -107,7 +115,8 @@
     )
 
 
-def _percent(default: float, low: float, high: float, description: str) -> Any:
+def percent(default: float, low: float, high: float, description: str) -> Any:
+    """Return the field of a share; its key ends in `_percent`."""
     return Field(
         default=default,
         ge=low,
@@ -121,7 +130,7 @@
 Secret = Annotated[str, Field(min_length=SHORTEST_SECRET, repr=False)]
 
 
-class _Section(BaseModel):
+class Section(BaseModel):
     """A part of the settings: unknown keys and wrong types are faults."""
 
     model_config = ConfigDict(
@@ -129,7 +138,10 @@
     )
 
 
-class Tls(_Section):
+SectionT = TypeVar("SectionT", bound=Section)
+
+
+class Tls(Section):
     """Files with keys for TLS, in PEM form.
 
     They are read again on SIGHUP: connections that exist go on, new ones use
@@ -150,7 +162,7 @@
     )
 
 
-class _Listener(_Section):
+class _Listener(Section):
     """An address of our own, under TLS unless plain text is asked for."""
 
     listen: Address = Field(description="Address to listen on, `ip:port`.")
@@ -181,7 +193,7 @@
     )
 
 
-class EntryOnly(_Section):
+class EntryOnly(Section):
     """Whether this process is one of several on its VM, and only an entry.
 
     It takes callers and forwards to holders. It is in no list of VMs, opens
@@ -239,7 +251,7 @@
     )
 
 
-class Platform(_Section):
+class Platform(Section):
     """The platform's object API."""
 
     address: Address = Field(description="Address of the API, `ip:port`.")
@@ -258,7 +270,7 @@
         return self
 
 
-class Targets(_Section):
+class Targets(Section):
     """Connections to the targets, whose addresses the platform gives."""
 
     tls: Tls | None = Field(
@@ -267,7 +279,7 @@
     )
 
 
-class TokenKey(_Section):
+class TokenKey(Section):
     """A key that signs session tokens."""
 
     id: str = Field(
@@ -282,7 +294,7 @@
     )
 
 
-class Limits(_Section):
+class Limits(Section):
     """Bounds on what one process takes on."""
 
     queue_length: int = _count(
@@ -297,45 +309,45 @@
     request_body_bytes: int = _bytes(
         1_048_576, 1_024, 2_097_152, "Longest body of a caller's request."
     )
-    retry_percent: float = _percent(
+    retry_percent: float = percent(
         10.0, 0.0, 100.0, "Retries allowed, as a share of first tries."
     )
 
 
-class Timing(_Section):
+class Timing(Section):
     """How long things may take, and how often they are done."""
 
-    connect_timeout_ms: int = _milliseconds(
+    connect_timeout_ms: int = milliseconds(
         1_000, 10, 60_000, "Longest time to open a connection."
     )
-    connect_interval_ms: int = _milliseconds(
+    connect_interval_ms: int = milliseconds(
         20,
         0,
         10_000,
         "Shortest time between two new connections to one "
         "target, so that many lost at once are not replaced at once.",
     )
-    target_heartbeat_ms: int = _milliseconds(
+    target_heartbeat_ms: int = milliseconds(
         1_000,
         50,
         60_000,
         "Idle time after which a pooled connection to a target is tried.",
     )
-    target_heartbeat_timeout_ms: int = _milliseconds(
+    target_heartbeat_timeout_ms: int = milliseconds(
         1_000,
         50,
         60_000,
         "Time without an answer after which a pooled "
         "connection is taken for dead.",
     )
-    share_grace_ms: int = _milliseconds(
+    share_grace_ms: int = milliseconds(
         10_000,
         100,
         600_000,
         "Time for which a VM that has left the platform's list counts as "
         "running; its share of targets' limits is not used by others before.",
     )
-    share_isolation_ms: int = _milliseconds(
+    share_isolation_ms: int = milliseconds(
         4_000,
         50,
         300_000,
@@ -343,69 +355,69 @@
         "gives up its share. With the lag of the platform's list it must "
         "stay below `share_grace_ms`.",
     )
-    suspect_ms: int = _milliseconds(
+    suspect_ms: int = milliseconds(
         800,
         20,
         60_000,
         "Silence of a primary after which a holder suspects it.",
     )
-    vm_list_ms: int = _milliseconds(
+    vm_list_ms: int = milliseconds(
         2_000,
         50,
         600_000,
         "Interval at which the platform's list of VMs is read.",
     )
-    transaction_idle_ms: int = _milliseconds(
+    transaction_idle_ms: int = milliseconds(
         5_000,
         100,
         3_600_000,
         "Idle time after which an open transaction is rolled back. Meanwhile "
         "it may keep a lock that other writes of the group wait for.",
     )
-    platform_timeout_ms: int = _milliseconds(
+    platform_timeout_ms: int = milliseconds(
         2_000, 10, 60_000, "Longest time for a call to the platform."
     )
-    backoff_ms: int = _milliseconds(
+    backoff_ms: int = milliseconds(
         100,
         1,
         60_000,
         "First pause after a failed call to the platform; "
         "it doubles with each failure.",
     )
-    longest_backoff_ms: int = _milliseconds(
+    longest_backoff_ms: int = milliseconds(
         5_000, 1, 600_000, "Longest pause after failed calls."
     )
-    watch_ms: int = _milliseconds(
+    watch_ms: int = milliseconds(
         20_000, 100, 600_000, "Longest time that a watch waits for a change."
     )
-    repair_ms: int = _milliseconds(
+    repair_ms: int = milliseconds(
         2_000,
         50,
         600_000,
         "Interval at which versions of the table are compared with a peer.",
     )
-    request_timeout_ms: int = _milliseconds(
+    request_timeout_ms: int = milliseconds(
         10_000,
         100,
         600_000,
         "Time within which a caller's request must be whole once it has "
         "begun.",
     )
-    drain_notice_ms: int = _milliseconds(
+    drain_notice_ms: int = milliseconds(
         5_000,
         0,
         600_000,
         "Time for which a shutdown goes on taking connections, while the "
         "balancer finds out that the process is not ready any more.",
     )
-    drain_idle_ms: int = _milliseconds(
+    drain_idle_ms: int = milliseconds(
         5_000,
         0,
         600_000,
         "Further time for which a shutdown keeps callers' connections on "
         "which nothing happens.",
     )
-    drain_ms: int = _milliseconds(
+    drain_ms: int = milliseconds(
         30_000,
         0,
         600_000,
@@ -420,14 +432,14 @@
         return self
 
 
-class Lease(_Section):
+class Lease(Section):
     """The leases under which changes of primary are led."""
 
-    duration_ms: int = _milliseconds(
+    duration_ms: int = milliseconds(
         3_000, 100, 600_000, "Life of a lease without renewal."
     )
-    renew_ms: int = _milliseconds(1_000, 10, 600_000, "Interval of renewals.")
-    margin_ms: int = _milliseconds(
+    renew_ms: int = milliseconds(1_000, 10, 600_000, "Interval of renewals.")
+    margin_ms: int = milliseconds(
         500,
         10,
         600_000,
@@ -446,7 +458,7 @@
         return self
 
 
-class Logs(_Section):
+class Logs(Section):
     """What is logged to standard error."""
 
     level: Literal["debug", "info", "warning", "error"] = Field(
@@ -455,34 +467,34 @@
     )
 
 
-class Objective(_Section):
+class Objective(Section):
     """What a group's callers are promised."""
 
-    availability_percent: float = _percent(
+    availability_percent: float = percent(
         99.9,
         50.0,
         99.9999,
         "Share of statements that get an answer other "
         "than overloaded, not run or unknown.",
     )
-    latency_ms: int = _milliseconds(
+    latency_ms: int = milliseconds(
         100, 1, 600_000, "Time within which a statement is to be answered."
     )
-    latency_percent: float = _percent(
+    latency_percent: float = percent(
         99.0, 50.0, 99.9999, "Share of statements that keep latency_ms."
     )
-    failover_gap_ms: int = _milliseconds(
+    failover_gap_ms: int = milliseconds(
         19_000,
         1,
         3_600_000,
         "Longest time without writes when a primary fails.",
     )
-    replica_share_percent: float = _percent(
+    replica_share_percent: float = percent(
         50.0, 0.0, 100.0, "Share of reads that replicas are to serve."
     )
 
 
-class Objectives(_Section):
+class Objectives(Section):
     """The objectives that `bamboospring report` measures against."""
 
     window_days: int = Field(
@@ -503,7 +515,7 @@
     )
 
 
-class Settings(_Section):
+class Settings(Section):
     """The settings of one VM's process."""
 
     vm: str = Field(
@@ -587,15 +599,25 @@
 
 def load(path: str | Path) -> Settings:
     """Return the settings in a file; raise `SettingsError` if unusable."""
+    return load_as(Settings, path)
+
+
+def load_as(model: type[SectionT], path: str | Path) -> SectionT:
+    """Return a file's settings by a model; `SettingsError` if unusable."""
     try:
         text = Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as exc:
         raise SettingsError(f"cannot be read: {exc}", name=str(path)) from exc
-    return parse(text, name=str(path))
+    return parse_as(model, text, name=str(path))
 
 
 def parse(text: str, *, name: str = "settings") -> Settings:
     """Return the settings in a text; `name` stands for it in errors."""
+    return parse_as(Settings, text, name=name)
+
+
+def parse_as(model: type[SectionT], text: str, *, name: str) -> SectionT:
+    """Return a text's settings by a model; raise `SettingsError` if not."""
     try:
         data = json_source.parse(text, name=name)
     except SourceError as exc:
@@ -603,9 +625,9 @@
             exc.message, name=name, line=exc.line, column=exc.column
         ) from exc
     try:
-        return Settings.model_validate(data)
+        return model.model_validate(data)
     except ValidationError as exc:
-        raise first_fault(exc, data, name=name, model=Settings) from exc
+        raise first_fault(exc, data, name=name, model=model) from exc
 
 
 def _check_plain_text(address: str, tls: Tls | None, plain: bool) -> None:
