Pass facts on from the leader, and have VMs let go of proofs when asked

Cause: each VM read records, targets and configuration by itself, 2.8 calls a second, and 3 KB of list between zones each time; a change of primary always waited for proofs to lapse, 2.1 s. Change: the VM that leads answers the others (FactRelay); what is too old is read directly as before. VMs file an entry; a change asks all listed ones to let go of the old primary (Releases) and waits only for those that do not answer. Reads leave their zone only for a queue of 0.1 s. The leader asks a primary that it hears anyway every 2 s only, for its role. Ruled out: watches as proofs, since a watch can be deaf for a second.

--- a/bamboospring/platform_watch.py
+++ b/bamboospring/platform_watch.py
@@ -58,6 +58,7 @@
         self.kind = kind
         self.listed = False
         self.on_listed: list[Callable[[bool], None]] = []
+        self.answered_at = -1e9
         self._reactor = reactor
         self._platform = platform
         self._wait_ms = wait_ms
@@ -121,6 +122,7 @@
         # the platform the next watch would bring everything again.
         self._revision = max(self._revision, changes.revision)
         self.listed = True
+        self.answered_at = self._reactor.now()
         self._on_objects(changes.objects)
         self._tell_listed(True)
 
--- a/bamboospring/sessions/catalog_keeper.py
+++ b/bamboospring/sessions/catalog_keeper.py
@@ -5,7 +5,9 @@
 from collections.abc import Callable
 
 from bamboospring import logs
+from bamboospring.object_store import Changes
 from bamboospring.object_store import Found
+from bamboospring.object_store import Unavailable
 from bamboospring.platform_client import PlatformClient
 from bamboospring.platform_watch import KindWatch
 from bamboospring.reactor import Reactor
@@ -42,7 +44,12 @@
         self._name = name
         self._read = read
         self._on_changed = on_changed
-        self._stored_as = 0
+        self.stored_as = 0
+        self._platform = platform
+        self._kind = kind
+        self._relayed_until = -1e9
+        self._reactor = reactor
+        self._refreshing = False
         self._watch = KindWatch(
             reactor=reactor,
             platform=platform,
@@ -51,21 +58,51 @@
             on_objects=self._take,
         )
 
+    @property
+    def checked_at(self) -> float:
+        """Return when the store last answered that nothing newer is there."""
+        return self._watch.answered_at
+
     def start(self) -> None:
         """Follow from now on."""
         self._watch.set_watching(True)
 
+    def take_relayed(self, stored_as: int, until: float) -> None:
+        """Take which version the leader has, and read it if it is newer."""
+        self._relayed_until = until
+        self._watch.set_watching(False)
+        if stored_as > self.stored_as and not self._refreshing:
+            self._refreshing = True
+            self._platform.list(self._kind, "catalog", self._refreshed)
+        self._reactor.call_later(
+            max(0.0, until - self._reactor.now()), self._check_relayed
+        )
+
+    def read_directly(self) -> None:
+        """Watch the store again: nobody passes its version on."""
+        self._relayed_until = -1e9
+        self._watch.set_watching(True)
+
+    def _check_relayed(self) -> None:
+        if self._reactor.now() >= self._relayed_until:
+            self._watch.set_watching(True)
+
+    def _refreshed(self, result: Changes | Unavailable) -> None:
+        self._refreshing = False
+        if isinstance(result, Changes):
+            self._take(result.objects)
+
     def _take(self, objects: tuple[Found, ...]) -> None:
         for found in objects:
             # The store's versions only grow. One that comes late, from a
             # lagging copy or an answer overtaken by another, must not undo
             # what callers have already seen in force.
-            if found.name != self._name or found.version <= self._stored_as:
+            if found.name != self._name or found.version <= self.stored_as:
                 continue
             catalog = self._read(found)
             if catalog is None:
                 continue
-            self._stored_as = found.version
+            self.stored_as = found.version
             self._put_in_force(catalog)
 
     def _put_in_force(self, catalog: Catalog) -> None:
@@ -75,7 +112,7 @@
         logs.log_event(
             "catalog",
             version=catalog.version,
-            stored_as=self._stored_as,
+            stored_as=self.stored_as,
             routes=len(catalog.routes),
             groups=len(catalog.groups),
         )
--- a/bamboospring/sessions/leader.py
+++ b/bamboospring/sessions/leader.py
@@ -12,8 +12,10 @@
 import secrets
 import zlib
 
+from bamboospring.blackboard import Lease
 from bamboospring.lease import LeaseKeeper
 from bamboospring.lease import LeaseTiming
+from bamboospring.lease import LeaseValue
 from bamboospring.lease import ReadLease
 from bamboospring.lease import SeenLease
 from bamboospring.lease import WriteLease
@@ -49,6 +51,7 @@
 from bamboospring.sessions.records import encode_record
 from bamboospring.sessions.records import read_record
 from bamboospring.sessions.records import RECORD_KIND
+from bamboospring.sessions.release import Releases
 from bamboospring.sessions.takeover import Action
 from bamboospring.sessions.takeover import Cause
 from bamboospring.sessions.takeover import OrderPromotion
@@ -57,6 +60,7 @@
 from bamboospring.sessions.takeover import StoreRecord
 from bamboospring.sessions.takeover import Takeover
 from bamboospring.sessions.takeover import TellTarget
+from bamboospring.sessions.vm_registry import VmRegistry
 
 __all__ = ["LEASE_NAME", "Leader"]
 
@@ -67,6 +71,7 @@
 # Seconds between questions to a primary, and the time for each.
 LOOK_INTERVAL = 0.35
 LOOK_TIMEOUT = 0.8
+ROLE_INTERVAL = 2.0
 TELL_TIMEOUT = 0.5
 PROMOTE_TIMEOUT = 1.0
 STORE_TIMEOUT = 1.0
@@ -74,6 +79,8 @@
 # seconds; after that it learns from the new one.
 STEP_DOWN_PATIENCE = 20.0
 STEP_DOWN_INTERVAL = 0.5
+# Seconds between two looks at the list of VMs.
+TIDY_INTERVAL = 10.0
 # A change that ended without a new primary is begun again after this.
 TRY_AGAIN = 0.5
 
@@ -91,8 +98,14 @@
         records: RecordKeeper,
         orders: PromotionOrders,
         missing_since: Callable[[str], float | None],
+        registry: VmRegistry,
+        releases: Releases,
         timing: LeaseTiming,
     ) -> None:
+        self._registry = registry
+        self._releases = releases
+        self._tidied_at = -1e9
+
         self._reactor = reactor
         self._board = board
         self._platform = platform
@@ -111,6 +124,7 @@
         self._sights: dict[str, tuple[str, PrimarySight]] = {}
         self._looked_at: dict[str, float] = {}
         self._begin_after: dict[str, float] = {}
+        records.leading = lambda: self.leads
         records.on_other = self._lease_seen
         records.on_read = self._records_read
 
@@ -127,14 +141,45 @@
         """Take part from now on."""
         self._tick()
 
+    def holder(self) -> str:
+        """Return the name of the VM that holds the lease, as last seen."""
+        return self._keeper.as_lease().vm
+
+    def lease(self) -> Lease:
+        """Return the lease as last seen."""
+        return self._keeper.as_lease()
+
+    def lease_relayed(
+        self, version: int, duration: float, asked_at: float
+    ) -> None:
+        """Take from its holder that the lease has this version now.
+
+        What marks one renewal from the next matters only to the holder.
+        """
+        if not self._awaiting_read:
+            return
+        self._awaiting_read = False
+        value = LeaseValue(vm=self.holder(), nonce="", duration=duration)
+        seen = SeenLease(version=version, value=value)
+        self._keeper.read(asked_at, self._reactor.now(), seen)
+
     # The lease.
 
     def _tick(self) -> None:
         self._step_lease()
         if self.leads:
             self._lead()
+            self._tidy()
         self._reactor.call_later(TICK, self._tick)
 
+    def _tidy(self) -> None:
+        """Keep the list of VMs, and remove those that have long gone."""
+        now = self._reactor.now()
+        if now - self._tidied_at < TIDY_INTERVAL:
+            return
+        self._tidied_at = now
+        self._registry.refresh(lambda vms: self._registry.remove_lapsed(now))
+
     def _step_lease(self) -> None:
         now = self._reactor.now()
         rank = None if self._board.draining else self._rank
@@ -211,7 +256,7 @@
         if record.primary not in group.targets and sight.missing_at is None:
             # Gone before this process began to look.
             sight.missing_at = -1e9
-        if now - self._looked_at.get(group.name, -1e9) >= LOOK_INTERVAL:
+        if self._should_look(group, record, now):
             self._looked_at[group.name] = now
             self._look(group, record, sight, now)
         cause = judge(group, sight, now)
@@ -219,6 +264,20 @@
             return
         self._begin(group, record, cause, now)
 
+    def _should_look(
+        self, group: GroupView, record: Leadership, now: float
+    ) -> bool:
+        """Tell whether to ask a primary how it is.
+
+        Answers to statements show as well that it lives; a question takes a
+        slot of it. But only a question shows that it has lost its role.
+        """
+        looked = now - self._looked_at.get(group.name, -1e9)
+        heard = now - group.view(record.primary).heard_at
+        if heard < LOOK_INTERVAL:
+            return looked >= ROLE_INTERVAL
+        return looked >= LOOK_INTERVAL
+
     def _sight(self, group: GroupView, record: Leadership) -> PrimarySight:
         found = self._sights.get(group.name)
         if found is None or found[0] != record.primary:
@@ -363,9 +422,8 @@
             now = self._reactor.now()
             match result:
                 case Stored(version=version):
-                    self._records.doubt(group.name)
                     actions = change.stored(version, now)
-                    self._records.take(change.record)
+                    self._published(group, change)
                 case Conflict(version=version, value=value):
                     found = Found(
                         kind=RECORD_KIND,
@@ -388,6 +446,22 @@
             timeout=STORE_TIMEOUT,
         )
 
+    def _published(self, group: GroupView, change: Takeover) -> None:
+        """Act on a record that the store has just taken."""
+        record = change.record
+        self._records.take(record)
+        if record.change is None:
+            self._records.doubt(group.name)
+            self._releases.tell_all(record)
+            return
+
+        def released() -> None:
+            now = self._reactor.now()
+            if change.record.version == record.version and not change.over:
+                self._go_on(group, change, change.all_released(now))
+
+        self._releases.ask_all(record, released)
+
     def _read(self, group: GroupView, change: Takeover) -> None:
         def on_result(result: Found | Missing | Unavailable) -> None:
             if isinstance(result, Found):
@@ -406,7 +480,11 @@
         if record is None:
             return []
         self._records.take(record)
-        return change.read(record, self._reactor.now())
+        before = change.record.version
+        actions = change.read(record, self._reactor.now())
+        if change.record.version != before:
+            self._published(self._board.group(record.group), change)
+        return actions
 
     def _promote(
         self, group: GroupView, change: Takeover, target: str
--- a/bamboospring/sessions/model.py
+++ b/bamboospring/sessions/model.py
@@ -21,6 +21,7 @@
     "GroupLimits",
     "GroupView",
     "Leadership",
+    "Outgoing",
     "Route",
     "SessionBoard",
     "TargetNews",
@@ -162,6 +163,17 @@
             self.applied_at = now
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Outgoing:
+    """A primary that is being replaced and the last proof of it.
+
+    Nothing new is sent there; what it answers while the proof holds stands.
+    """
+
+    target: str
+    proof: Proof
+
+
 @dataclass(slots=True, kw_only=True)
 class GroupView:
     """A group: what is agreed of it and what was seen of its targets."""
@@ -172,6 +184,8 @@
     samples: SampleLog = field(default_factory=SampleLog)
     targets: dict[str, TargetNews] = field(default_factory=dict)
     views: dict[str, TargetView] = field(default_factory=dict)
+    outgoing: Outgoing | None = None
+    change_seen_at: float = -1e9
 
     def view(self, name: str) -> TargetView:
         """Return what was seen of a target, creating an empty view."""
@@ -187,6 +201,19 @@
             return None
         return self.targets.get(agreed.primary)
 
+    def stands(self, target: str, now: float) -> bool:
+        """Tell whether what a target has just answered counts.
+
+        It does if no other primary can have been promoted by now.
+        """
+        outgoing = self.outgoing
+        if outgoing is not None and outgoing.target == target:
+            return outgoing.proof.covers(now)
+        news = self.primary()
+        if news is None or news.target.name != target:
+            return False
+        return self.proof.covers(now)
+
 
 @dataclass(slots=True, kw_only=True)
 class SessionBoard:
--- a/bamboospring/sessions/node.py
+++ b/bamboospring/sessions/node.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from http import HTTPStatus
 
+import secrets
+
 from circuits import Component
 
 from bamboospring.blackboard import Target
@@ -17,6 +19,7 @@
 from bamboospring.outcomes import NotRun
 from bamboospring.outcomes import Overloaded
 from bamboospring.outcomes import Reason
+from bamboospring.peers import Peers
 from bamboospring.platform_client import CallTiming
 from bamboospring.platform_client import PlatformClient
 from bamboospring.pool import Pools
@@ -34,6 +37,8 @@
 from bamboospring.sessions.questions import TargetQuestions
 from bamboospring.sessions.readiness import unreadiness
 from bamboospring.sessions.record_keeper import RecordKeeper
+from bamboospring.sessions.relay import FactRelay
+from bamboospring.sessions.release import Releases
 from bamboospring.sessions.runner import StatementRunner
 from bamboospring.sessions.session import Session
 from bamboospring.sessions.session_metrics import SessionMetrics
@@ -41,6 +46,8 @@
 from bamboospring.sessions.settings import SessionSettings
 from bamboospring.sessions.story import StoryTeller
 from bamboospring.sessions.target_keeper import TargetKeeper
+from bamboospring.sessions.vm_registry import ListedVm
+from bamboospring.sessions.vm_registry import VmRegistry
 from bamboospring.target_link import Dialer
 
 __all__ = ["SessionNode"]
@@ -109,13 +116,32 @@
         """Begin to learn and to serve."""
         self.catalog.start()
         self.targets.start()
-        self.records.start()
-        self.leader.start()
+        self.registry.start(self._filed)
         self.pools.start()
         self.rotation.follow()
 
+    def _filed(self) -> None:
+        """Go on once this VM is on the list: before, no proof is taken."""
+        self.records.start()
+        self.leader.start()
+        self.relay.start()
+        self.registry.refresh(lambda vms: None)
+
     def _make_keepers(self) -> None:
         outside = self.outside
+        self.peers = Peers(
+            reactor=self.reactor, vm=self.cfg.vm, listen=self.cfg.peers
+        )
+        self.registry = VmRegistry(
+            reactor=self.reactor,
+            platform=self.platform,
+            me=ListedVm(
+                name=self.cfg.vm,
+                address=self.cfg.peers,
+                availability_zone=self.cfg.availability_zone,
+                nonce=secrets.token_hex(8),
+            ),
+        )
         self.targets = TargetKeeper(
             reactor=self.reactor,
             board=self.board,
@@ -142,6 +168,14 @@
             board=self.board,
             platform=self.platform,
             questions=self.questions,
+            may_take_proofs=self.registry.may_take_proofs,
+        )
+        self.releases = Releases(
+            reactor=self.reactor,
+            board=self.board,
+            peers=self.peers,
+            registry=self.registry,
+            records=self.records,
         )
         self.leader = Leader(
             reactor=self.reactor,
@@ -151,6 +185,8 @@
             records=self.records,
             orders=outside.make_orders(self.reactor, self.cfg.orders),
             missing_since=self.targets.missing_since,
+            registry=self.registry,
+            releases=self.releases,
             timing=LeaseTiming(
                 duration=self.cfg.lease.duration_ms / 1000,
                 renew=self.cfg.lease.renew_ms / 1000,
@@ -158,6 +194,17 @@
             ),
         )
 
+        self.relay = FactRelay(
+            reactor=self.reactor,
+            board=self.board,
+            peers=self.peers,
+            registry=self.registry,
+            leader=self.leader,
+            records=self.records,
+            targets=self.targets,
+            catalog=self.catalog,
+        )
+
     def _make_service(self) -> None:
         cfg = self.cfg
         self.runner = StatementRunner(
--- a/bamboospring/sessions/record_keeper.py
+++ b/bamboospring/sessions/record_keeper.py
@@ -7,6 +7,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Any
+
+import orjson
 
 from bamboospring import logs
 from bamboospring.object_store import Changes
@@ -16,13 +19,16 @@
 from bamboospring.reactor import Reactor
 from bamboospring.sessions.model import GroupView
 from bamboospring.sessions.model import Leadership
+from bamboospring.sessions.model import Outgoing
 from bamboospring.sessions.model import SessionBoard
 from bamboospring.sessions.ports import AskReport
 from bamboospring.sessions.proofs import others_agree
+from bamboospring.sessions.proofs import Proof
 from bamboospring.sessions.proofs import PROOF_LIFE
 from bamboospring.sessions.proofs import Report
 from bamboospring.sessions.questions import NoReport
 from bamboospring.sessions.questions import TargetQuestions
+from bamboospring.sessions.records import encode_record
 from bamboospring.sessions.records import read_record
 from bamboospring.sessions.records import RECORD_KIND
 
@@ -31,6 +37,8 @@
 # Seconds between two reads of the records: a proof then outlives one read
 # that is lost, and is renewed by the next.
 INTERVAL = PROOF_LIFE * 0.45
+# The leader passes its proofs on, which takes them as long again to age.
+LEADER_INTERVAL = PROOF_LIFE * 0.25
 TIMEOUT = PROOF_LIFE * 0.35
 # Reads made because something spoke against a record are this far apart.
 DOUBT_INTERVAL = 0.15
@@ -53,17 +61,23 @@
         board: SessionBoard,
         platform: PlatformClient,
         questions: TargetQuestions,
+        may_take_proofs: Callable[[float], bool],
     ) -> None:
+        self._may_take_proofs = may_take_proofs
         self._reactor = reactor
         self._board = board
         self._platform = platform
         self._questions = questions
         self._asking: set[str] = set()
         self._busy = False
+        self._doubted = False
         self._asked_at = -1e9
         self._due = 0.0
         self.read_at = -1e9
         self.reachable = True
+        self._relayed_until = -1e9
+        self._bytes: bytes | None = None
+        self.leading: Callable[[], bool] = lambda: False
         self.on_other: OnOther | None = None
         self.on_read: Callable[[float], None] | None = None
 
@@ -73,6 +87,7 @@
 
     def doubt(self, group: str) -> None:
         """Read soon: something speaks against the record of a group."""
+        self._doubted = True
         soon = max(self._reactor.now(), self._asked_at + DOUBT_INTERVAL)
         if soon < self._due:
             self._due = soon
@@ -80,6 +95,49 @@
                 max(0.0, soon - self._reactor.now()), self._ask_if_due
             )
 
+    def as_bytes(self) -> bytes:
+        """Return all records as they are passed on to other VMs."""
+        if self._bytes is None:
+            agreed = [
+                group.leadership
+                for _name, group in sorted(self._board.groups.items())
+                if group.leadership is not None
+            ]
+            self._bytes = orjson.dumps(
+                [(r.group, r.version, encode_record(r)) for r in agreed]
+            )
+        return self._bytes
+
+    def take_relayed(
+        self,
+        rows: list[tuple[str, int, Any]] | None,
+        asked_at: float,
+        until: float,
+    ) -> None:
+        """Take what the leader has read; None: as we have it.
+
+        `asked_at` is the latest instant at which its question to the store
+        can't have been sent yet.
+        """
+        self._relayed_until = until
+        self.read_at = max(self.read_at, asked_at)
+        if rows is not None:
+            for name, version, value in rows:
+                found = Found(
+                    kind=RECORD_KIND, name=name, version=version, value=value
+                )
+                self._take_object(found, asked_at)
+            return
+        for group in self._board.groups.values():
+            if group.leadership is not None:
+                self.take(group.leadership, asked_at)
+
+    def read_directly(self) -> None:
+        """Read the store again: nobody passes records on."""
+        self._relayed_until = -1e9
+        self._due = min(self._due, self._reactor.now())
+        self._ask_if_due()
+
     def take(self, record: Leadership, asked_at: float | None = None) -> None:
         """Take a record in; with `asked_at` it also is a proof."""
         group = self._board.group(record.group)
@@ -89,7 +147,9 @@
             return
         if known is None or record.version > known.version:
             self._replace(group, record)
-        if asked_at is not None and record.change is None:
+        if asked_at is None or record.change is not None:
+            return
+        if self._may_take_proofs(self._reactor.now()):
             group.proof.renew(asked_at)
 
     def _replace(self, group: GroupView, record: Leadership) -> None:
@@ -99,9 +159,12 @@
             and known.primary == record.primary
             and known.term == record.term
         )
+        self._bytes = None
         group.leadership = record
         if record.change is not None:
-            group.proof.void()
+            self._close(group, known)
+        else:
+            group.outgoing = None
         if not same:
             group.proof.void()
             group.samples.clear()
@@ -115,6 +178,20 @@
             by=record.change.vm if record.change else "",
         )
 
+    def _close(self, group: GroupView, known: Leadership | None) -> None:
+        """Use the primary no more; what is under way may still be answered.
+
+        Nobody promotes another one before our proof has lapsed, or before we
+        have said that we let go of it.
+        """
+        group.change_seen_at = self._reactor.now()
+        if known is not None and known.change is None:
+            group.outgoing = Outgoing(
+                target=known.primary,
+                proof=Proof(asked_at=group.proof.asked_at),
+            )
+        group.proof.void()
+
     def _tick(self) -> None:
         self._ask_if_due()
         self._renew_by_targets()
@@ -124,9 +201,12 @@
         now = self._reactor.now()
         if self._busy or now < self._due:
             return
+        if now < self._relayed_until and not self._doubted:
+            return
+        self._doubted = False
         self._busy = True
         self._asked_at = now
-        self._due = now + INTERVAL
+        self._due = now + (LEADER_INTERVAL if self.leading() else INTERVAL)
         self._platform.list(
             RECORD_KIND, "records", self._answered, timeout=TIMEOUT
         )
@@ -220,7 +300,8 @@
         asked_at: float,
     ) -> None:
         agree = others_agree(others, reports, record.term)
-        if agree and group.leadership is record and record.change is None:
+        same = group.leadership is record and record.change is None
+        if agree and same and self._may_take_proofs(asked_at):
             group.proof.renew(asked_at)
         logs.log_event(
             "asked_targets",
--- /dev/null
+++ b/bamboospring/sessions/relay.py
@@ -0,0 +1,217 @@
+"""Facts from the leader in place of calls to the platform.
+
+Each VM on its own would read the records, the targets and the configuration
+about three times a second. The leader reads them anyway, so the others ask
+it, and read the store only where it does not answer or its facts are too old.
+
+A proof that is passed on keeps its age: the one who asks counts it from
+before it asked, less the age that the answer states, so that time on the way
+makes it older and never younger.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import orjson
+import xxhash
+
+from bamboospring.blackboard import Target
+from bamboospring import logs
+from bamboospring.peers import envelope
+from bamboospring.peers import PeerLost
+from bamboospring.peers import Peers
+from bamboospring.peers import Reply
+from bamboospring.reactor import Reactor
+from bamboospring.sessions.catalog_keeper import CatalogKeeper
+from bamboospring.sessions.leader import Leader
+from bamboospring.sessions.model import SessionBoard
+from bamboospring.sessions.model import TargetNews
+from bamboospring.sessions.record_keeper import RecordKeeper
+from bamboospring.sessions.target_keeper import TargetKeeper
+from bamboospring.sessions.vm_registry import VmRegistry
+
+__all__ = ["FactRelay", "digest_of", "read_news", "write_news"]
+
+# Seconds between two questions to the leader, and the time for the answer.
+INTERVAL = 0.6
+TIMEOUT = 0.4
+# What is older than this, in seconds, is rather read by oneself. A change of
+# configuration is to be in force within 3 s.
+OLDEST_PROOF = 1.0
+OLDEST_TARGETS = 3.0
+OLDEST_CATALOG = 1.5
+# What was passed on stands in for one's own reading for so long, in seconds.
+STANDS = INTERVAL + TIMEOUT + 0.1
+
+
+def write_news(listed: list[TargetNews]) -> bytes:
+    """Return targets as they are passed on."""
+    rows = [
+        (
+            news.target.name,
+            news.target.address,
+            news.target.availability_zone,
+            news.target.slots,
+            news.target.born,
+            news.group,
+            news.leaving,
+            news.leads,
+        )
+        for news in sorted(listed, key=lambda news: news.target.name)
+    ]
+    return orjson.dumps(rows)
+
+
+def read_news(data: bytes) -> list[TargetNews]:
+    """Read targets that were passed on."""
+    return [
+        TargetNews(
+            target=Target(
+                name=name,
+                address=address,
+                availability_zone=zone,
+                site=zone,
+                slots=slots,
+                born=born,
+            ),
+            group=group,
+            leaving=leaving,
+            leads=leads,
+        )
+        for name, address, zone, slots, born, group, leaving, leads in (
+            orjson.loads(data)
+        )
+    ]
+
+
+def digest_of(data: bytes) -> int:
+    """Return what tells two states of the facts apart."""
+    return int(xxhash.xxh3_64_intdigest(data))
+
+
+class FactRelay:
+    """Answers other VMs while it leads, and asks the leader otherwise."""
+
+    def __init__(
+        self,
+        *,
+        reactor: Reactor,
+        board: SessionBoard,
+        peers: Peers,
+        registry: VmRegistry,
+        leader: Leader,
+        records: RecordKeeper,
+        targets: TargetKeeper,
+        catalog: CatalogKeeper,
+    ) -> None:
+        self._reactor = reactor
+        self._board = board
+        self._peers = peers
+        self._registry = registry
+        self._leader = leader
+        self._records = records
+        self._targets = targets
+        self._catalog = catalog
+        self._relayed = False
+        peers.handle("factsAsk", self._on_ask)
+
+    def start(self) -> None:
+        """Ask now and from then on."""
+        self._tick()
+
+    # Asking.
+
+    def _tick(self) -> None:
+        self._reactor.call_later(INTERVAL, self._tick)
+        name = self._leader.holder()
+        if self._leader.leads or name in ("", self._board.vm):
+            self._set_relayed(False, "this VM leads or nobody does")
+            return
+        address = self._registry.address(name)
+        if address is None:
+            self._set_relayed(False, "the leader's address is unknown")
+            return
+        self._ask(address)
+
+    def _ask(self, address: str) -> None:
+        asked_at = self._reactor.now()
+        message = envelope()
+        ask = message.init("factsAsk")
+        ask.vm = self._board.vm
+        ask.records = digest_of(self._records.as_bytes())
+        ask.targets = digest_of(write_news(self._targets.listed))
+
+        def answered(answer: Any) -> None:
+            if isinstance(answer, PeerLost) or not answer.facts.leads:
+                self._set_relayed(False, "the leader does not answer")
+            else:
+                self._take(answer.facts, asked_at)
+
+        self._peers.ask(address, message, TIMEOUT, answered)
+
+    def _take(self, facts: Any, asked_at: float) -> None:
+        until = self._reactor.now() + STANDS
+        self._set_relayed(True, "")
+        proof_age = facts.proofAgeUs / 1e6
+        if proof_age <= OLDEST_PROOF:
+            self._records.take_relayed(
+                orjson.loads(facts.records) if facts.records else None,
+                asked_at - proof_age,
+                until,
+            )
+        self._leader.lease_relayed(
+            facts.leaseVersion, facts.leaseMs / 1000, asked_at
+        )
+        if facts.targetsAgeMs / 1000 <= OLDEST_TARGETS:
+            listed = read_news(facts.targets) if facts.targets else None
+            self._targets.take_relayed(listed, asked_at, until)
+        if facts.catalogAgeMs / 1000 <= OLDEST_CATALOG:
+            self._catalog.take_relayed(facts.catalog, until)
+
+    def _set_relayed(self, relayed: bool, why: str) -> None:
+        if relayed == self._relayed:
+            return
+        self._relayed = relayed
+        logs.log_event(
+            "facts_from",
+            source="leader" if relayed else "platform",
+            leader=self._leader.holder(),
+            reason=why,
+        )
+        if not relayed:
+            self._records.read_directly()
+            self._targets.read_directly()
+            self._catalog.read_directly()
+
+    # Answering.
+
+    def _on_ask(self, message: Any, reply: Reply) -> None:
+        ask = message.factsAsk
+        answer = envelope()
+        facts = answer.init("facts")
+        facts.leads = self._leader.leads
+        if facts.leads:
+            self._fill(facts, ask)
+        reply(answer)
+
+    def _fill(self, facts: Any, ask: Any) -> None:
+        now = self._reactor.now()
+        age = max(0.0, now - self._records.read_at)
+        facts.proofAgeUs = min(int(age * 1e6) + 1, 2**62)
+        records = self._records.as_bytes()
+        if digest_of(records) != ask.records:
+            facts.records = records
+        lease = self._leader.lease()
+        facts.leaseVersion = lease.version
+        facts.leaseMs = _ms(lease.duration)
+        news = write_news(self._targets.listed)
+        if digest_of(news) != ask.targets:
+            facts.targets = news
+        facts.targetsAgeMs = _ms(now - self._board.targets_seen_at)
+        facts.catalog = self._catalog.stored_as
+        facts.catalogAgeMs = _ms(now - self._catalog.checked_at)
+
+
+def _ms(seconds: float) -> int:
+    return min(max(0, round(seconds * 1000)), 2**31)
--- a/bamboospring/sessions/runner.py
+++ b/bamboospring/sessions/runner.py
@@ -337,7 +337,7 @@
         outcome: SessionOutcome = _served(reply, target, tx.at_replica)
         if self._commits:
             self._drop()
-            if tx.wrote and not _stands(group, target, now):
+            if tx.wrote and not group.stands(target, now):
                 # Another primary may have been promoted before this commit
                 # took effect at the old one; then it is lost.
                 outcome = Unknown(reason=Reason.PRIMARY_CHANGED)
@@ -677,7 +677,7 @@
             reply, self.target, self.choice.at_replica
         )
         if run.job.writes and run.tx is None:
-            if not _stands(run.group, self.target, now):
+            if not run.group.stands(self.target, now):
                 outcome = Unknown(reason=Reason.PRIMARY_CHANGED)
         run.served(self, outcome, reply.position)
 
@@ -721,14 +721,6 @@
 BEHIND_PAUSE = 0.1
 
 
-def _stands(group: GroupView, target: str, now: float) -> bool:
-    """Tell whether a target is still surely the primary at this moment."""
-    news = group.primary()
-    if news is None or news.target.name != target:
-        return False
-    return group.proof.covers(now)
-
-
 def _learn(
     group: GroupView,
     target: str,
--- a/bamboospring/sessions/settings.py
+++ b/bamboospring/sessions/settings.py
@@ -65,6 +65,9 @@
         min_length=1, description="Availability zone of this VM."
     )
     region: str = Field(default="", description="Region of this VM.")
+    peers: Address = Field(
+        description="Where the system's other VMs connect, `ip:port`."
+    )
     callers: Address = Field(description="Where callers connect, `ip:port`.")
     readiness: Address = Field(
         description="Where the platform asks whether callers may be sent here."
--- a/bamboospring/sessions/target_choice.py
+++ b/bamboospring/sessions/target_choice.py
@@ -25,7 +25,7 @@
 
 # What another zone costs, in seconds: the way there and back, about 2 ms, and
 # as much again for the bytes that zones are charged for.
-OTHER_ZONE = 0.004
+OTHER_ZONE = 0.1
 # What a read costs the primary more than a replica, as a part of its time:
 # the primary alone can serve writes and reads that accept no age.
 PRIMARY_BURDEN = 1.0
--- a/bamboospring/sessions/target_keeper.py
+++ b/bamboospring/sessions/target_keeper.py
@@ -12,6 +12,7 @@
 from bamboospring.platform_client import PlatformClient
 from bamboospring.pool import Pools
 from bamboospring.reactor import Reactor
+from bamboospring.reactor import Timer
 from bamboospring.sessions.model import GroupView
 from bamboospring.sessions.model import SessionBoard
 from bamboospring.sessions.model import TargetNews
@@ -64,6 +65,10 @@
         self._read = read
         self._missing: dict[str, float] = {}
         self._asked_at = 0.0
+        self._relayed_until = -1e9
+        self._busy = False
+        self._timer: Timer | None = None
+        self.listed: list[TargetNews] = []
 
     def start(self) -> None:
         """Look at the list now and from then on."""
@@ -79,29 +84,56 @@
         """Return since when a target's entry is missing, None if it is not."""
         return self._missing.get(name)
 
+    def take_relayed(
+        self, listed: list[TargetNews] | None, asked_at: float, until: float
+    ) -> None:
+        """Take the list that the leader has read; None: as we have it."""
+        self._relayed_until = until
+        if listed is not None:
+            self.listed = listed
+        self._take(self.listed, asked_at)
+
+    def read_directly(self) -> None:
+        """Read the list again: nobody passes it on."""
+        self._relayed_until = -1e9
+        if not self._busy:
+            self._ask()
+
+    def _later(self, wait: float) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = self._reactor.call_later(wait, self._ask)
+
     def _ask(self) -> None:
+        if self._busy:
+            return
+        if self._reactor.now() < self._relayed_until:
+            self._later(INTERVAL)
+            return
+        self._busy = True
         self._asked_at = self._reactor.now()
         self._platform.list(
             self._kind, "targets", self._answered, timeout=TIMEOUT
         )
 
     def _answered(self, result: Changes | Unavailable) -> None:
+        self._busy = False
         wait = INTERVAL
         match result:
             case Changes(objects=objects):
-                self._take(objects)
+                read = [self._read(found) for found in objects]
+                self.listed = [news for news in read if news is not None]
+                self._take(self.listed, self._asked_at)
             case Unavailable(retry_after=retry_after):
                 wait = min(INTERVAL, max(retry_after, 0.1))
-        self._reactor.call_later(wait, self._ask)
+        self._later(wait)
 
-    def _take(self, objects: tuple[Found, ...]) -> None:
-        self._board.targets_seen_at = self._asked_at
+    def _take(self, all_news: list[TargetNews], asked_at: float) -> None:
+        self._board.targets_seen_at = max(
+            self._board.targets_seen_at, asked_at
+        )
         now = self._reactor.now()
-        listed = {}
-        for found in objects:
-            news = self._read(found)
-            if news is not None:
-                listed[news.target.name] = news
+        listed = {news.target.name: news for news in all_news}
         for news in listed.values():
             self._take_one(news, now)
         for group in self._board.groups.values():
--- a/bamboospring/wire.capnp
+++ b/bamboospring/wire.capnp
@@ -21,9 +21,40 @@
     vmList @13 :VmList;
     handOver @14 :HandOver;
     process @15 :Process;
+    factsAsk @16 :FactsAsk;
+    facts @17 :Facts;
+    recordNews @18 :RecordNews;
+    recordSeen @19 :RecordSeen;
   }
 }
 
+struct FactsAsk {             # a VM that serves sessions asks the leader
+  vm @0 :Text;
+  records @1 :UInt64;         # digests of what the asker has
+  targets @2 :UInt64;
+}
+
+struct Facts {
+  leads @0 :Bool;             # false: the rest is empty
+  proofAgeUs @1 :UInt64;      # since the question to the store was sent
+  records @2 :Data;           # JSON; empty: as the asker has them
+  leaseVersion @3 :UInt64;    # the store's, moves with each renewal
+  targets @4 :Data;           # JSON; empty: as the asker has them
+  targetsAgeMs @5 :UInt32;
+  catalog @6 :UInt64;         # the store's version of the configuration
+  catalogAgeMs @7 :UInt32;
+  leaseMs @8 :UInt32;         # its duration
+}
+
+struct RecordNews {
+  record @0 :Data;            # JSON of a group's record with its version
+}
+
+struct RecordSeen {           # the sender uses no proof of an older version
+  vm @0 :Text;
+  version @1 :UInt64;
+}
+
 struct Hello {
   vm @0 :Text;
   protocol @1 :UInt16;
