Hold what can be foreseen: openings while starting, statements during a change

Cause: after all VMs lost power callers came before the records were read (0.3 s, a retry after the conflict with the entry of the earlier life) and were refused; targets still counted the lost VMs' connections for 3 s and had none left (4,223 refused); statements sent to a dark primary waited for their time to end; statements during a change were refused though its end could be foreseen. Change: an entry in conflict is replaced at once; openings are held for up to 1 s while the process learns; statements wait for a change that should end within their time, others are refused at once with when to come back; what a failed primary was sent is given up once the change is told; VMs hold a fifth of a target's connections at most and close those that rest for 1.5 s; OpenTelemetry is loaded at the first scrape, in a thread.

--- a/bamboospring/connections.py
+++ b/bamboospring/connections.py
@@ -25,7 +25,7 @@
 NEVER = -1e9
 # A target that had no connection left is asked again after so many times the
 # usual pause: others give theirs up when their statement ends, not sooner.
-FULL_PAUSE = 2
+FULL_PAUSE = 8
 
 
 class Heard(Protocol):
--- a/bamboospring/outcomes.py
+++ b/bamboospring/outcomes.py
@@ -50,6 +50,7 @@
     LOCK_TIMEOUT = "lock_timeout"
     SQL = "sql"
     DRAINING = "draining"
+    STARTING = "starting"
     ANSWER_LOST = "answer_lost"
 
 
--- a/bamboospring/platform/caller_lines.py
+++ b/bamboospring/platform/caller_lines.py
@@ -18,6 +18,7 @@
 from bamboospring.reactor import Reactor
 from bamboospring.reactor import Stream
 from bamboospring.sessions.outside import Admit
+from bamboospring.sessions.outside import Hold
 from bamboospring.sessions.outside import MakeSession
 from bamboospring.sessions.ports import Acknowledged
 from bamboospring.sessions.ports import Begin
@@ -41,6 +42,12 @@
 
 # Seconds in which a connection must have named its database.
 OPENING_TIMEOUT = 10.0
+# A process that has just started knows what it needs within 0.2 s. Callers
+# that come before are held so long, in seconds, rather than sent away to find
+# the others starting as well; they wait 2 s for this answer.
+LONGEST_HOLD = 1.0
+HOLD_RECHECK = 0.01
+STARTING_RETRY_MS = 500
 
 STATES = {
     SessionState.IDLE: "I",
@@ -176,6 +183,7 @@
 
     __slots__ = (
         "_buffer",
+        "_held",
         "_paused",
         "_server",
         "_stream",
@@ -188,6 +196,7 @@
         self._stream = stream
         self._buffer = LineBuffer()
         self._paused = False
+        self._held: list[str] | None = None
         self.session: Session | None = None
         self._timer = server.reactor.call_later(OPENING_TIMEOUT, self.close)
         stream.on_data = self._data
@@ -220,6 +229,10 @@
             self._stream.pause()
 
     def _line(self, line: str) -> None:
+        if self._held is not None:
+            # Sent ahead of the answer to the opening.
+            self._held.append(line)
+            return
         word, _, rest = line.partition(" ")
         if word == "CLOSE":
             self.close()
@@ -234,9 +247,21 @@
         else:
             self._refuse("MALFORMED", f"unexpected message {word[:32]!r}")
 
-    def _open(self, rest: str) -> None:
+    def _open(self, rest: str, held_since: float | None = None) -> None:
         database, _, name = rest.partition(" ")
         refusal = self._server.admit(database)
+        reactor = self._server.reactor
+        if isinstance(refusal, Hold):
+            since = reactor.now() if held_since is None else held_since
+            if reactor.now() - since < LONGEST_HOLD:
+                self._held = self._held or []
+                reactor.call_later(
+                    HOLD_RECHECK, lambda: self._open_again(rest, since)
+                )
+                return
+            refusal = Overloaded(
+                reason=Reason.STARTING, retry_after_ms=STARTING_RETRY_MS
+            )
         if refusal is not None:
             lines = _outcome_lines(refusal)
             self._stream.send(f"{lines[0]}\r\n".encode("latin-1", "replace"))
@@ -252,6 +277,13 @@
         caller = f"{name[:32]}/{number}"
         self.session = self._server.make_session(database, caller, self)
         self._stream.send(b"READY I -\r\n")
+        held, self._held = self._held, None
+        for line in held or ():
+            self._line(line)
+
+    def _open_again(self, rest: str, since: float) -> None:
+        if not self._stream.closed:
+            self._open(rest, since)
 
     def _refuse(self, code: str, message: str) -> None:
         """Answer what can't be read, and close.
--- a/bamboospring/sessions/model.py
+++ b/bamboospring/sessions/model.py
@@ -32,6 +32,9 @@
 FIRST_LATENCY = 0.02
 # The estimate of a target's latency follows each answer by this part.
 LATENCY_SMOOTHING = 0.1
+# Seconds that a change of primary takes from the moment at which it is told:
+# most of it is the promotion itself.
+FIRST_CHANGE_TIME = 1.3
 # Each lost or failed answer adds this to a target's trouble, each good one
 # takes this part of it away.
 TROUBLE_STEP = 1.0
@@ -185,6 +188,7 @@
     targets: dict[str, TargetNews] = field(default_factory=dict)
     views: dict[str, TargetView] = field(default_factory=dict)
     outgoing: Outgoing | None = None
+    changing: bool = False
     change_seen_at: float = -1e9
 
     def view(self, name: str) -> TargetView:
@@ -201,6 +205,12 @@
             return None
         return self.targets.get(agreed.primary)
 
+    def expected_at(self, change_time: float) -> float | None:
+        """Return when a change under way should be over, None if none is."""
+        if not self.changing:
+            return None
+        return self.change_seen_at + change_time
+
     def stands(self, target: str, now: float) -> bool:
         """Tell whether what a target has just answered counts.
 
@@ -220,7 +230,7 @@
     """The one view that the controllers of sessions share.
 
     `targets_seen_at` is when the list of targets that is in force was asked
-    for.
+    for, `change_time` how long a change of primary usually takes.
     """
 
     vm: str
@@ -228,7 +238,7 @@
     catalog: Catalog | None = None
     groups: dict[str, GroupView] = field(default_factory=dict)
     targets_seen_at: float = -1e9
-    vms: int = 1
+    change_time: float = FIRST_CHANGE_TIME
     draining: bool = False
 
     def group(self, name: str) -> GroupView:
--- a/bamboospring/sessions/node.py
+++ b/bamboospring/sessions/node.py
@@ -6,6 +6,7 @@
 from http import HTTPStatus
 
 import secrets
+import threading
 
 from circuits import Component
 
@@ -31,6 +32,7 @@
 from bamboospring.sessions.farewell import Farewell
 from bamboospring.sessions.leader import Leader
 from bamboospring.sessions.model import SessionBoard
+from bamboospring.sessions.outside import Hold
 from bamboospring.sessions.outside import Outside
 from bamboospring.sessions.ports import CallerChannel
 from bamboospring.sessions.ports import SessionLink
@@ -61,10 +63,13 @@
     pace=0.005,
     heartbeat=2.5,
     heartbeat_timeout=0.5,
-    idle=6.0,
+    idle=1.5,
     idle_scarce=0.3,
 )
-NO_CATALOG_RETRY_MS = 500
+METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+METRICS_RECHECK = 0.05
+# So long after its start a process may still be learning, in seconds.
+STARTING = 3.0
 
 
 class SessionNode(Component):
@@ -79,6 +84,7 @@
         self.reactor = Reactor().register(self)
         self.rotation = Rotation(reactor=self.reactor, path=path, load=load)
         self.rotation.add(self._take_settings)
+        self._started_at = self.reactor.now()
         self.board = SessionBoard(
             vm=cfg.vm, availability_zone=cfg.availability_zone
         )
@@ -169,6 +175,7 @@
             platform=self.platform,
             questions=self.questions,
             may_take_proofs=self.registry.may_take_proofs,
+            on_failed=self._primary_failed,
         )
         self.releases = Releases(
             reactor=self.reactor,
@@ -237,6 +244,16 @@
             held=self.leader.holds_for_others,
         ).register(self)
 
+    def _primary_failed(self, group: str, primary: str) -> None:
+        """Give up what a failed primary was sent: nothing counts any more.
+
+        Without this each caller waits for its time to end. Reads and
+        transactions can be run again as soon as there is another primary.
+        """
+        news = self.board.group(group).targets.get(primary)
+        if news is not None:
+            self.pools.pool(news.target).close_all()
+
     def _dial(
         self, target: Target, on_ended: Callable[[list[int]], None]
     ) -> Dialer[SessionLink]:
@@ -251,13 +268,17 @@
                 return group.name
         return ""
 
-    def _admit(self, database: str) -> NotRun | Overloaded | None:
+    def _admit(self, database: str) -> NotRun | Overloaded | Hold | None:
         if self.board.catalog is None:
-            return Overloaded(
-                reason=Reason.DRAINING, retry_after_ms=NO_CATALOG_RETRY_MS
-            )
-        if self.board.route(database) is None:
+            return Hold()
+        route = self.board.route(database)
+        if route is None:
             return NotRun(reason=Reason.UNKNOWN_GROUP, message=database)
+        group = self.board.group(route.group)
+        if self.reactor.now() > self._started_at + STARTING:
+            return None
+        if group.leadership is None or not group.targets:
+            return Hold()
         return None
 
     def _make_session(
@@ -290,14 +311,30 @@
         if req.path.partition("?")[0] != "/metrics":
             respond(Response(status=HTTPStatus.NOT_FOUND))
             return
-        body = self.metrics.text()
-        respond(
-            Response(
-                body=body,
-                content_type="text/plain; version=0.0.4; charset=utf-8",
-            )
+        text = self.metrics.text()
+        if text is not None:
+            respond(Response(body=text, content_type=METRICS_TYPE))
+            return
+        # Loaded aside: statements would stand still for as long.
+        thread = threading.Thread(target=self.metrics.load_exporter)
+        thread.daemon = True
+        thread.start()
+        self.reactor.call_later(
+            METRICS_RECHECK, lambda: self._show_when_loaded(thread, respond)
         )
 
+    def _show_when_loaded(
+        self, thread: threading.Thread, respond: Callable[[Response], None]
+    ) -> None:
+        if thread.is_alive():
+            self.reactor.call_later(
+                METRICS_RECHECK,
+                lambda: self._show_when_loaded(thread, respond),
+            )
+            return
+        text = self.metrics.text() or b""
+        respond(Response(body=text, content_type=METRICS_TYPE))
+
     def _take_settings(self, cfg: SessionSettings) -> None:
         self.cfg = cfg
         logs.configure_node(level=cfg.logs.level, vm=cfg.vm)
--- a/bamboospring/sessions/outside.py
+++ b/bamboospring/sessions/outside.py
@@ -21,9 +21,15 @@
 from bamboospring.sessions.session import Session
 from bamboospring.target_link import Dialer
 
-__all__ = ["Admit", "CallerListener", "MakeSession", "Outside"]
+__all__ = ["Admit", "CallerListener", "Hold", "MakeSession", "Outside"]
 
-Admit = Callable[[str], NotRun | Overloaded | None]
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Hold:
+    """The session can't be opened yet, but will be in a moment."""
+
+
+Admit = Callable[[str], NotRun | Overloaded | Hold | None]
 MakeSession = Callable[[str, str, CallerChannel], Session]
 
 
--- a/bamboospring/sessions/record_keeper.py
+++ b/bamboospring/sessions/record_keeper.py
@@ -31,6 +31,7 @@
 from bamboospring.sessions.records import encode_record
 from bamboospring.sessions.records import read_record
 from bamboospring.sessions.records import RECORD_KIND
+from bamboospring.sessions.takeover import Cause
 
 __all__ = ["RecordKeeper"]
 
@@ -47,6 +48,13 @@
 TARGETS_TIMEOUT = PROOF_LIFE * 0.28
 CHECK_INTERVAL = 0.2
 
+# The estimate of how long a change takes follows each one by this part, and
+# takes none for longer than this, in seconds: those wait for something else.
+CHANGE_SMOOTHING = 0.5
+LONGEST_CHANGE = 3.0
+# Changes for these causes mean that the old primary answers nothing more.
+FAILED_CAUSES = frozenset({Cause.FAILED.value, Cause.GONE.value})
+
 # Called with what else is stored with the records, when it was asked for.
 OnOther = Callable[[Found, float], None]
 
@@ -62,7 +70,9 @@
         platform: PlatformClient,
         questions: TargetQuestions,
         may_take_proofs: Callable[[float], bool],
+        on_failed: Callable[[str, str], None],
     ) -> None:
+        self._on_failed = on_failed
         self._may_take_proofs = may_take_proofs
         self._reactor = reactor
         self._board = board
@@ -162,9 +172,9 @@
         self._bytes = None
         group.leadership = record
         if record.change is not None:
-            self._close(group, known)
+            self._close(group, known, record)
         else:
-            group.outgoing = None
+            self._open(group, record)
         if not same:
             group.proof.void()
             group.samples.clear()
@@ -178,13 +188,20 @@
             by=record.change.vm if record.change else "",
         )
 
-    def _close(self, group: GroupView, known: Leadership | None) -> None:
+    def _close(
+        self,
+        group: GroupView,
+        known: Leadership | None,
+        record: Leadership,
+    ) -> None:
         """Use the primary no more; what is under way may still be answered.
 
         Nobody promotes another one before our proof has lapsed, or before we
         have said that we let go of it.
         """
-        group.change_seen_at = self._reactor.now()
+        if not group.changing:
+            group.change_seen_at = self._reactor.now()
+        group.changing = True
         if known is not None and known.change is None:
             group.outgoing = Outgoing(
                 target=known.primary,
@@ -192,6 +209,23 @@
             )
         group.proof.void()
 
+        change = record.change
+        if change is not None and change.cause in FAILED_CAUSES:
+            # In a later turn: what is given up asks the board anew.
+            self._reactor.call_later(
+                0, lambda: self._on_failed(group.name, record.primary)
+            )
+
+    def _open(self, group: GroupView, record: Leadership) -> None:
+        """Go on with the primary of a record without a change."""
+        group.outgoing = None
+        if group.changing:
+            took = self._reactor.now() - group.change_seen_at
+            self._board.change_time += CHANGE_SMOOTHING * (
+                min(took, LONGEST_CHANGE) - self._board.change_time
+            )
+        group.changing = False
+
     def _tick(self) -> None:
         self._ask_if_due()
         self._renew_by_targets()
--- a/bamboospring/sessions/runner.py
+++ b/bamboospring/sessions/runner.py
@@ -65,6 +65,10 @@
 # queue off by then, a change of primary takes one to three seconds.
 BUSY_RETRY_MS = 100
 CHANGE_RETRY_MS = 1000
+# After its expected end a change may take so much longer, in seconds, and a
+# statement that waits for the end needs so much time to run.
+CHANGE_SLACK = 0.3
+CHANGE_RESERVE = 0.1
 # A read is also sent to another target once it has taken so many times what
 # its target usually takes, and at least so many seconds: then its answer is
 # lost more probably than late.
@@ -446,15 +450,33 @@
             return
         if reason in (Reason.NO_PRIMARY, Reason.PRIMARY_CHANGED):
             self.runner.doubt(self.group.name)
-        if now + RECHECK >= self._patient_until:
+        patient_until, retry_after = self._patience(reason, now)
+        if now + RECHECK >= patient_until:
             refusal = self._refusal or NotRun(
-                reason=reason, retry_after_ms=CHANGE_RETRY_MS
+                reason=reason, retry_after_ms=int(retry_after * 1000)
             )
             self._finish(refusal, None)
             return
         self._excluded.clear()
         self._timer = self.runner.reactor.call_later(RECHECK, self.next_try)
 
+    def _patience(self, reason: Reason, now: float) -> tuple[float, float]:
+        """Return until when to wait, and how long a refused caller should.
+
+        During a change of primary the end can be foreseen. Who can be served
+        before its time is up waits for it; who can't is refused at once, so
+        that the rest of its time is its own.
+        """
+        expected = self.group.expected_at(self.runner.board.change_time)
+        if reason is not Reason.NO_PRIMARY or expected is None:
+            return self._patient_until, CHANGE_RETRY_MS / 1000
+        if now > expected + CHANGE_SLACK:
+            # Overdue: nothing can be foreseen any more.
+            return self._patient_until, CHANGE_RETRY_MS / 1000
+        if expected + CHANGE_RESERVE < self.deadline:
+            return min(self.deadline, expected + CHANGE_SLACK), 0.0
+        return now, expected - now
+
     # What becomes of a try.
 
     def start_hedge(self, after: float) -> None:
--- a/bamboospring/sessions/session_metrics.py
+++ b/bamboospring/sessions/session_metrics.py
@@ -13,7 +13,6 @@
 from bamboospring.metrics import Metrics
 from bamboospring.metrics import Point
 from bamboospring.metrics import Series
-from bamboospring.metrics_export import Exporter
 from bamboospring.sessions.model import SessionBoard
 from bamboospring.sessions.ports import Served
 from bamboospring.sessions.ports import SessionOutcome
@@ -23,6 +22,7 @@
 from bamboospring.status_view import resident_bytes
 
 if TYPE_CHECKING:
+    from bamboospring.metrics_export import Exporter
     from bamboospring.platform_client import PlatformClient
     from bamboospring.pool import Pools
     from bamboospring.sessions.leader import Leader
@@ -161,13 +161,24 @@
             description="Log lines left out to keep within bounds.",
         )
 
-    def text(self) -> bytes:
-        """Return all of it as Prometheus reads it."""
+    def load_exporter(self) -> None:
+        """Import what turns the numbers into text; may run in a thread.
+
+        Importing it takes 0.1 s and 9 MB, which a VM whose metrics nobody
+        reads need not spend, and its start even less.
+        """
         if self._exporter is None:
+            from bamboospring.metrics_export import Exporter
+
             self._exporter = Exporter(
                 vm=self._board.vm,
                 availability_zone=self._board.availability_zone,
             )
+
+    def text(self) -> bytes | None:
+        """Return it all as Prometheus reads it; None before it is loaded."""
+        if self._exporter is None:
+            return None
         return self._exporter.text(self._series())
 
     def _series(self) -> Iterator[Series]:
--- a/bamboospring/sessions/target_keeper.py
+++ b/bamboospring/sessions/target_keeper.py
@@ -34,7 +34,7 @@
 # The part of a target's connections that one VM may use at most. Connections
 # are opened when they are needed and closed when they rest; the target itself
 # refuses what goes beyond its limit.
-SHARE_DIVISOR = 3
+SHARE_DIVISOR = 5
 FEWEST_CONNECTIONS = 2
 
 
--- a/bamboospring/sessions/vm_registry.py
+++ b/bamboospring/sessions/vm_registry.py
@@ -164,8 +164,11 @@
                     return
                 case Conflict(version=version):
                     # The entry of an earlier life, or our own renewal whose
-                    # answer was lost; the next try replaces it.
+                    # answer was lost. It is replaced at once: until then a
+                    # VM that has just started can serve nobody.
                     self._version = version
+                    self._reactor.call_later(0, lambda: self._file(on_filed))
+                    return
             self._reactor.call_later(RETRY, lambda: self._file(on_filed))
 
         self._platform.put(
