--- /dev/null
+++ b/bamboospring/testing/session_fleet.py
@@ -0,0 +1,290 @@
+"""An estate with sessions: members, store, desk, links and real VMs.
+
+The VMs are processes of their own; everything else lives in one event loop,
+so that a judge sees what members run at the moment at which they do.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+import json
+import os
+from pathlib import Path
+import socket
+import sys
+import tempfile
+import time
+from typing import Any
+import urllib.request
+
+from bamboospring.testing.fault_proxy import Link
+from bamboospring.testing.process import ManagedProcess
+from bamboospring.testing.session_callers import CallerRoute
+from bamboospring.testing.session_judge import SessionJudge
+from bamboospring.testing.session_members import Group
+from bamboospring.testing.session_members import Member
+from bamboospring.testing.session_members import MemberKnobs
+from bamboospring.testing.session_platform import PromotionDesk
+from bamboospring.testing.session_platform import SessionStore
+
+__all__ = ["SessionFleet", "VmProcess"]
+
+ZONES = ("zone-a", "zone-b", "zone-c")
+BEAT = 0.4
+# An entry whose member says nothing is removed after so many beats.
+BEATS_UNTIL_GONE = 3
+KINDS: tuple[tuple[str, float | None, float, float], ...] = (
+    ("primary", None, 0.35, 0.4),
+    ("bounded_staleness", 1.5, 0.0, 0.1),
+    ("read_your_writes", 2.5, 0.12, 0.12),
+)
+
+
+@dataclass(slots=True, kw_only=True)
+class VmProcess:
+    """One VM: its process and where it listens."""
+
+    name: str
+    process: ManagedProcess
+    callers: str
+    readiness: str
+    settings: Path
+
+    def ready(self) -> bool:
+        """Ask the VM whether callers may be sent to it."""
+        url = f"http://{self.readiness}/api/readiness"
+        try:
+            with urllib.request.urlopen(url, timeout=0.5) as answer:
+                return answer.status == 200
+        except OSError:
+            return False
+
+
+class SessionFleet:
+    """Groups of three members, a store, a desk and some VMs."""
+
+    def __init__(
+        self,
+        *,
+        vms: int = 3,
+        groups: int = 2,
+        knobs: MemberKnobs | None = None,
+        seed: int = 0,
+        grace_ms: int = 4000,
+    ) -> None:
+        self.judge = SessionJudge()
+        self.knobs = knobs or MemberKnobs()
+        self.store = SessionStore(seed=seed)
+        self.groups: dict[str, Group] = {}
+        self.vms: dict[str, VmProcess] = {}
+        self.links: dict[str, Link] = {}
+        self._vm_count = vms
+        self._grace_ms = grace_ms
+        self._folder = tempfile.TemporaryDirectory()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._beats: dict[str, int] = {}
+        self._version = 0
+        self.silent_entries: set[str] = set()
+        for number in range(groups):
+            name = f"group{number}"
+            group = Group(
+                name=name, judge=self.judge, knobs=self.knobs, seed=seed
+            )
+            for place, zone in enumerate(ZONES):
+                group.add(f"{name}-m{place}", zone, primary=place == 0)
+            self.groups[name] = group
+        self.desk = PromotionDesk(self.groups)
+
+    async def start(self) -> None:
+        """Start all and wait until the VMs are ready."""
+        await self.store.start()
+        await self.desk.start()
+        for member in self.members():
+            await member.start()
+            await self._link(member.id, member.address)
+        for number in range(self._vm_count):
+            name = f"vm{number}"
+            await self._link(f"{name}-store", self.store.address)
+            self._add_vm(name, ZONES[number % len(ZONES)])
+        self.write_config()
+        self._tasks.append(asyncio.create_task(self._beat()))
+        for vm in self.vms.values():
+            vm.process.start()
+        await self.wait_ready()
+
+    async def close(self) -> None:
+        """End everything that was started."""
+        for task in self._tasks:
+            task.cancel()
+        for vm in self.vms.values():
+            vm.process.kill()
+        for member in self.members():
+            member.stop()
+        self._folder.cleanup()
+
+    def members(self) -> list[Member]:
+        """Return all members."""
+        return [m for g in self.groups.values() for m in g.members.values()]
+
+    def primary(self, group: str) -> Member:
+        """Return the member that leads the highest term."""
+        members = self.groups[group].members.values()
+        return max((m for m in members if m.leads), key=lambda m: m.term)
+
+    def routes(self) -> list[CallerRoute]:
+        """Return the databases of the configuration, as callers see them."""
+        return [
+            CallerRoute(
+                database=f"{group}-{kind}",
+                group=group,
+                max_age=age or 0.0,
+                writes=writes,
+                transactions=transactions,
+            )
+            for group in self.groups
+            for kind, age, writes, transactions in KINDS
+        ]
+
+    def addresses(self) -> list[str]:
+        """Return where callers may connect."""
+        return [vm.callers for vm in self.vms.values()]
+
+    def write_config(self, **limits: Any) -> int:
+        """Put a new version of the configuration in force."""
+        self._version += 1
+        routes = []
+        for group in self.groups:
+            for kind, age, _writes, _transactions in KINDS:
+                route: dict[str, Any] = {
+                    "name": f"r-{group}-{kind}",
+                    "database": f"{group}-{kind}",
+                    "pathPrefix": "/",
+                    "kind": kind,
+                    "timeoutMs": 1000,
+                    "targetLatencyMs": 300,
+                    "priority": 1 if kind == "primary" else 2,
+                    "service": group,
+                    "maxAttempts": 2,
+                }
+                if age is not None:
+                    route["maxStalenessMs"] = int(age * 1000)
+                routes.append(route)
+        services = [
+            {
+                "name": group,
+                "healthPath": "/health",
+                "maxConnections": self.knobs.connections,
+                "syncReplicas": 0,
+            }
+            for group in self.groups
+        ]
+        config = {
+            "version": self._version,
+            "routes": routes,
+            "services": services,
+            "limits": {"transactionIdleMs": 3000, **limits},
+        }
+        self.store.put("config", "main", config)
+        return self._version
+
+    async def wait_ready(self, seconds: float = 20.0) -> None:
+        """Wait until all running VMs say that they are ready."""
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            running = [v for v in self.vms.values() if v.process.running]
+            ready = await asyncio.gather(
+                *(asyncio.to_thread(vm.ready) for vm in running)
+            )
+            if all(ready):
+                return
+            await asyncio.sleep(0.05)
+        tails = "\n".join(v.process.tail(15) for v in self.vms.values())
+        raise TimeoutError(f"VMs are not ready:\n{tails}")
+
+    def log(self, vm: str) -> str:
+        """Return what a VM has logged so far."""
+        path = self.vms[vm].process.log_path
+        return path.read_text() if path.exists() else ""
+
+    async def _link(self, name: str, upstream: str) -> None:
+        link = Link(name=name, listen="127.0.0.1:0", upstream=upstream)
+        await link.start()
+        self.links[name] = link
+
+    async def _beat(self) -> None:
+        """Have members file their entries, as they do about themselves."""
+        while True:
+            for member in self.members():
+                self._file(member)
+            await asyncio.sleep(BEAT)
+
+    def _file(self, member: Member) -> None:
+        silent = member.id in self.silent_entries
+        if not member.up or member.dark or silent or self.store.faults.down:
+            missed = self._beats[member.id] = self._beats.get(member.id, 0) + 1
+            if missed >= BEATS_UNTIL_GONE:
+                self.store.delete("servers", member.id)
+            return
+        self._beats[member.id] = 0
+        old = self.store.get("servers", member.id) or {}
+        entry = {
+            "service": member.group.name,
+            "address": self.links[member.id].listen,
+            "zone": member.zone,
+            "version": "v1",
+            "slots": self.knobs.slots,
+            "state": "draining" if member.draining else "ready",
+            "warmupRemainingMs": 0,
+            "databaseRole": "primary" if member.leads else "replica",
+            "sequence": old.get("sequence", 0) + 1,
+        }
+        self.store.put("servers", member.id, entry)
+
+    def _add_vm(self, name: str, zone: str) -> None:
+        folder = Path(self._folder.name)
+        ports = _free_ports(4)
+        callers, readiness, peers, metrics = (
+            f"127.0.0.1:{port}" for port in ports
+        )
+        settings = folder / f"{name}.json"
+        cfg = {
+            "vm": name,
+            "availability_zone": zone,
+            "callers": callers,
+            "readiness": readiness,
+            "peers": peers,
+            "operators": metrics,
+            "platform": self.links[f"{name}-store"].listen,
+            "orders": self.desk.address,
+            "timing": {"grace_ms": self._grace_ms},
+        }
+        settings.write_text(json.dumps(cfg))
+        root = str(Path(__file__).resolve().parents[2])
+        process = ManagedProcess(
+            name=name,
+            argv=[sys.executable, "-m", "bamboospring.platform"],
+            log_path=folder / f"{name}.log",
+            env={
+                **os.environ,
+                "PYTHONPATH": root,
+                "BAMBOOSPRING_SETTINGS": str(settings),
+            },
+        )
+        self.vms[name] = VmProcess(
+            name=name,
+            process=process,
+            callers=callers,
+            readiness=readiness,
+            settings=settings,
+        )
+
+
+def _free_ports(count: int) -> list[int]:
+    socks = [socket.socket() for _ in range(count)]
+    for sock in socks:
+        sock.bind(("127.0.0.1", 0))
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
