--- a/bamboospring/logs.py
+++ b/bamboospring/logs.py
@@ -28,6 +28,7 @@
 import eliot
 
 __all__ = [
+    "Bounds",
     "Level",
     "LineSink",
     "configure",
@@ -114,7 +115,7 @@
         _sink.flush()
 
 
-class _Bounds:
+class Bounds:
     """How many lines of each name may be written in a second."""
 
     # Lines a second of one name: of what went well enough to see the usual
@@ -187,7 +188,7 @@
             del self._held[:sent]
 
 
-_bounds = _Bounds()
+_bounds = Bounds()
 _sink: LineSink | None = None
 
 
