--- /dev/null
+++ b/features/session_estate.feature
@@ -0,0 +1,85 @@
+Feature: Real VMs serve sessions while things fail
+
+  Scenario: A calm minute, with all kinds of routes
+    Given an estate with 3 VMs and 2 groups
+    When 10 callers work for 4 s
+    Then every promise was kept
+    And at least 99 percent of the operations were served
+
+  Scenario: A primary crashes and comes back too late
+    # Callers get errors for about as long as it takes to notice, to have the
+    # VMs let go, and to promote (0.6 s here). Writes go on at the new primary
+    # well before the old one comes back, which then is a replica.
+    Given an estate with 3 VMs and 2 groups
+    When 10 callers work for 9 s
+    And after 2 s the primary of group0 crashes for 6 s
+    Then every promise was kept
+    And group0 had another primary within 3 s
+    And writes were served in group0 at the end
+
+  Scenario: A primary goes dark while it holds callers' statements
+    # The connection stands and nothing comes. What was sent there is given up
+    # as soon as the change is told, not when each statement's time is up.
+    Given an estate with 3 VMs and 2 groups
+    When 10 callers work for 9 s
+    And after 2 s the primary of group0 goes dark for 6 s
+    Then every promise was kept
+    And group0 had another primary within 4 s
+
+  Scenario: The store is down and primaries go on being used
+    # No record can be read for 6 s, three times as long as a proof lives. VMs
+    # ask the other targets of each group instead, so callers notice nothing.
+    Given an estate with 3 VMs and 2 groups
+    When 10 callers work for 9 s
+    And after 1 s the store is down for 6 s
+    Then every promise was kept
+    And at least 95 percent of the operations were served
+
+  Scenario: A VM that is told to stop cuts nobody
+    # Open sessions are closed between two statements, transactions get half
+    # of the time to end. A caller that is cut had sent a statement into it.
+    Given an estate with 3 VMs and 2 groups
+    When 10 callers work for 8 s
+    And after 2 s vm1 is told to stop
+    Then every promise was kept
+    And vm1 has ended by itself
+    And no statement was cut by the stop
+
+  Scenario: All VMs are killed at once and come back
+    Given an estate with 3 VMs and 2 groups
+    When 10 callers work for 8 s
+    And after 2 s all VMs are killed and started again
+    Then every promise was kept
+    And writes were served in group0 at the end
+
+  Scenario: A leaving primary is replaced before its time is up
+    Given an estate with 3 VMs and 2 groups
+    When 10 callers work for 9 s
+    And after 1 s the primary of group0 leaves
+    Then every promise was kept
+    And group0 had another primary within 4 s
+    And at least 90 percent of the operations were served
+
+  Scenario: The VM that leads is paused while a primary fails
+    # Two VMs may believe that they lead. The one that wakes has no lease any
+    # more by the clock that counts its sleep, and orders nothing.
+    Given an estate with 3 VMs and 2 groups
+    When 10 callers work for 12 s
+    And after 2 s the VM that leads is paused for 5 s and the primary of group0 crashes for 9 s
+    Then every promise was kept
+    And group0 had another primary within 8 s
+
+  Scenario: Settings that change without a signal, and metrics
+    Given an estate with 3 VMs and 2 groups
+    When 10 callers work for 3 s
+    And the settings of vm0 ask for debug logs
+    Then vm0 has logged that it took its settings within 5 s
+    And the metrics of vm0 count statements, waits and proofs
+
+  Scenario: A request's story from its id
+    # A caller complains of one request. All that is left are the VMs' logs.
+    Given an estate with 3 VMs and 2 groups
+    When 10 callers work for 5 s
+    And after 1 s the primary of group0 crashes for 3 s
+    Then the story of a refused write names the change of its primary
+    And the story of a change names its steps in order
--- /dev/null
+++ b/features/session_soak.feature
@@ -0,0 +1,14 @@
+Feature: Faults upon faults keep the promises of sessions
+
+  # Callers read, write, set, prepare and run transactions at real VMs while
+  # links are cut and silenced, members crash, lag and leave, the store fails
+  # and VMs are killed, paused and stopped, up to three at once. Members check
+  # what runs there and callers' answers are held against the logs.
+  Scenario Outline: A soak of <seconds> s with seed <seed>
+    When sessions and faults run for <seconds> s with seed <seed>
+    Then the session soak finds nothing wrong
+
+    Examples:
+      | seed | seconds |
+      | 1    | 12      |
+      | 23   | 12      |
--- /dev/null
+++ b/features/steps/session_estate_steps.py
@@ -0,0 +1,352 @@
+"""Steps with real VMs over the stand-ins of members, store and desk."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+import json
+import threading
+import time
+import urllib.request
+
+from behave import given
+from behave import then
+from behave import when
+
+from bamboospring import explain
+from bamboospring.testing.session_callers import SessionCaller
+from bamboospring.testing.session_fleet import SessionFleet
+from bamboospring.testing.session_platform import StoreFaults
+from bamboospring.testing.session_soak import run_session_soak
+
+
+class Stage:
+    """The estate in an event loop of its own, and what is done to it."""
+
+    def __init__(self, vms, groups):
+        self.loop = asyncio.new_event_loop()
+        self.thread = threading.Thread(
+            target=self.loop.run_forever, daemon=True
+        )
+        self.thread.start()
+        self.fleet = SessionFleet(vms=vms, groups=groups, seed=3)
+        self.outcomes = Counter()
+        self.acts = []
+        self.seconds = 0.0
+        self.callers = []
+        self.promoted_after = {}
+        self.acted_at = 0.0
+        self.done = False
+
+    def call(self, coro, timeout=60):
+        return asyncio.run_coroutine_threadsafe(coro, self.loop).result(
+            timeout
+        )
+
+    def close(self):
+        self.call(self.fleet.close())
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self.thread.join(5)
+
+    def play(self):
+        """Run the callers and the acts once, at the first check."""
+        if not self.done:
+            self.done = True
+            self.call(self._play(), self.seconds + 60)
+
+    async def _play(self):
+        fleet = self.fleet
+        until = time.monotonic() + self.seconds
+        workers = [
+            SessionCaller(
+                number=number,
+                routes=fleet.routes(),
+                addresses=fleet.addresses,
+                judge=fleet.judge,
+                seed=5,
+            )
+            for number in range(len(self.callers))
+        ]
+        work = [asyncio.create_task(w.run(until)) for w in workers]
+        acts = [asyncio.create_task(act()) for act in self.acts]
+        await asyncio.sleep(self.seconds - 1.5)
+        self.late_before = self._writes()
+        await asyncio.gather(*work, *acts)
+        self.late_writes = self._writes() - self.late_before
+        fleet.judge.check_orders(fleet.desk.orders)
+        for worker in workers:
+            self.outcomes.update(worker.outcomes)
+
+    def _writes(self):
+        members = self.fleet.groups["group0"].members.values()
+        return max(len(m.log) for m in members)
+
+    def served(self):
+        good = sum(n for k, n in self.outcomes.items() if k.endswith(":ok"))
+        return good / max(1, sum(self.outcomes.values()))
+
+    async def watch_promotion(self, group, old):
+        began = self.acted_at = time.monotonic()
+        while time.monotonic() - began < 12:
+            leader = self.fleet.primary(group) if self._leads(group) else None
+            if leader is not None and leader.id != old:
+                self.promoted_after[group] = time.monotonic() - began
+                return
+            await asyncio.sleep(0.02)
+
+    def _leads(self, group):
+        members = self.fleet.groups[group].members.values()
+        return any(m.leads for m in members)
+
+
+@given("an estate with {vms:d} VMs and {groups:d} groups")
+def given_estate(context, vms, groups):
+    context.stage = Stage(vms, groups)
+    context.add_cleanup(context.stage.close)
+    context.stage.call(context.stage.fleet.start())
+
+
+@when("{count:d} callers work for {seconds:d} s")
+def when_work(context, count, seconds):
+    context.stage.callers = list(range(count))
+    context.stage.seconds = float(seconds)
+
+
+def act(context, after, what):
+    async def later():
+        await asyncio.sleep(after)
+        await what()
+
+    context.stage.acts.append(later)
+
+
+async def crash(stage, group, seconds):
+    member = stage.fleet.primary(group)
+    member.stop()
+    watch = asyncio.create_task(stage.watch_promotion(group, member.id))
+    await asyncio.sleep(seconds)
+    await member.start()
+    await watch
+
+
+@when("after {after:d} s the primary of {group} crashes for {seconds:d} s")
+def when_crash(context, after, group, seconds):
+    act(context, after, lambda: crash(context.stage, group, seconds))
+
+
+@when("after {after:d} s the primary of {group} goes dark for {seconds:d} s")
+def when_dark(context, after, group, seconds):
+    stage = context.stage
+
+    async def dark():
+        member = stage.fleet.primary(group)
+        member.dark = True
+        link = stage.fleet.links[member.id]
+        link.set_mode(mode="silent", direction="both", delay_ms=0)
+        watch = asyncio.create_task(stage.watch_promotion(group, member.id))
+        await asyncio.sleep(seconds)
+        member.dark = False
+        link.set_mode(mode="pass", direction="both", delay_ms=0)
+        await watch
+
+    act(context, after, dark)
+
+
+@when("after {after:d} s the store is down for {seconds:d} s")
+def when_down(context, after, seconds):
+    async def down():
+        context.stage.fleet.store.faults = StoreFaults(down="busy")
+        await asyncio.sleep(seconds)
+        context.stage.fleet.store.faults = StoreFaults()
+
+    act(context, after, down)
+
+
+@when("after {after:d} s {vm} is told to stop")
+def when_stop(context, after, vm):
+    stage = context.stage
+
+    async def stop():
+        stage.fleet.vms[vm].process.terminate()
+
+    act(context, after, stop)
+
+
+@when("after {after:d} s all VMs are killed and started again")
+def when_killed(context, after):
+    async def kill():
+        for vm in context.stage.fleet.vms.values():
+            vm.process.kill()
+        for vm in context.stage.fleet.vms.values():
+            vm.process.start()
+
+    act(context, after, kill)
+
+
+@when("after {after:d} s the primary of {group} leaves")
+def when_leaves(context, after, group):
+    stage = context.stage
+
+    async def leave():
+        member = stage.fleet.primary(group)
+        member.draining = True
+        stage.fleet.judge.leaving[member.id] = time.monotonic() + 0.5
+        await stage.watch_promotion(group, member.id)
+
+    act(context, after, leave)
+
+
+@when(
+    "after {after:d} s the VM that leads is paused for {pause:d} s and the "
+    "primary of {group} crashes for {seconds:d} s"
+)
+def when_paused(context, after, pause, group, seconds):
+    stage = context.stage
+
+    async def pause_and_crash():
+        lease = stage.fleet.store.get("groups", "lease")
+        process = stage.fleet.vms[lease["vm"]].process
+        process.freeze()
+        crashed = asyncio.create_task(crash(stage, group, seconds))
+        await asyncio.sleep(pause)
+        process.thaw()
+        await crashed
+
+    act(context, after, pause_and_crash)
+
+
+@when("the settings of {vm} ask for debug logs")
+def when_settings(context, vm):
+    path = context.stage.fleet.vms[vm].settings
+    cfg = json.loads(path.read_text())
+    cfg["logs"] = {"level": "debug"}
+    path.write_text(json.dumps(cfg))
+
+
+@then("every promise was kept")
+def then_kept(context):
+    context.stage.play()
+    wrong = context.stage.fleet.judge.wrong
+    assert not wrong, "\n".join(wrong[:10])
+
+
+@then("at least {percent:d} percent of the operations were served")
+def then_served(context, percent):
+    stage = context.stage
+    stage.play()
+    assert stage.served() * 100 >= percent, stage.outcomes
+
+
+@then("{group} had another primary within {seconds:d} s")
+def then_another(context, group, seconds):
+    context.stage.play()
+    after = context.stage.promoted_after.get(group)
+    assert after is not None and after <= seconds, (
+        after,
+        *(
+            context.stage.fleet.log(vm)[-3000:]
+            for vm in context.stage.fleet.vms
+        ),
+    )
+
+
+@then("writes were served in {group} at the end")
+def then_writes(context, group):
+    assert context.stage.late_writes > 0, context.stage.outcomes
+
+
+@then("{vm} has ended by itself")
+def then_ended(context, vm):
+    process = context.stage.fleet.vms[vm].process
+    until = time.monotonic() + 10
+    while process.running and time.monotonic() < until:
+        time.sleep(0.05)
+    assert process.exit_code == 0, process.exit_code
+
+
+@then("no statement was cut by the stop")
+def then_uncut(context):
+    outcomes = context.stage.outcomes
+    unfinished = "unfinished=0" in context.stage.fleet.log("vm1")
+    assert unfinished, context.stage.fleet.log("vm1")[-2000:]
+    bad = [k for k in outcomes if k.endswith(("INDOUBT", "TIMEOUT"))]
+    assert not bad, outcomes
+
+
+@then("{vm} has logged that it took its settings within {seconds:d} s")
+def then_taken(context, vm, seconds):
+    context.stage.play()
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        if "event=settings_taken" in context.stage.fleet.log(vm):
+            return
+        time.sleep(0.1)
+    raise AssertionError(context.stage.fleet.log(vm)[-2000:])
+
+
+@then("the metrics of {vm} count statements, waits and proofs")
+def then_metrics(context, vm):
+    path = context.stage.fleet.vms[vm].settings
+    address = json.loads(path.read_text())["operators"]
+    url = f"http://{address}/metrics"
+    with urllib.request.urlopen(url, timeout=5) as answer:
+        text = answer.read().decode()
+    for name in (
+        "bamboospring_statements_total",
+        "bamboospring_statement_wait_seconds_bucket",
+        "db_client_operation_duration_seconds_bucket",
+        "bamboospring_proof_age_seconds",
+        "bamboospring_platform_calls_total",
+    ):
+        assert name in text, text[:2000]
+
+
+def all_lines(stage):
+    return [
+        line
+        for vm in stage.fleet.vms
+        for line in stage.fleet.log(vm).splitlines()
+    ]
+
+
+@then("the story of a refused write names the change of its primary")
+def then_story(context):
+    context.stage.play()
+    events = explain.read_events(all_lines(context.stage))
+    refused = [
+        event
+        for event in events
+        if event.name == "answered"
+        and event.fields.get("outcome") == "not_run"
+        and event.fields.get("group") == "group0"
+    ]
+    assert refused, len(events)
+    stories = [
+        explain.story_of_request(events, each.fields["trace"])
+        for each in refused
+    ]
+    text = "\n".join(stories[0])
+    assert any("change_begun" in "\n".join(s) for s in stories), text
+
+
+@then("the story of a change names its steps in order")
+def then_change(context):
+    events = explain.read_events(all_lines(context.stage))
+    text = "\n".join(explain.story_of_group(events, "group0"))
+    places = [
+        text.find(step)
+        for step in ("change_begun", "promotion_ordered", "change_ended")
+    ]
+    assert -1 not in places and places == sorted(places), text
+
+
+@when("sessions and faults run for {seconds:d} s with seed {seed:d}")
+def when_soak(context, seconds, seed):
+    context.result = asyncio.run(run_session_soak(seed=seed, seconds=seconds))
+    print("faults:", "; ".join(context.result.history))
+    print("outcomes:", context.result.outcomes)
+
+
+@then("the session soak finds nothing wrong")
+def then_sound(context):
+    assert not context.result.wrong, "\n".join(context.result.wrong[:20])
