Pass samples of primaries on, and let connections rest by fair parts

Cause: a VM of 71 sees few answers of a primary; its only young sample is too fresh for replicas that lag 150 ms, so its reads all went to the primary, which refused for want of slots. A connection may rest longer than there are connections for all VMs.

--- a/bamboospring/connections.py
+++ b/bamboospring/connections.py
@@ -70,6 +70,8 @@
     _next_open_at: float = NEVER
     _silent: list[float] = field(default_factory=list)
     _full_until: float = NEVER
+    # How long connections may rest; None: as the timing says.
+    idle_limit: float | None = None
 
     @property
     def total(self) -> int:
@@ -185,7 +187,9 @@
     def expired(self, now: float) -> list[T]:
         """Take out the idle connections that are to be closed now."""
         timing = self.timing
-        limit = timing.idle_scarce if self.is_scarce(now) else timing.idle
+        limit = timing.idle if self.idle_limit is None else self.idle_limit
+        if self.is_scarce(now):
+            limit = min(limit, timing.idle_scarce)
         oldest = now - limit
         out = [conn for conn in self._idle if conn.used_at < oldest]
         if out:
--- a/bamboospring/lease.py
+++ b/bamboospring/lease.py
@@ -47,11 +47,15 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LeaseValue:
-    """What the object says; an empty `vm` means that it was given up."""
+    """What the object says; an empty `vm` means that it was given up.
+
+    `address` is where others reach the holder, if they should.
+    """
 
     vm: str
     nonce: str
     duration: float
+    address: str = ""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -91,7 +95,13 @@
     """
 
     def __init__(
-        self, *, bucket: int, vm: str, nonce: str, timing: LeaseTiming
+        self,
+        *,
+        bucket: int,
+        vm: str,
+        nonce: str,
+        timing: LeaseTiming,
+        address: str = "",
     ) -> None:
         self.bucket = bucket
         self.valid_until = NEVER
@@ -100,6 +110,7 @@
         # holding, also one by the same VM.
         self.fence = 0
         self._vm = vm
+        self._address = address
         self._nonce = nonce
         self._timing = timing
         self._seen = SeenLease(version=-1, value=_empty())
@@ -129,6 +140,10 @@
             valid_until=self.valid_until,
         )
 
+    def address(self) -> str:
+        """Return where the holder is reached, as last seen."""
+        return self._seen.value.address
+
     def step(self, now: float, rank: int | None) -> LeaseAction | None:
         """Return the call to make now, if any.
 
@@ -184,6 +199,7 @@
                 vm=vm,
                 nonce=f"{self._nonce}/{self._count}",
                 duration=self._timing.duration,
+                address=self._address,
             ),
         )
 
--- a/bamboospring/lease_client.py
+++ b/bamboospring/lease_client.py
@@ -127,11 +127,14 @@
 
 def encode_lease(value: LeaseValue) -> dict[str, Any]:
     """Return the value to store."""
-    return {
+    raw: dict[str, Any] = {
         "vm": value.vm,
         "nonce": value.nonce,
         "duration_ms": round(value.duration * 1000),
     }
+    if value.address:
+        raw["address"] = value.address
+    return raw
 
 
 def read_lease(version: int, raw: Any) -> SeenLease:
@@ -141,5 +144,6 @@
         vm=str(raw.get("vm", "")),
         nonce=str(raw.get("nonce", "")),
         duration=float(raw.get("duration_ms", 0)) / 1000,
+        address=str(raw.get("address", "")),
     )
     return SeenLease(version=version, value=value)
--- a/bamboospring/pool.py
+++ b/bamboospring/pool.py
@@ -194,6 +194,10 @@
             leased.conn.close()
         self._serve()
 
+    def set_idle(self, seconds: float) -> None:
+        """Let connections rest for so long before they are closed."""
+        self._connections.idle_limit = seconds
+
     def acquire(
         self,
         caller: str,
--- a/bamboospring/sessions/freshness.py
+++ b/bamboospring/sessions/freshness.py
@@ -12,7 +12,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from bisect import bisect_left
 from dataclasses import dataclass
 from dataclasses import field
 
@@ -22,9 +22,9 @@
 
 # Samples nearer to each other than this, in seconds, are not both kept: a
 # read then asks for at most this much more than its age demands.
-SPACING = 0.02
+SPACING = 0.05
 # Older samples serve no route: no accepted age is longer, in seconds.
-KEPT = 30.0
+KEPT = 15.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -40,7 +40,8 @@
     """Samples of one term, oldest first."""
 
     term: int = 0
-    _samples: deque[Sample] = field(default_factory=deque)
+    _times: list[float] = field(default_factory=list)
+    _positions: list[Position] = field(default_factory=list)
 
     def add(self, asked_at: float, position: Position) -> None:
         """Keep a sample; one of a newer term makes the others void.
@@ -51,41 +52,54 @@
         if position.term < self.term:
             return
         if position.term > self.term:
-            self._samples.clear()
+            self.clear()
             self.term = position.term
-        self._insert(Sample(asked_at=asked_at, position=position))
-        oldest = asked_at - KEPT
-        while self._samples[0].asked_at < oldest:
-            self._samples.popleft()
+        place = bisect_left(self._times, asked_at)
+        if self._is_crowded(place, asked_at):
+            return
+        # Answers, and samples that others pass on, come in any order.
+        self._times.insert(place, asked_at)
+        self._positions.insert(place, position)
+        self._forget(asked_at - KEPT)
 
     def clear(self) -> None:
         """Forget all samples, since the group has got another primary."""
-        self._samples.clear()
+        self._times.clear()
+        self._positions.clear()
         self.term = 0
 
     def oldest_since(self, instant: float) -> Sample | None:
         """Return the oldest sample that was asked for since an instant."""
-        samples = self._samples
-        low, high = 0, len(samples)
-        while low < high:
-            middle = (low + high) // 2
-            if samples[middle].asked_at < instant:
-                low = middle + 1
-            else:
-                high = middle
-        return samples[low] if low < len(samples) else None
+        return self._at(bisect_left(self._times, instant))
 
     def newest(self) -> Sample | None:
         """Return the sample asked for last."""
-        return self._samples[-1] if self._samples else None
-
-    def _insert(self, sample: Sample) -> None:
-        # Answers may come in another order than their questions were sent.
-        # Each sample is true by itself, so one that comes late and is older
-        # than the newest is left out: it would serve reads for a shorter time.
-        last = self.newest()
-        if last is None or sample.asked_at >= last.asked_at + SPACING:
-            self._samples.append(sample)
+        return self._at(len(self._times) - 1) if self._times else None
+
+    def since(self, instant: float) -> list[Sample]:
+        """Return the samples that were asked for since an instant."""
+        first = bisect_left(self._times, instant)
+        found = (self._at(n) for n in range(first, len(self._times)))
+        return [sample for sample in found if sample is not None]
+
+    def _at(self, place: int) -> Sample | None:
+        if place >= len(self._times):
+            return None
+        return Sample(
+            asked_at=self._times[place], position=self._positions[place]
+        )
+
+    def _is_crowded(self, place: int, asked_at: float) -> bool:
+        times = self._times
+        if place < len(times) and times[place] - asked_at < SPACING:
+            return True
+        return place > 0 and asked_at - times[place - 1] < SPACING
+
+    def _forget(self, oldest: float) -> None:
+        stale = bisect_left(self._times, oldest)
+        if stale:
+            del self._times[:stale]
+            del self._positions[:stale]
 
 
 def required_position(
--- a/bamboospring/sessions/leader.py
+++ b/bamboospring/sessions/leader.py
@@ -60,6 +60,7 @@
 from bamboospring.sessions.takeover import StoreRecord
 from bamboospring.sessions.takeover import Takeover
 from bamboospring.sessions.takeover import TellTarget
+from bamboospring.sessions.vm_registry import ListedVm
 from bamboospring.sessions.vm_registry import VmRegistry
 
 __all__ = ["LEASE_NAME", "Leader"]
@@ -115,7 +116,11 @@
         self._missing_since = missing_since
         nonce = secrets.token_hex(8)
         self._keeper = LeaseKeeper(
-            bucket=0, vm=board.vm, nonce=nonce, timing=timing
+            bucket=0,
+            vm=board.vm,
+            nonce=nonce,
+            timing=timing,
+            address=registry.me.address,
         )
         self._rank = zlib.crc32(nonce.encode()) % RANKS
         self._awaiting_read = False
@@ -145,6 +150,10 @@
         """Return the name of the VM that holds the lease, as last seen."""
         return self._keeper.as_lease().vm
 
+    def holder_address(self) -> str:
+        """Return where other VMs reach the holder, as last seen."""
+        return self._keeper.address()
+
     def lease(self) -> Lease:
         """Return the lease as last seen."""
         return self._keeper.as_lease()
@@ -159,7 +168,12 @@
         if not self._awaiting_read:
             return
         self._awaiting_read = False
-        value = LeaseValue(vm=self.holder(), nonce="", duration=duration)
+        value = LeaseValue(
+            vm=self.holder(),
+            nonce="",
+            duration=duration,
+            address=self.holder_address(),
+        )
         seen = SeenLease(version=version, value=value)
         self._keeper.read(asked_at, self._reactor.now(), seen)
 
@@ -178,7 +192,13 @@
         if now - self._tidied_at < TIDY_INTERVAL:
             return
         self._tidied_at = now
-        self._registry.refresh(lambda vms: self._registry.remove_lapsed(now))
+
+        def listed(vms: dict[str, ListedVm] | None) -> None:
+            if vms is not None:
+                self._board.vms = max(1, len(vms))
+                self._registry.remove_lapsed(now)
+
+        self._registry.refresh(listed)
 
     def _step_lease(self) -> None:
         now = self._reactor.now()
@@ -269,12 +289,15 @@
     ) -> bool:
         """Tell whether to ask a primary how it is.
 
-        Answers to statements show as well that it lives; a question takes a
-        slot of it. But only a question shows that it has lost its role.
+        Answers to statements show as well that it lives, and give samples
+        that the leader passes on; a question takes a slot of the primary.
+        But only a question shows that it has lost its role.
         """
         looked = now - self._looked_at.get(group.name, -1e9)
+        sample = group.samples.newest()
+        age = now - sample.asked_at if sample is not None else LOOK_INTERVAL
         heard = now - group.view(record.primary).heard_at
-        if heard < LOOK_INTERVAL:
+        if max(heard, age) < LOOK_INTERVAL:
             return looked >= ROLE_INTERVAL
         return looked >= LOOK_INTERVAL
 
--- a/bamboospring/sessions/model.py
+++ b/bamboospring/sessions/model.py
@@ -32,6 +32,8 @@
 FIRST_LATENCY = 0.02
 # The estimate of a target's latency follows each answer by this part.
 LATENCY_SMOOTHING = 0.1
+# Until it is told, a VM takes this for the number of VMs.
+FEWEST_VMS = 9
 # Seconds that a change of primary takes from the moment at which it is told:
 # most of it is the promotion itself.
 FIRST_CHANGE_TIME = 1.3
@@ -211,6 +213,20 @@
             return None
         return self.change_seen_at + change_time
 
+    def learn(
+        self, target: str, position: Position, sent_at: float, now: float
+    ) -> None:
+        """Take a position that a target has shown in an answer.
+
+        What a proven primary shows holds every commit acknowledged before it
+        was asked, and so is a sample of the group's log.
+        """
+        self.view(target).shows(position, now)
+        news = self.primary()
+        if news is not None and news.target.name == target:
+            if self.proof.covers(sent_at):
+                self.samples.add(sent_at, position)
+
     def stands(self, target: str, now: float) -> bool:
         """Tell whether what a target has just answered counts.
 
@@ -230,7 +246,8 @@
     """The one view that the controllers of sessions share.
 
     `targets_seen_at` is when the list of targets that is in force was asked
-    for, `change_time` how long a change of primary usually takes.
+    for, `change_time` how long a change of primary usually takes, `vms` how
+    many VMs share the targets' connections.
     """
 
     vm: str
@@ -239,6 +256,7 @@
     groups: dict[str, GroupView] = field(default_factory=dict)
     targets_seen_at: float = -1e9
     change_time: float = FIRST_CHANGE_TIME
+    vms: int = FEWEST_VMS
     draining: bool = False
 
     def group(self, name: str) -> GroupView:
--- a/bamboospring/sessions/node.py
+++ b/bamboospring/sessions/node.py
@@ -131,7 +131,6 @@
         self.records.start()
         self.leader.start()
         self.relay.start()
-        self.registry.refresh(lambda vms: None)
 
     def _make_keepers(self) -> None:
         outside = self.outside
--- a/bamboospring/sessions/questions.py
+++ b/bamboospring/sessions/questions.py
@@ -70,11 +70,16 @@
                 refused = self._pools.pool(target).port_closed
                 on_report(NoReport(refused=refused))
                 return
-            left = max(0.05, began + timeout - self._reactor.now())
-            leased.conn.send([question], left, lambda r: done(leased, r))
+            sent_at = self._reactor.now()
+            left = max(0.05, began + timeout - sent_at)
+            leased.conn.send(
+                [question], left, lambda r: done(leased, sent_at, r)
+            )
 
         def done(
-            leased: Leased[SessionLink], result: list[TargetReply] | LinkLost
+            leased: Leased[SessionLink],
+            sent_at: float,
+            result: list[TargetReply] | LinkLost,
         ) -> None:
             lost = isinstance(result, LinkLost)
             self._pools.release(leased, healthy=not lost)
@@ -82,11 +87,10 @@
                 on_report(NoReport())
                 return
             now = self._reactor.now()
-            view = group.view(name)
-            view.heard_at = now
+            group.view(name).heard_at = now
             reply = result[0]
             if reply.position is not None:
-                view.shows(reply.position, now)
+                group.learn(name, reply.position, sent_at, now)
             if reply.report is None:
                 on_report(NoReport(busy=True))
                 return
--- a/bamboospring/sessions/relay.py
+++ b/bamboospring/sessions/relay.py
@@ -24,14 +24,16 @@
 from bamboospring.peers import Reply
 from bamboospring.reactor import Reactor
 from bamboospring.sessions.catalog_keeper import CatalogKeeper
+from bamboospring.sessions.freshness import Sample
 from bamboospring.sessions.leader import Leader
 from bamboospring.sessions.model import SessionBoard
 from bamboospring.sessions.model import TargetNews
 from bamboospring.sessions.record_keeper import RecordKeeper
 from bamboospring.sessions.target_keeper import TargetKeeper
 from bamboospring.sessions.vm_registry import VmRegistry
+from bamboospring.statements import Position
 
-__all__ = ["FactRelay", "digest_of", "read_news", "write_news"]
+__all__ = ["FactRelay", "digest_of", "read_news", "spaced", "write_news"]
 
 # Seconds between two questions to the leader, and the time for the answer.
 INTERVAL = 0.6
@@ -41,6 +43,10 @@
 OLDEST_PROOF = 1.0
 OLDEST_TARGETS = 3.0
 OLDEST_CATALOG = 1.5
+# Samples of so many seconds are passed on, at most so many of each group: an
+# asker that misses one answer misses none of its reads for it.
+SAMPLES_OF = 2 * INTERVAL
+MOST_SAMPLES = 4
 # What was passed on stands in for one's own reading for so long, in seconds.
 STANDS = INTERVAL + TIMEOUT + 0.1
 
@@ -85,6 +91,12 @@
     ]
 
 
+def spaced(samples: list[Sample]) -> list[Sample]:
+    """Return a few samples of those given, spread evenly."""
+    step = -(-len(samples) // MOST_SAMPLES) or 1
+    return samples[::step]
+
+
 def digest_of(data: bytes) -> int:
     """Return what tells two states of the facts apart."""
     return int(xxhash.xxh3_64_intdigest(data))
@@ -128,8 +140,8 @@
         if self._leader.leads or name in ("", self._board.vm):
             self._set_relayed(False, "this VM leads or nobody does")
             return
-        address = self._registry.address(name)
-        if address is None:
+        address = self._leader.holder_address()
+        if not address:
             self._set_relayed(False, "the leader's address is unknown")
             return
         self._ask(address)
@@ -154,6 +166,9 @@
         until = self._reactor.now() + STANDS
         self._set_relayed(True, "")
         proof_age = facts.proofAgeUs / 1e6
+        self._board.vms = max(1, facts.vms)
+        if facts.samples:
+            self._take_samples(orjson.loads(facts.samples), asked_at)
         if proof_age <= OLDEST_PROOF:
             self._records.take_relayed(
                 orjson.loads(facts.records) if facts.records else None,
@@ -169,6 +184,45 @@
         if facts.catalogAgeMs / 1000 <= OLDEST_CATALOG:
             self._catalog.take_relayed(facts.catalog, until)
 
+    def _take_samples(
+        self,
+        rows: list[tuple[str, int, list[tuple[int, int, int]]]],
+        asked_at: float,
+    ) -> None:
+        """Take samples of primaries, of the records that we have as well.
+
+        A VM of many sees few answers of a primary. With only a fresh sample
+        of its own it asks replicas for what they can't have yet, and all its
+        reads go to the primary.
+        """
+        for name, version, samples in rows:
+            group = self._board.group(name)
+            agreed = group.leadership
+            if agreed is None or agreed.version != version:
+                continue
+            for age_us, term, index in samples:
+                position = Position(term=term, index=index)
+                group.samples.add(asked_at - age_us / 1e6, position)
+
+    def _samples(self, now: float) -> bytes:
+        """Return the newest samples of all groups, with their ages."""
+        rows = []
+        for name, group in self._board.groups.items():
+            agreed = group.leadership
+            if agreed is None or agreed.change is not None:
+                continue
+            samples = [
+                (
+                    int((now - s.asked_at) * 1e6) + 1,
+                    s.position.term,
+                    s.position.index,
+                )
+                for s in spaced(group.samples.since(now - SAMPLES_OF))
+            ]
+            if samples:
+                rows.append((name, agreed.version, samples))
+        return orjson.dumps(rows)
+
     def _set_relayed(self, relayed: bool, why: str) -> None:
         if relayed == self._relayed:
             return
@@ -211,6 +265,8 @@
         facts.targetsAgeMs = _ms(now - self._board.targets_seen_at)
         facts.catalog = self._catalog.stored_as
         facts.catalogAgeMs = _ms(now - self._catalog.checked_at)
+        facts.samples = self._samples(now)
+        facts.vms = len(self._registry.vms)
 
 
 def _ms(seconds: float) -> int:
--- a/bamboospring/sessions/runner.py
+++ b/bamboospring/sessions/runner.py
@@ -766,17 +766,7 @@
     sent_at: float,
     now: float,
 ) -> None:
-    """Take from a reply what it shows of its target and of the group.
-
-    What a proven primary shows holds every commit acknowledged before it was
-    asked, and so is a sample of the group's log.
-    """
-    view = group.view(target)
-    view.answered(now - sent_at, now)
-    if reply.position is None:
-        return
-    view.shows(reply.position, now)
-    news = group.primary()
-    if news is not None and news.target.name == target:
-        if group.proof.covers(sent_at):
-            group.samples.add(sent_at, reply.position)
+    """Take from a reply what it shows of its target and of the group."""
+    group.view(target).answered(now - sent_at, now)
+    if reply.position is not None:
+        group.learn(target, reply.position, sent_at, now)
--- a/bamboospring/sessions/target_keeper.py
+++ b/bamboospring/sessions/target_keeper.py
@@ -19,7 +19,7 @@
 from bamboospring.sessions.ports import SessionLink
 from bamboospring.shares import Units
 
-__all__ = ["TargetKeeper"]
+__all__ = ["TargetKeeper", "idle_time"]
 
 # Seconds between two looks at the list. A leaving target may get work for 7 s
 # and is not chosen after this much of them.
@@ -31,11 +31,22 @@
 # An entry that is missing is kept this long, in seconds: after an outage of
 # the platform entries of live targets are back within two.
 GONE_AFTER = 2.2
-# The part of a target's connections that one VM may use at most. Connections
-# are opened when they are needed and closed when they rest; the target itself
-# refuses what goes beyond its limit.
-SHARE_DIVISOR = 5
+# One VM may use so many times its fair part of a target's connections, and at
+# least so many. They are opened when they are needed and closed when they
+# rest; the target itself refuses what goes beyond its limit.
+SHARE_TIMES = 2.0
 FEWEST_CONNECTIONS = 2
+# A connection may rest for so many seconds for each that a VM has by fair
+# parts, within these bounds: where VMs are more than connections, those that
+# rest are the ones that others wait for.
+IDLE_FOR_EACH = 0.4
+SHORTEST_IDLE = 0.25
+LONGEST_IDLE = 1.5
+
+
+def idle_time(fair: float) -> float:
+    """Return how long a connection may rest, by a VM's fair part of them."""
+    return min(LONGEST_IDLE, max(SHORTEST_IDLE, IDLE_FOR_EACH * fair))
 
 
 class TargetKeeper:
@@ -136,6 +147,7 @@
         listed = {news.target.name: news for news in all_news}
         for news in listed.values():
             self._take_one(news, now)
+        self.apply_bounds()
         for group in self._board.groups.values():
             for name in list(group.targets):
                 if name not in listed:
@@ -194,8 +206,10 @@
         limits = catalog.groups.get(news.group) if catalog else None
         if limits is None:
             return
-        bound = max(FEWEST_CONNECTIONS, limits.connections // SHARE_DIVISOR)
+        fair = limits.connections / self._board.vms
+        bound = max(FEWEST_CONNECTIONS, int(fair * SHARE_TIMES))
         share = Units(slots=bound, connections=bound)
         pool = self._pools.pool(news.target)
         if pool.share != share:
             pool.set_share(share)
+        pool.set_idle(idle_time(fair))
--- a/bamboospring/sessions/vm_registry.py
+++ b/bamboospring/sessions/vm_registry.py
@@ -37,8 +37,6 @@
 REMOVE_AFTER = 60.0
 RETRY = 0.3
 LIST_TIMEOUT = 1.0
-# An unknown leader's address is looked up this often at most, in seconds.
-LOOK_AGAIN = 3.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -75,12 +73,11 @@
     ) -> None:
         self._reactor = reactor
         self._platform = platform
-        self._me = me
+        self.me = me
         self._version = 0
         self._renewals = 0
         self._filed_at = -1e9
         self._sent_at = 0.0
-        self._looked_at = -1e9
         self._unmoved: dict[str, tuple[int, float]] = {}
         self.vms: dict[str, ListedVm] = {}
 
@@ -92,21 +89,10 @@
         """Tell whether this VM is surely on every list."""
         return now - self._filed_at < ISOLATED_AFTER
 
-    def address(self, vm: str) -> str | None:
-        """Return where a VM listens for others; looks again if unknown."""
-        found = self.vms.get(vm)
-        if found is not None:
-            return found.address
-        now = self._reactor.now()
-        if vm and now - self._looked_at >= LOOK_AGAIN:
-            self.refresh(lambda vms: None)
-        return None
-
     def refresh(
         self, on_listed: Callable[[dict[str, ListedVm] | None], None]
     ) -> None:
         """Read all entries; calls back with None if they can't be had."""
-        self._looked_at = self._reactor.now()
 
         def answered(result: Changes | Unavailable) -> None:
             if isinstance(result, Unavailable):
@@ -125,7 +111,7 @@
             if version != vm.version:
                 since = now
             self._unmoved[vm.name] = (vm.version, since)
-            if now - since >= REMOVE_AFTER and vm.name != self._me.name:
+            if now - since >= REMOVE_AFTER and vm.name != self.me.name:
                 self._remove(vm)
 
     def _remove(self, vm: ListedVm) -> None:
@@ -145,9 +131,9 @@
         self._renewals += 1
         sent_at = self._reactor.now()
         value = {
-            "address": self._me.address,
-            "availability_zone": self._me.availability_zone,
-            "nonce": self._me.nonce,
+            "address": self.me.address,
+            "availability_zone": self.me.availability_zone,
+            "nonce": self.me.nonce,
             "renewals": self._renewals,
         }
 
@@ -172,5 +158,5 @@
             self._reactor.call_later(RETRY, lambda: self._file(on_filed))
 
         self._platform.put(
-            VM_KIND, self._me.name, self._version, value, "vm", answered
+            VM_KIND, self.me.name, self._version, value, "vm", answered
         )
--- a/bamboospring/wire.capnp
+++ b/bamboospring/wire.capnp
@@ -44,6 +44,8 @@
   catalog @6 :UInt64;         # the store's version of the configuration
   catalogAgeMs @7 :UInt32;
   leaseMs @8 :UInt32;         # its duration
+  samples @9 :Data;           # JSON: for each group ages and positions
+  vms @10 :UInt32;            # how many VMs there are
 }
 
 struct RecordNews {
