Offer urgent statements for longer to a target without a slot

Cause: with both replicas of a group behind by 12 s for 20 s all its reads are at the primary, whose queue refuses most offers; what needs the primary was refused as often as reads, and a transaction lost all it had done when one of its statements found no slot. Change: routes that go before others of their group are offered for 0.8 of their objective; a statement of a transaction that stands is offered again.

--- a/bamboospring/sessions/model.py
+++ b/bamboospring/sessions/model.py
@@ -259,6 +259,15 @@
     vms: int = FEWEST_VMS
     draining: bool = False
 
+    def is_urgent(self, route: Route) -> bool:
+        """Tell whether a route goes before some others of its group."""
+        if self.catalog is None:
+            return False
+        return any(
+            other.group == route.group and other.urgency > route.urgency
+            for other in self.catalog.routes.values()
+        )
+
     def group(self, name: str) -> GroupView:
         """Return the view of a group, creating an empty one."""
         found = self.groups.get(name)
--- a/bamboospring/sessions/runner.py
+++ b/bamboospring/sessions/runner.py
@@ -61,6 +61,15 @@
 # knowing.
 RECHECK = 0.01
 PATIENCE_PART = 0.25
+# What goes before all else is offered for longer to a target that has no slot:
+# with all reads of a group at its primary, because its replicas lag by
+# seconds, the queue there is full most of the time, and whoever asks oftenest
+# gets in. What others are refused is what these need.
+URGENT_PATIENCE_PART = 0.8
+URGENT_TRIES = 16
+# A statement of a transaction that a target had no slot for is offered again
+# after so many seconds; all that the transaction has done is lost without it.
+BUSY_PAUSE = 0.012
 # What callers are told to wait, in milliseconds: a busy target has worked its
 # queue off by then, a change of primary takes one to three seconds.
 BUSY_RETRY_MS = 100
@@ -347,6 +356,9 @@
         target = self._leased.target.name
         group = runner.board.group(tx.route.group)
         _learn(group, target, reply, self._sent_at, now)
+        if self._may_ask_again(reply):
+            runner.reactor.call_later(BUSY_PAUSE, self._send_again)
+            return
         if reply.refusal is not None:
             if reply.refusal is Refusal.NOT_PRIMARY:
                 runner.doubt(group.name)
@@ -365,6 +377,24 @@
             runner.pools.park(self._leased)
         self._finish(outcome, reply.position)
 
+    def _may_ask_again(self, reply: TargetReply) -> bool:
+        """Tell whether a target without a slot is to be asked again.
+
+        The transaction stands, and the statement surely has not run.
+        """
+        return (
+            reply.refusal is Refusal.BUSY
+            and reply.state is SessionState.OPEN
+            and self._left() > BUSY_PAUSE
+            and not self._session.ended
+        )
+
+    def _send_again(self) -> None:
+        if self._session.ended or not self._leased.conn.usable:
+            self._lost(LinkLost())
+            return
+        self._send()
+
     def _drop(self) -> None:
         self._runner.roll_back(self._tx)
 
@@ -409,7 +439,9 @@
         self._timer: Timer | None = None
         self._hedge: Timer | None = None
         self.deadline = job.received_at + job.route.time_limit
-        patience = job.route.objective * PATIENCE_PART
+        self.urgent = runner.board.is_urgent(job.route)
+        part = URGENT_PATIENCE_PART if self.urgent else PATIENCE_PART
+        patience = job.route.objective * part
         self._patient_until = min(job.received_at + patience, self.deadline)
 
     @property
@@ -534,7 +566,7 @@
             return
         self._refusal = outcome
         self._excluded.add(attempt.target)
-        over = self._tries >= MAX_TRIES
+        over = self._tries >= (URGENT_TRIES if self.urgent else MAX_TRIES)
         if not again or over or self.left() <= 0:
             self._finish(outcome, None)
         elif free or self.runner.budget.may_retry():
@@ -751,6 +783,8 @@
         if run.tx is not None and again:
             run.tx.wrote = False
         cheap = refusal in (Refusal.BEHIND, Refusal.UNKNOWN_SHAPE)
+        if refusal is Refusal.BUSY and run.urgent:
+            cheap = True
         run.failed(self, _refused(reply), again=again, free=cheap)
 
 
