--- a/bamboospring/cli.py
+++ b/bamboospring/cli.py
@@ -63,6 +63,15 @@
     return ExitCode.DONE
 
 
+def serve_sessions(path: str) -> int:
+    """Serve sessions on the users' platform until told to stop."""
+    try:
+        import_module("bamboospring.platform.__main__").run(path)
+    except BamboospringError as exc:
+        return _complain(exc)
+    return ExitCode.DONE
+
+
 def _leave_archive() -> None:
     """Go on without the code that unpacked this program, if any did.
 
--- a/bamboospring/commands.py
+++ b/bamboospring/commands.py
@@ -17,6 +17,7 @@
 from bamboospring import __version__
 from bamboospring import cli
 from bamboospring.errors import SettingsError
+from bamboospring import explain_command
 from bamboospring import fleet_commands
 from bamboospring import load_command
 from bamboospring import table_commands
@@ -53,6 +54,7 @@
     root.add_typer(table_commands.app, name="table")
     fleet_commands.add_to(root)
     load_command.add_to(root)
+    explain_command.add_to(root)
     return root
 
 
@@ -109,6 +111,10 @@
         bool,
         typer.Option("--reference", help="Print the page of all settings."),
     ] = False,
+    sessions: Annotated[
+        bool,
+        typer.Option("--sessions", help="Of VMs that serve sessions."),
+    ] = False,
     as_json: Json = False,
 ) -> None:
     """Check settings files, each fault with its line and column.
@@ -122,7 +128,7 @@
         return
     if not files:
         raise typer.BadParameter("name a settings file, or use --reference")
-    faults = [fault for path in files for fault in _faults(path)]
+    faults = [fault for path in files for fault in _faults(path, sessions)]
     if as_json:
         typer.echo(json.dumps([_fault_fields(each) for each in faults]))
     else:
@@ -142,11 +148,13 @@
     typer.echo(cli.version_text())
 
 
-def _faults(path: Path) -> list[SettingsError]:
-    from bamboospring import settings
+def _faults(path: Path, sessions: bool) -> list[SettingsError]:
+    from bamboospring.sessions.settings import SessionSettings
+    from bamboospring.settings import load_as
+    from bamboospring.settings import Settings
 
     try:
-        settings.load(path)
+        load_as(SessionSettings if sessions else Settings, path)
     except SettingsError as exc:
         return [exc, *exc.others]
     return []
--- a/bamboospring/settings_reference.py
+++ b/bamboospring/settings_reference.py
@@ -16,6 +16,7 @@
 from pydantic.fields import FieldInfo
 from pydantic_core import PydanticUndefined
 
+from bamboospring.sessions.settings import SessionSettings
 from bamboospring.settings import Settings
 from bamboospring.settings_faults import model_in
 
@@ -37,16 +38,27 @@
 be used changes nothing and is logged. All other keys need a restart.
 """
 
+SESSIONS = """## A VM that serves sessions
+
+What `bamboospring serve-sessions --settings FILE` reads; `bamboospring check
+--sessions FILE` checks it. The file is read again on SIGHUP and when it has
+changed; `logs.level` is then taken, all other keys need a restart.
+"""
+
 
 def page() -> str:
     """Return the reference page in Markdown."""
     parts = [INTRODUCTION]
     parts.extend(_sections(Settings, ""))
+    parts.append(SESSIONS)
+    parts.extend(_sections(SessionSettings, "", level="###"))
     return "\n".join(parts)
 
 
-def _sections(model: type[BaseModel], prefix: str) -> Iterator[str]:
-    yield _heading(model, prefix)
+def _sections(
+    model: type[BaseModel], prefix: str, level: str = "##"
+) -> Iterator[str]:
+    yield _heading(model, prefix, level)
     yield "| key | type | unit | default | bounds | meaning |"
     yield "|---|---|---|---|---|---|"
     inner = []
@@ -57,13 +69,13 @@
             inner.append((below, _path(prefix, name, field)))
     yield ""
     for below, path in inner:
-        yield from _sections(below, path)
+        yield from _sections(below, path, level)
 
 
-def _heading(model: type[BaseModel], prefix: str) -> str:
+def _heading(model: type[BaseModel], prefix: str, level: str) -> str:
     text = " ".join((model.__doc__ or "").split())
     title = f"`{prefix}`" if prefix else "The file"
-    return f"## {title}\n\n{text}\n"
+    return f"{level} {title}\n\n{text}\n"
 
 
 def _path(prefix: str, name: str, field: FieldInfo) -> str:
