Let statements that waited for a change wait for its first proof too

A VM cut from the store never learnt who leads now and went by the targets alone, one of which was gone from its old list (48 refused). Change: the first proof is waited for, up to 0.4 s; a VM that takes the lease tells all others.

--- a/bamboospring/sessions/leader.py
+++ b/bamboospring/sessions/leader.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 import secrets
 import zlib
 
@@ -63,7 +64,7 @@
 from bamboospring.sessions.vm_registry import ListedVm
 from bamboospring.sessions.vm_registry import VmRegistry
 
-__all__ = ["LEASE_NAME", "Leader"]
+__all__ = ["Holder", "LEASE_NAME", "Leader"]
 
 LEASE_NAME = "lease"
 TICK = 0.1
@@ -86,6 +87,15 @@
 TRY_AGAIN = 0.5
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Holder:
+    """Who holds the lease, by its own word; `version` is the lease's."""
+
+    vm: str
+    address: str
+    version: int
+
+
 class Leader:
     """This VM's part in leading changes of primary."""
 
@@ -106,6 +116,7 @@
         self._registry = registry
         self._releases = releases
         self._tidied_at = -1e9
+        self._told = Holder(vm="", address="", version=0)
 
         self._reactor = reactor
         self._board = board
@@ -148,12 +159,26 @@
 
     def holder(self) -> str:
         """Return the name of the VM that holds the lease, as last seen."""
-        return self._keeper.as_lease().vm
+        lease = self._keeper.as_lease()
+        if self._told.version > lease.version:
+            return self._told.vm
+        return lease.vm
 
     def holder_address(self) -> str:
         """Return where other VMs reach the holder, as last seen."""
+        if self._told.version > self._keeper.as_lease().version:
+            return self._told.address
         return self._keeper.address()
 
+    def told_of(self, holder: Holder) -> None:
+        """Take from a VM that it has taken the lease.
+
+        A VM that can't read the store finds its way to the new leader's
+        facts by this alone.
+        """
+        if holder.version > self._told.version:
+            self._told = holder
+
     def lease(self) -> Lease:
         """Return the lease as last seen."""
         return self._keeper.as_lease()
@@ -195,6 +220,7 @@
 
         def listed(vms: dict[str, ListedVm] | None) -> None:
             if vms is not None:
+                self._releases.tell_leading(self._keeper.as_lease().version)
                 self._board.vms = max(1, len(vms))
                 self._registry.remove_lapsed(now)
 
@@ -215,6 +241,8 @@
         if self.leads == self._led:
             return
         self._led = self.leads
+        # The others are told at once.
+        self._tidied_at = -1e9
         lease = self._keeper.as_lease()
         logs.log_event(
             "lease_taken" if self._led else "lease_lost",
--- a/bamboospring/sessions/model.py
+++ b/bamboospring/sessions/model.py
@@ -32,6 +32,9 @@
 FIRST_LATENCY = 0.02
 # The estimate of a target's latency follows each answer by this part.
 LATENCY_SMOOTHING = 0.1
+# A new primary is told before it is proven; the proof takes a call to the
+# store, and comes within this many seconds or not soon.
+FIRST_PROOF_WITHIN = 0.4
 # Until it is told, a VM takes this for the number of VMs.
 FEWEST_VMS = 9
 # Seconds that a change of primary takes from the moment at which it is told:
@@ -192,6 +195,7 @@
     outgoing: Outgoing | None = None
     changing: bool = False
     change_seen_at: float = -1e9
+    settled_at: float = -1e9
 
     def view(self, name: str) -> TargetView:
         """Return what was seen of a target, creating an empty view."""
@@ -209,9 +213,19 @@
 
     def expected_at(self, change_time: float) -> float | None:
         """Return when a change under way should be over, None if none is."""
-        if not self.changing:
+        if self.changing:
+            return self.change_seen_at + change_time
+        return None
+
+    def proof_due_at(self, now: float) -> float | None:
+        """Return when a new primary's first proof should have come.
+
+        None if there is a proof, or if it is overdue.
+        """
+        due = self.settled_at + FIRST_PROOF_WITHIN
+        if now >= due or self.proof.covers(now):
             return None
-        return self.change_seen_at + change_time
+        return due
 
     def learn(
         self, target: str, position: Position, sent_at: float, now: float
--- a/bamboospring/sessions/record_keeper.py
+++ b/bamboospring/sessions/record_keeper.py
@@ -219,6 +219,7 @@
     def _open(self, group: GroupView, record: Leadership) -> None:
         """Go on with the primary of a record without a change."""
         group.outgoing = None
+        group.settled_at = self._reactor.now()
         if group.changing:
             took = self._reactor.now() - group.change_seen_at
             self._board.change_time += CHANGE_SMOOTHING * (
--- a/bamboospring/sessions/relay.py
+++ b/bamboospring/sessions/relay.py
@@ -25,6 +25,7 @@
 from bamboospring.reactor import Reactor
 from bamboospring.sessions.catalog_keeper import CatalogKeeper
 from bamboospring.sessions.freshness import Sample
+from bamboospring.sessions.leader import Holder
 from bamboospring.sessions.leader import Leader
 from bamboospring.sessions.model import SessionBoard
 from bamboospring.sessions.model import TargetNews
@@ -127,6 +128,7 @@
         self._catalog = catalog
         self._relayed = False
         peers.handle("factsAsk", self._on_ask)
+        peers.handle("leading", self._on_leading)
 
     def start(self) -> None:
         """Ask now and from then on."""
@@ -238,6 +240,16 @@
             self._targets.read_directly()
             self._catalog.read_directly()
 
+    def _on_leading(self, message: Any, _reply: Reply) -> None:
+        leading = message.leading
+        self._leader.told_of(
+            Holder(
+                vm=leading.vm,
+                address=leading.address,
+                version=leading.version,
+            )
+        )
+
     # Answering.
 
     def _on_ask(self, message: Any, reply: Reply) -> None:
--- a/bamboospring/sessions/release.py
+++ b/bamboospring/sessions/release.py
@@ -77,6 +77,20 @@
                     vm.address, _news(record), TIMEOUT, lambda answer: None
                 )
 
+    def tell_leading(self, version: int) -> None:
+        """Tell all VMs that this one has the lease, at this version."""
+        message = envelope()
+        leading = message.init("leading")
+        leading.vm = self._board.vm
+        leading.address = self._registry.me.address
+        leading.version = version
+        others = [
+            vm.address
+            for vm in self._registry.vms.values()
+            if vm.name != self._board.vm
+        ]
+        self._peers.send_all(others, message)
+
     def _ask_listed(
         self,
         record: Leadership,
--- a/bamboospring/sessions/runner.py
+++ b/bamboospring/sessions/runner.py
@@ -515,6 +515,11 @@
         before its time is up waits for it; who can't is refused at once, so
         that the rest of its time is its own.
         """
+        due = self.group.proof_due_at(now)
+        if reason is Reason.PRIMARY_CHANGED and due is not None:
+            # Refused here, those that have waited for the change would all
+            # be lost in the last moment.
+            return min(due, self.deadline), CHANGE_RETRY_MS / 1000
         expected = self.group.expected_at(self.runner.board.change_time)
         if reason is not Reason.NO_PRIMARY or expected is None:
             return self._patient_until, CHANGE_RETRY_MS / 1000
--- a/bamboospring/wire.capnp
+++ b/bamboospring/wire.capnp
@@ -25,6 +25,7 @@
     facts @17 :Facts;
     recordNews @18 :RecordNews;
     recordSeen @19 :RecordSeen;
+    leading @20 :Leading;
   }
 }
 
@@ -48,6 +49,12 @@
   vms @10 :UInt32;            # how many VMs there are
 }
 
+struct Leading {              # the sender has taken the lease
+  vm @0 :Text;
+  address @1 :Text;
+  version @2 :UInt64;         # the store's, of the lease's object
+}
+
 struct RecordNews {
   record @0 :Data;            # JSON of a group's record with its version
 }
--- a/features/session_decisions.feature
+++ b/features/session_decisions.feature
@@ -112,3 +112,11 @@
 
   Scenario: Sessions at rest are closed a few at a time
     Then 40 sessions at rest are closed evenly over the first 2.4 s of 6 s
+
+  Scenario: Those who waited for a change are not refused in its last moment
+    # A new primary is told by word of mouth, which proves nothing; the proof
+    # takes a call more. Callers who had waited a second for the change were
+    # all refused in those 10 ms.
+    Given a change of primary that was settled at 20.0 and is not proven yet
+    Then a proof is due until 20.4
+    And none is due once it is proven
--- a/features/steps/session_decisions_steps.py
+++ b/features/steps/session_decisions_steps.py
@@ -374,3 +374,20 @@
         elapsed += 0.05
     assert left == 0 and elapsed <= seconds + 0.05, (left, elapsed)
     assert most <= 3, most
+
+
+@given("a change of primary that was settled at {at:f} and is not proven yet")
+def given_settled(context, at):
+    context.group = GroupView(name="g", settled_at=at)
+
+
+@then("a proof is due until {until:f}")
+def then_due(context, until):
+    assert context.group.proof_due_at(until - 0.01) == until
+    assert context.group.proof_due_at(until) is None
+
+
+@then("none is due once it is proven")
+def then_none_due(context):
+    context.group.proof.renew(20.01)
+    assert context.group.proof_due_at(20.1) is None
