--- /dev/null
+++ b/bamboospring/sessions/changes.py
@@ -0,0 +1,331 @@
+"""Carry changes of primary out: at targets, the store and who promotes."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import secrets
+
+from bamboospring import logs
+from bamboospring.object_store import Conflict
+from bamboospring.object_store import Found
+from bamboospring.object_store import Missing
+from bamboospring.object_store import Rejected
+from bamboospring.object_store import Stored
+from bamboospring.object_store import Unavailable
+from bamboospring.platform_client import PlatformClient
+from bamboospring.reactor import Reactor
+from bamboospring.sessions.duty import Duty
+from bamboospring.sessions.model import GroupView
+from bamboospring.sessions.model import Leadership
+from bamboospring.sessions.model import SessionBoard
+from bamboospring.sessions.ports import AskReport
+from bamboospring.sessions.ports import PromotionOrders
+from bamboospring.sessions.ports import PromotionResult
+from bamboospring.sessions.ports import ResumeReceiving
+from bamboospring.sessions.ports import StepDown
+from bamboospring.sessions.proofs import Report
+from bamboospring.sessions.questions import NoReport
+from bamboospring.sessions.questions import Question
+from bamboospring.sessions.questions import TargetQuestions
+from bamboospring.sessions.record_keeper import RecordKeeper
+from bamboospring.sessions.records import encode_record
+from bamboospring.sessions.records import read_record
+from bamboospring.sessions.records import RECORD_KIND
+from bamboospring.sessions.release import Releases
+from bamboospring.sessions.takeover import Action
+from bamboospring.sessions.takeover import Cause
+from bamboospring.sessions.takeover import OrderPromotion
+from bamboospring.sessions.takeover import Phase
+from bamboospring.sessions.takeover import ReadRecord
+from bamboospring.sessions.takeover import StoreRecord
+from bamboospring.sessions.takeover import Takeover
+from bamboospring.sessions.takeover import TellTarget
+
+__all__ = ["Changes", "TELL_TIMEOUT"]
+
+TELL_TIMEOUT = 0.5
+PROMOTE_TIMEOUT = 0.6
+STORE_TIMEOUT = 1.0
+# An old primary that can't be reached is told to step down for this long, in
+# seconds; after that it learns from the new one.
+STEP_DOWN_PATIENCE = 20.0
+STEP_DOWN_INTERVAL = 0.5
+
+
+class Changes:
+    """The changes of primary that this VM leads, one a group at most.
+
+    `on_ended` is called with each group whose change is over.
+    """
+
+    def __init__(
+        self,
+        *,
+        reactor: Reactor,
+        board: SessionBoard,
+        platform: PlatformClient,
+        questions: TargetQuestions,
+        records: RecordKeeper,
+        releases: Releases,
+        orders: PromotionOrders,
+        duty: Duty,
+        on_ended: Callable[[GroupView], None],
+    ) -> None:
+        self._reactor = reactor
+        self._board = board
+        self._platform = platform
+        self._questions = questions
+        self._records = records
+        self._releases = releases
+        self._orders = orders
+        self._duty = duty
+        self._on_ended = on_ended
+        self._changes: dict[str, Takeover] = {}
+
+    def tick(self, group: GroupView) -> bool:
+        """Go on with a group's change; False if there is none."""
+        change = self._changes.get(group.name)
+        if change is None:
+            return False
+        self._go_on(group, change, change.tick(self._reactor.now()))
+        return True
+
+    def drop_all(self) -> None:
+        """Forget all changes: another VM leads, and takes them up."""
+        self._changes.clear()
+
+    def begin(
+        self, group: GroupView, record: Leadership, cause: Cause, now: float
+    ) -> None:
+        """Begin to replace a group's primary."""
+        leaving = [n for n, news in group.targets.items() if news.leaving]
+        change = Takeover(
+            vm=self._board.vm,
+            nonce=secrets.token_hex(8),
+            cause=cause,
+            record=record,
+            targets=tuple(group.targets),
+            unfit=tuple(leaving),
+        )
+        self._changes[group.name] = change
+        logs.log_event(
+            "change_begun",
+            group=group.name,
+            cause=cause.value,
+            primary=record.primary,
+            term=record.term,
+            version=record.version,
+            targets=len(group.targets),
+        )
+        self._go_on(group, change, change.begin(now))
+
+    def _go_on(
+        self, group: GroupView, change: Takeover, actions: list[Action]
+    ) -> None:
+        for action in actions:
+            self._carry_out(group, change, action)
+        if change.over and self._changes.get(group.name) is change:
+            self._ended(group, change)
+
+    def _carry_out(
+        self, group: GroupView, change: Takeover, action: Action
+    ) -> None:
+        if not self._duty.leads:
+            return
+        match action:
+            case TellTarget(target=target, order=order):
+                self._tell(group, change, target, order)
+            case StoreRecord(record=record):
+                self._store(group, change, record)
+            case ReadRecord():
+                self._read(group, change)
+            case OrderPromotion(target=target):
+                self._promote(group, change, target)
+
+    def _tell(
+        self, group: GroupView, change: Takeover, target: str, order: Question
+    ) -> None:
+        def heard(result: Report | NoReport) -> None:
+            if isinstance(result, NoReport) and not result.refused:
+                return
+            report = result if isinstance(result, Report) else None
+            now = self._reactor.now()
+            self._go_on(group, change, change.replied(target, report, now))
+
+        self._questions.ask(group, target, order, TELL_TIMEOUT, heard)
+
+    def _store(
+        self, group: GroupView, change: Takeover, record: Leadership
+    ) -> None:
+        def on_result(
+            result: Stored | Conflict | Rejected | Unavailable,
+        ) -> None:
+            now = self._reactor.now()
+            match result:
+                case Stored(version=version):
+                    actions = change.stored(version, now)
+                    self._published(group, change)
+                case Conflict(version=version, value=value):
+                    found = Found(
+                        kind=RECORD_KIND,
+                        name=group.name,
+                        version=version,
+                        value=value,
+                    )
+                    actions = self._read_back(change, found)
+                case _:
+                    actions = change.store_unsure(now)
+            self._go_on(group, change, actions)
+
+        self._platform.put(
+            RECORD_KIND,
+            group.name,
+            record.version,
+            encode_record(record),
+            f"change/{group.name}",
+            on_result,
+            timeout=STORE_TIMEOUT,
+        )
+
+    def _published(self, group: GroupView, change: Takeover) -> None:
+        """Act on a record that the store has just taken."""
+        record = change.record
+        self._records.take(record)
+        if record.change is None:
+            self._records.doubt(group.name)
+            self._releases.tell_all(record)
+            return
+
+        def released() -> None:
+            now = self._reactor.now()
+            if change.record.version == record.version and not change.over:
+                self._go_on(group, change, change.all_released(now))
+
+        self._releases.ask_all(record, released)
+
+    def _read(self, group: GroupView, change: Takeover) -> None:
+        def on_result(result: Found | Missing | Unavailable) -> None:
+            if isinstance(result, Found):
+                self._go_on(group, change, self._read_back(change, result))
+
+        self._platform.get(
+            RECORD_KIND,
+            group.name,
+            f"change/{group.name}",
+            on_result,
+            timeout=STORE_TIMEOUT,
+        )
+
+    def _read_back(self, change: Takeover, found: Found) -> list[Action]:
+        record = read_record(found)
+        if record is None:
+            return []
+        self._records.take(record)
+        before = change.record.version
+        actions = change.read(record, self._reactor.now())
+        if change.record.version != before:
+            self._published(self._board.group(record.group), change)
+        return actions
+
+    def _promote(
+        self, group: GroupView, change: Takeover, target: str
+    ) -> None:
+        sent_at = self._reactor.now()
+        if not self._duty.holds_until(sent_at + PROMOTE_TIMEOUT):
+            # An order that is under way when the lease ends could arrive
+            # after one of the next holder, and the target that was ordered
+            # first would lead last.
+            self._go_on(
+                group,
+                change,
+                change.ordered(PromotionResult.NOT_SENT, sent_at),
+            )
+            return
+
+        def on_done(result: PromotionResult) -> None:
+            now = self._reactor.now()
+            logs.log_event(
+                "promotion_ordered",
+                group=group.name,
+                target=target,
+                fence=self._duty.fence,
+                result=result.value,
+                took_ms=round((now - sent_at) * 1000),
+            )
+            self._go_on(group, change, change.ordered(result, now))
+
+        self._orders.promote(
+            group=group.name,
+            target=target,
+            holder=self._board.vm,
+            fence=self._duty.fence,
+            timeout=PROMOTE_TIMEOUT,
+            on_done=on_done,
+        )
+
+    def _ended(self, group: GroupView, change: Takeover) -> None:
+        del self._changes[group.name]
+        now = self._reactor.now()
+        done = change.phase is Phase.DONE
+        logs.log_event(
+            "change_ended",
+            level=logs.Level.INFO if done else logs.Level.WARNING,
+            group=group.name,
+            outcome=change.phase.value,
+            reason=change.end,
+            primary=change.record.primary,
+            term=change.record.term,
+            version=change.record.version,
+        )
+        self._on_ended(group)
+        if done:
+            self._put_right(group, change.record, now + STEP_DOWN_PATIENCE)
+
+    def _put_right(
+        self, group: GroupView, record: Leadership, until: float
+    ) -> None:
+        """Have the others follow the new primary, for as long as it takes.
+
+        A former primary goes on answering whoever reaches it, and a replica
+        that holds a term takes nothing, until they are told.
+        """
+        for name in group.targets:
+            if name != record.primary:
+                self._put_one_right(group, record, name, until)
+
+    def _put_one_right(
+        self, group: GroupView, record: Leadership, name: str, until: float
+    ) -> None:
+        def again() -> None:
+            now = self._reactor.now()
+            if (
+                group.leadership != record
+                or now > until
+                or not self._duty.leads
+            ):
+                return
+            self._put_one_right(group, record, name, until)
+
+        def heard(result: Report | NoReport) -> None:
+            if isinstance(result, NoReport):
+                self._reactor.call_later(STEP_DOWN_INTERVAL, again)
+                return
+            if result.leads and result.term < record.term:
+                self._tell_once(group, name, StepDown(term=record.term))
+                self._reactor.call_later(STEP_DOWN_INTERVAL, again)
+            elif result.held_term:
+                self._tell_once(group, name, ResumeReceiving())
+
+        self._questions.ask(group, name, AskReport(), TELL_TIMEOUT, heard)
+
+    def _tell_once(self, group: GroupView, name: str, order: Question) -> None:
+        def heard(result: Report | NoReport) -> None:
+            logs.log_event(
+                "target_told",
+                group=group.name,
+                target=name,
+                order=type(order).__name__,
+                heard=isinstance(result, Report),
+            )
+
+        self._questions.ask(group, name, order, TELL_TIMEOUT, heard)
--- /dev/null
+++ b/bamboospring/sessions/duty.py
@@ -0,0 +1,202 @@
+"""Hold the lease under which one VM leads changes of primary.
+
+The lease is an object beside the groups' records, so that every read of them
+shows it too and no VM has to ask for it. Its fencing number is the store's
+version of the object when the holder took it: the store's versions only grow,
+so a later holder always has a higher one.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+import secrets
+import zlib
+
+from bamboospring.blackboard import Lease
+from bamboospring.lease import LeaseKeeper
+from bamboospring.lease import LeaseTiming
+from bamboospring.lease import LeaseValue
+from bamboospring.lease import ReadLease
+from bamboospring.lease import SeenLease
+from bamboospring.lease import WriteLease
+from bamboospring.lease_client import encode_lease
+from bamboospring.lease_client import read_lease
+from bamboospring.lease_client import report_to_keeper
+from bamboospring.lease_client import Result as LeaseResult
+from bamboospring import logs
+from bamboospring.object_store import Found
+from bamboospring.platform_client import PlatformClient
+from bamboospring.reactor import Reactor
+from bamboospring.sessions.model import SessionBoard
+from bamboospring.sessions.record_keeper import RecordKeeper
+from bamboospring.sessions.records import RECORD_KIND
+
+__all__ = ["Duty", "Holder", "LEASE_NAME"]
+
+LEASE_NAME = "lease"
+# VMs that would take a free lease do so this many ranks apart at most.
+RANKS = 8
+STORE_TIMEOUT = 1.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Holder:
+    """Who holds the lease, by its own word; `version` is the lease's."""
+
+    vm: str
+    address: str
+    version: int
+
+
+class Duty:
+    """This VM's part in the lease under which changes are led."""
+
+    def __init__(
+        self,
+        *,
+        reactor: Reactor,
+        board: SessionBoard,
+        platform: PlatformClient,
+        records: RecordKeeper,
+        address: str,
+        timing: LeaseTiming,
+        on_changed: Callable[[bool], None],
+    ) -> None:
+        self._reactor = reactor
+        self._board = board
+        self._platform = platform
+        self._on_changed = on_changed
+        self._told = Holder(vm="", address="", version=0)
+        nonce = secrets.token_hex(8)
+        self._keeper = LeaseKeeper(
+            bucket=0,
+            vm=board.vm,
+            nonce=nonce,
+            timing=timing,
+            address=address,
+        )
+        self._rank = zlib.crc32(nonce.encode()) % RANKS
+        self._awaiting_read = False
+        self._led = False
+        records.leading = lambda: self.leads
+        records.on_other = self._lease_seen
+        records.on_read = self._records_read
+
+    @property
+    def leads(self) -> bool:
+        """Tell whether this VM may act now."""
+        return self.holds_until(self._reactor.now())
+
+    @property
+    def fence(self) -> int:
+        """Return the number of this holding, for orders."""
+        return self._keeper.fence
+
+    def holds_until(self, instant: float) -> bool:
+        """Tell whether this VM may act at least until an instant."""
+        return self._keeper.holds(instant)
+
+    def holds_for_others(self) -> int:
+        """Return 1 while others wait for our lease to end."""
+        return int(self._keeper.blocks_others(self._reactor.now()))
+
+    def holder(self) -> str:
+        """Return the name of the VM that holds the lease, as last seen."""
+        lease = self._keeper.as_lease()
+        if self._told.version > lease.version:
+            return self._told.vm
+        return lease.vm
+
+    def holder_address(self) -> str:
+        """Return where other VMs reach the holder, as last seen."""
+        if self._told.version > self._keeper.as_lease().version:
+            return self._told.address
+        return self._keeper.address()
+
+    def told_of(self, holder: Holder) -> None:
+        """Take from a VM that it has taken the lease.
+
+        A VM that can't read the store finds its way to the new leader's
+        facts by this alone.
+        """
+        if holder.version > self._told.version:
+            self._told = holder
+
+    def lease(self) -> Lease:
+        """Return the lease as last seen."""
+        return self._keeper.as_lease()
+
+    def lease_relayed(
+        self, version: int, duration: float, asked_at: float
+    ) -> None:
+        """Take from its holder that the lease has this version now.
+
+        What marks one renewal from the next matters only to the holder.
+        """
+        if not self._awaiting_read:
+            return
+        self._awaiting_read = False
+        value = LeaseValue(
+            vm=self.holder(),
+            nonce="",
+            duration=duration,
+            address=self.holder_address(),
+        )
+        seen = SeenLease(version=version, value=value)
+        self._keeper.read(asked_at, self._reactor.now(), seen)
+
+    def step(self) -> None:
+        """Make the call that is due, if any."""
+        now = self._reactor.now()
+        rank = None if self._board.draining else self._rank
+        action = self._keeper.step(now, rank)
+        match action:
+            case ReadLease():
+                self._awaiting_read = True
+            case WriteLease():
+                self._write_lease(action)
+        self._log_lead()
+
+    def _log_lead(self) -> None:
+        if self.leads == self._led:
+            return
+        self._led = self.leads
+        lease = self._keeper.as_lease()
+        logs.log_event(
+            "lease_taken" if self._led else "lease_lost",
+            version=lease.version,
+            fence=self._keeper.fence,
+            holder=lease.vm,
+        )
+        self._on_changed(self._led)
+
+    def _write_lease(self, action: WriteLease) -> None:
+        sent_at = self._reactor.now()
+
+        def on_result(result: LeaseResult) -> None:
+            now = self._reactor.now()
+            report_to_keeper(self._keeper, action, result, sent_at, now)
+
+        self._platform.put(
+            RECORD_KIND,
+            LEASE_NAME,
+            action.if_version,
+            encode_lease(action.value),
+            "lease",
+            on_result,
+            timeout=STORE_TIMEOUT,
+        )
+
+    def _lease_seen(self, found: Found, asked_at: float) -> None:
+        if found.name == LEASE_NAME and self._awaiting_read:
+            self._awaiting_read = False
+            seen = read_lease(found.version, found.value)
+            self._keeper.read(asked_at, self._reactor.now(), seen)
+
+    def _records_read(self, asked_at: float) -> None:
+        """Note that the records were read and there was no lease in them."""
+        if self._awaiting_read:
+            self._awaiting_read = False
+            seen = SeenLease(version=0, value=read_lease(0, None).value)
+            self._keeper.read(asked_at, self._reactor.now(), seen)
--- a/bamboospring/sessions/node.py
+++ b/bamboospring/sessions/node.py
@@ -113,7 +113,7 @@
         self.metrics.watch_node(
             pools=self.pools,
             platform=self.platform,
-            leader=self.leader,
+            duty=self.leader.duty,
             listener=self.callers,
             now=self.reactor.now,
         )
@@ -205,7 +205,7 @@
             board=self.board,
             peers=self.peers,
             registry=self.registry,
-            leader=self.leader,
+            duty=self.leader.duty,
             records=self.records,
             targets=self.targets,
             catalog=self.catalog,
@@ -240,7 +240,7 @@
             board=self.board,
             callers=self.callers,
             grace=cfg.timing.grace_ms / 1000,
-            held=self.leader.holds_for_others,
+            held=self.leader.duty.holds_for_others,
         ).register(self)
 
     def _primary_failed(self, group: str, primary: str) -> None:
--- a/bamboospring/sessions/relay.py
+++ b/bamboospring/sessions/relay.py
@@ -24,9 +24,9 @@
 from bamboospring.peers import Reply
 from bamboospring.reactor import Reactor
 from bamboospring.sessions.catalog_keeper import CatalogKeeper
+from bamboospring.sessions.duty import Duty
+from bamboospring.sessions.duty import Holder
 from bamboospring.sessions.freshness import Sample
-from bamboospring.sessions.leader import Holder
-from bamboospring.sessions.leader import Leader
 from bamboospring.sessions.model import SessionBoard
 from bamboospring.sessions.model import TargetNews
 from bamboospring.sessions.record_keeper import RecordKeeper
@@ -113,7 +113,7 @@
         board: SessionBoard,
         peers: Peers,
         registry: VmRegistry,
-        leader: Leader,
+        duty: Duty,
         records: RecordKeeper,
         targets: TargetKeeper,
         catalog: CatalogKeeper,
@@ -122,7 +122,7 @@
         self._board = board
         self._peers = peers
         self._registry = registry
-        self._leader = leader
+        self._duty = duty
         self._records = records
         self._targets = targets
         self._catalog = catalog
@@ -138,11 +138,11 @@
 
     def _tick(self) -> None:
         self._reactor.call_later(INTERVAL, self._tick)
-        name = self._leader.holder()
-        if self._leader.leads or name in ("", self._board.vm):
+        name = self._duty.holder()
+        if self._duty.leads or name in ("", self._board.vm):
             self._set_relayed(False, "this VM leads or nobody does")
             return
-        address = self._leader.holder_address()
+        address = self._duty.holder_address()
         if not address:
             self._set_relayed(False, "the leader's address is unknown")
             return
@@ -177,7 +177,7 @@
                 asked_at - proof_age,
                 until,
             )
-        self._leader.lease_relayed(
+        self._duty.lease_relayed(
             facts.leaseVersion, facts.leaseMs / 1000, asked_at
         )
         if facts.targetsAgeMs / 1000 <= OLDEST_TARGETS:
@@ -232,7 +232,7 @@
         logs.log_event(
             "facts_from",
             source="leader" if relayed else "platform",
-            leader=self._leader.holder(),
+            leader=self._duty.holder(),
             reason=why,
         )
         if not relayed:
@@ -242,7 +242,7 @@
 
     def _on_leading(self, message: Any, _reply: Reply) -> None:
         leading = message.leading
-        self._leader.told_of(
+        self._duty.told_of(
             Holder(
                 vm=leading.vm,
                 address=leading.address,
@@ -256,7 +256,7 @@
         ask = message.factsAsk
         answer = envelope()
         facts = answer.init("facts")
-        facts.leads = self._leader.leads
+        facts.leads = self._duty.leads
         if facts.leads:
             self._fill(facts, ask)
         reply(answer)
@@ -268,7 +268,7 @@
         records = self._records.as_bytes()
         if digest_of(records) != ask.records:
             facts.records = records
-        lease = self._leader.lease()
+        lease = self._duty.lease()
         facts.leaseVersion = lease.version
         facts.leaseMs = _ms(lease.duration)
         news = write_news(self._targets.listed)
--- a/bamboospring/sessions/session_metrics.py
+++ b/bamboospring/sessions/session_metrics.py
@@ -25,7 +25,7 @@
     from bamboospring.metrics_export import Exporter
     from bamboospring.platform_client import PlatformClient
     from bamboospring.pool import Pools
-    from bamboospring.sessions.leader import Leader
+    from bamboospring.sessions.duty import Duty
     from bamboospring.sessions.outside import CallerListener
     from bamboospring.sessions.ports import SessionLink
 
@@ -82,7 +82,7 @@
         *,
         pools: Pools[SessionLink],
         platform: PlatformClient,
-        leader: Leader,
+        duty: Duty,
         listener: CallerListener,
         now: Callable[[], float],
     ) -> None:
@@ -141,7 +141,7 @@
         )
         watch(
             "bamboospring.leads",
-            lambda: int(leader.leads),
+            lambda: int(duty.leads),
             description="1 where changes of primary are led.",
         )
         watch(
