Have the fault proxy take a reset that meets the end of a stream

Cause: write_eof on a side that was reset raises OSError 107, which is no ConnectionError, so the pair ended with a traceback in place of a reset.

--- a/bamboospring/testing/fault_proxy.py
+++ b/bamboospring/testing/fault_proxy.py
@@ -153,7 +153,9 @@
                 self._pump(pair, client, pair.upstream, "to_upstream"),
                 self._pump(pair, upstream, pair.client, "to_client"),
             )
-        except ConnectionError:
+        except OSError:
+            # Also "not connected", which is no ConnectionError: the end of
+            # a stream came for a side that had been reset meanwhile.
             pair.reset()
         finally:
             self._pairs.discard(pair)
