Ask another zone when only one speaks against a primary

Cause: a primary counts as failed on the word of two availability zones. Where two of a group's three holders are in the other region, and the third leads (or is of the leader's zone), all witnesses that can be heard are of one zone. The region that has the majority of the targets kept its lost primary for as long as the cut lasted: writes ended holder_lost, no change began. Ruled out: the lease (it was taken), the watchers (they reported), the load itself (with the lease given to that holder it fails on a quiet machine). Change: a steward whose witnesses are all of one zone has up to two VMs of other zones look at the primary, of its own region if there are any. The rule of two zones stays.

--- a/bamboospring/steward.py
+++ b/bamboospring/steward.py
@@ -100,6 +100,7 @@
             leads=self.leads,
             care_of=self._care_of,
             judge=self._judge,
+            send=partial(send_order, reactor),
         )
         peers.handle("handOver", self._on_hand_over)
 
@@ -132,11 +133,12 @@
         body = message.init("handOver")
         body.group = group
         body.term = term
-        for vm in self._placement.candidates(self._bucket(group)):
-            if vm.name == self._board.me.name:
-                self._take_hint(group, term)
-            else:
-                self._peers.send(vm.address, message)
+        candidates = self._placement.candidates(self._bucket(group))
+        me = self._board.me.name
+        others = [vm.address for vm in candidates if vm.name != me]
+        self._peers.send_all(others, message)
+        if len(others) < len(candidates):
+            self._take_hint(group, term)
 
     def _on_hand_over(self, message: Any, reply: Reply) -> None:
         body = message.handOver
--- a/bamboospring/wire.capnp
+++ b/bamboospring/wire.capnp
@@ -26,6 +26,7 @@
     recordNews @18 :RecordNews;
     recordSeen @19 :RecordSeen;
     leading @20 :Leading;
+    witness @21 :Witness;
   }
 }
 
@@ -98,6 +99,13 @@
   silentMs @6 :UInt32;
 }
 
+struct Witness {              # a steward asks for another place's judgement
+  group @0 :Text;             # of a suspected primary; answered by suspicion
+  target @1 :Text;
+  address @2 :Text;
+  term @3 :UInt64;
+}
+
 struct GroupFact {
   record @0 :Data;            # JSON: a question, its answer, or news; group_sync
   version @1 :UInt64;         # unused
--- a/features/regions.feature
+++ b/features/regions.feature
@@ -30,3 +30,12 @@
       | what the far region sends  | near  | reads what is old enough only |
       | what the far region sends  | far   | reads nothing                 |
       | what the near region sends | far   | reads what is old enough only |
+
+  Scenario: The near region's only holder is the steward when the far one goes
+    # Two of three holders are far, and so is the primary. The near holder took
+    # the lease while the other candidates were paused. Callers in the near
+    # region get a primary all the same: a VM of another zone there looks too.
+    Given two regions under writes, the primary is far
+    When the lease goes to the near region's only holder
+    And what the far region sends between the regions is lost
+    Then the near region goes on writing
--- a/features/steps/comparison_steps.py
+++ b/features/steps/comparison_steps.py
@@ -42,6 +42,11 @@
         """Deliver a message that wants no answer."""
         self._deliver(address, message, lambda answer: None)
 
+    def send_all(self, addresses: list[str], message: Any) -> None:
+        """Deliver the same message to several."""
+        for address in addresses:
+            self.send(address, message)
+
     def ask(
         self, address: str, message: Any, timeout: float, on_answer: Any
     ) -> None:
--- a/features/steps/regions_steps.py
+++ b/features/steps/regions_steps.py
@@ -18,6 +18,9 @@
 from primary_change_steps import wait_level
 from primary_change_support import ChangeLoad
 
+from bamboospring.blackboard import Vm
+from bamboospring.rendezvous import bucket_of
+from bamboospring.rendezvous import choose_candidates
 from bamboospring.rendezvous import shard_of
 from bamboospring.testing.caller import Caller
 from bamboospring.testing.fleet import FAR
@@ -89,6 +92,33 @@
         fleet.link(f"platform:{name}", mode, direction=by_far)
 
 
+@when("the lease goes to the near region's only holder")
+def lease_to_holder(context: Any) -> None:
+    fleet = context.fleet
+    (holder,) = set(fleet.holders(GROUP)) - set(FAR_VMS)
+    leader = leader_of(context)
+    for name in candidates(fleet):
+        if name != holder:
+            fleet.freeze(name)
+    wait_until(lambda: leader() == holder, seconds=20, what="the lease")
+    for name in candidates(fleet):
+        fleet.thaw(name)
+
+
+def candidates(fleet: Any) -> list[str]:
+    """Return the VMs that may lead the group."""
+    vms = [
+        Vm(
+            name=vm.name,
+            address=vm.peers,
+            availability_zone=vm.zone,
+            region=fleet.estate.region_of(vm.name),
+        )
+        for vm in fleet.vms.values()
+    ]
+    return [vm.name for vm in choose_candidates(bucket_of(GROUP), vms)]
+
+
 @when("{lost} between the regions is lost")
 def cut_regions(context: Any, lost: str) -> None:
     context.lost = lost
--- a/features/steps/suspicion_steps.py
+++ b/features/steps/suspicion_steps.py
@@ -2,14 +2,20 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import Any
 
 from behave import given
 from behave import then
 from behave import when
+from comparison_steps import MemoryPeers
 
+from bamboospring.blackboard import Blackboard
+from bamboospring.blackboard import Group
+from bamboospring.blackboard import GroupRecord
 from bamboospring.blackboard import Role
 from bamboospring.blackboard import Target
+from bamboospring.blackboard import Vm
 from bamboospring.promotion import Cause
 from bamboospring.promotion import Change
 from bamboospring.promotion import GroupObject
@@ -17,12 +23,16 @@
 from bamboospring.promotion import Phase
 from bamboospring.promotion import Plan
 from bamboospring.promotion import UpdateGroup
+from bamboospring.rendezvous import Placement
+from bamboospring.steward_care import Care
 from bamboospring.suspicion import AwakeClock
 from bamboospring.suspicion import Report
 from bamboospring.suspicion import Suspicions
 from bamboospring.suspicion import TargetWatch
+from bamboospring.suspicion import Verdict
 from bamboospring.suspicion import WatchTiming
 from bamboospring.target_api import Probe
+from bamboospring.witnesses import Witnesses
 
 TIMING = WatchTiming()
 ZONES = ("zone-a", "zone-b", "zone-c")
@@ -177,3 +187,83 @@
 def ends(context: Any) -> None:
     assert context.change.phase is Phase.ENDED, context.change.phase
     assert not any(isinstance(a, UpdateGroup) for a in context.actions)
+
+
+class Place:
+    """One VM's witnesses; `reaches` says whether it reaches the primary."""
+
+    def __init__(self, vm: Vm, vms: tuple[Vm, ...], network: Any) -> None:
+        self.reaches = True
+        self.care = Care()
+        placement = Placement()
+        placement.set_vms(vms)
+        peers = MemoryPeers(network, [])
+        network[vm.address] = peers
+        self.board = Blackboard(me=vm)
+        self.witnesses = Witnesses(
+            reactor=FixedTime(),  # type: ignore[arg-type]
+            board=self.board,
+            placement=placement,
+            peers=peers,  # type: ignore[arg-type]
+            leads=lambda group: group in self.board.groups,
+            care_of=lambda group: self.care,
+            judge=lambda *_args: None,
+            send=self._send,
+        )
+
+    def _send(self, order: Order, on_done: Any) -> None:
+        found = make_probe(order.target.name) if self.reaches else None
+        on_done(found is not None, found)
+
+
+class FixedTime:
+    """A clock that stands at the second of the reports."""
+
+    def now(self) -> float:
+        """Return the time."""
+        return 10.0
+
+
+@given("a steward that is the only holder left, and a VM of another zone")
+def steward_alone(context: Any) -> None:
+    vms = tuple(
+        Vm(name=f"vm-{n}", address=f"vm-{n}", availability_zone=zone)
+        for n, zone in enumerate(("zone-a", "zone-a", "zone-b"))
+    )
+    network: dict[str, MemoryPeers] = {}
+    make = partial(Place, vms=vms, network=network)
+    context.steward, _, context.other = [make(vm) for vm in vms]
+    target = Target(
+        name="m1", address="m1", availability_zone="zone-c", site="s"
+    )
+    record = GroupRecord(
+        name="g", version=1, term=1, primary="m1", targets=(target,)
+    )
+    context.steward.board.groups["g"] = Group(record=record)
+
+
+@when("neither of them reaches the primary")
+def neither_reaches(context: Any) -> None:
+    context.other.reaches = False
+    only_steward_silent(context)
+
+
+@when("only the steward does not reach the primary")
+def only_steward_silent(context: Any) -> None:
+    context.steward.reaches = False
+    verdict = Verdict(suspected=True, silent=1.0)
+    context.steward.care.suspicions.take(report("vm-0", "zone-a"))
+    context.steward.witnesses.report("g", "m1", 1, verdict)
+
+
+@then("the steward takes the primary for failed")
+def taken_for_failed(context: Any) -> None:
+    found = context.steward.care.suspicions
+    assert found.condemned("m1", 1, 10.0, ZONES)
+
+
+@then("the steward does not take the primary for failed")
+def not_taken_for_failed(context: Any) -> None:
+    found = context.steward.care.suspicions
+    assert not found.condemned("m1", 1, 10.0, ZONES)
+    assert context.other.board.groups == {}
--- a/features/suspicion.feature
+++ b/features/suspicion.feature
@@ -35,3 +35,18 @@
     # primary of the term. The term is not won, so no write is stopped.
     Given a change for a failed primary that answers the steward
     Then the change ends before the term is won
+
+  Scenario: A steward with one zone's word asks another zone
+    # Two regions have lost each other, and the primary is in the other one.
+    # The only holder on this side is the steward itself, so all witnesses are
+    # of its zone, and nobody else would report: callers here, who have the
+    # majority of the targets, would be refused writes until the cut is over.
+    Given a steward that is the only holder left, and a VM of another zone
+    When neither of them reaches the primary
+    Then the steward takes the primary for failed
+
+  Scenario: The other zone's word may be that the primary works
+    # The steward's own way to the primary is cut, nothing else.
+    Given a steward that is the only holder left, and a VM of another zone
+    When only the steward does not reach the primary
+    Then the steward does not take the primary for failed
