Leave a fenced target's statement connections open

Cause: a fence closed the target's statement connections. A write that was on its way then was cut unread: it never ran, but its caller was told unknown, answer_lost, in a change that was planned to cut nobody. Shown by a test: the member is stopped, a fence and then a write are sent, it goes on: connection reset. Tried and left: closing only 0.1 s later, refusing meanwhile. Change: the connections stay; every statement carries its term, so what waits or comes at the old one is refused and surely not run, and the connection is of use at the new term. The check that a transaction's connection is closed is replaced by one that each of its steps is refused.

--- a/bamboospring/testing/target_engine.py
+++ b/bamboospring/testing/target_engine.py
@@ -82,9 +82,7 @@
         self.counters: Counter[str] = Counter()
         self.busy_slots = 0
         self._watchers: set[asyncio.Future[None]] = set()
-        self._pauser = Session(
-            holder="", close=lambda: None, abort=lambda: None
-        )
+        self._pauser = Session(holder="", abort=lambda: None)
         self._pause_end: asyncio.TimerHandle | None = None
 
         # Notices of change.
@@ -125,7 +123,12 @@
     # Orders.
 
     def fence(self, term: int) -> bool:
-        """Stop at a term; False when the term is lower than ours."""
+        """Stop at a term; False when the term is lower than ours.
+
+        Statement connections stay: what waits or is on its way at the old
+        term is refused for its term. A closed connection would leave its
+        caller in doubt of a write that never ran.
+        """
         store = self.store
         if term < store.term:
             return False
@@ -134,7 +137,6 @@
         self._end_transactions()
         store.set_role(term=term, role=Role.FENCED, primary_address="")
         self.counters["fenced"] += 1
-        self._close_sessions()
         self._end_pause()
         self.changed()
         return True
@@ -160,7 +162,6 @@
             return False
         if store.role == Role.PRIMARY:
             self._end_transactions()
-            self._close_sessions()
             self._end_pause()
         store.set_role(
             term=term, role=Role.REPLICA, primary_address=primary_address
@@ -172,10 +173,6 @@
         for session in list(self.sessions):
             self.roll_back(session)
 
-    def _close_sessions(self) -> None:
-        for session in list(self.sessions):
-            session.close()
-
     async def pause(self, term: int, wait: float, duration: float) -> bool:
         """Hold new writes back once those under way have ended.
 
--- a/bamboospring/testing/target_server.py
+++ b/bamboospring/testing/target_server.py
@@ -85,7 +85,6 @@
         self._body: list[bytes] = []
         self._task: asyncio.Task[None] | None = None
         self._queued: list[tuple[str, str, bytes]] = []
-        self._closing = False
 
     # asyncio.Protocol
 
@@ -114,16 +113,6 @@
         if self.transport is not None:
             self.transport.abort()
 
-    def _close(self) -> None:
-        """Close now, or once the statement that waits has its answer.
-
-        A write that waits for the lock when a fence comes did not run; its
-        refusal says so, where a closed connection would leave it unknown.
-        """
-        self._closing = True
-        if self._task is None and self.transport is not None:
-            self.transport.close()
-
     # httptools
 
     def on_message_begin(self) -> None:
@@ -167,9 +156,7 @@
             answer = 400, {"reason": "bad_request", "message": str(exc)}
         self._task = None
         self._send(*answer)
-        if self._closing:
-            self._close()
-        elif self._queued and self.transport is not None:
+        if self._queued and self.transport is not None:
             self._start(*self._queued.pop(0))
 
     def _send(self, status: int, body: dict[str, Any]) -> None:
@@ -248,7 +235,6 @@
             raise BadRequest("connected before")
         session = Session(
             holder=str(data.get("holder", "")),
-            close=self._close,
             abort=self._abort,
             idle_tx_ms=int(data.get("idle_tx_ms", 0)),
         )
--- a/bamboospring/testing/target_session.py
+++ b/bamboospring/testing/target_session.py
@@ -61,7 +61,6 @@
     """One statement connection."""
 
     holder: str
-    close: Callable[[], None]
     abort: Callable[[], None]
     idle_tx_ms: int = 0
     number: int = 0
--- a/features/target_stand_in.feature
+++ b/features/target_stand_in.feature
@@ -12,11 +12,13 @@
     Then a1 holds every answered target write and is primary at term 1
 
   Scenario: A fence ends transactions and is durable before it is answered
-    # A transaction is open when the fence comes. Its connection is closed, a
-    # write at the old term is refused, and a restart changes none of it.
+    # A transaction is open when the fence comes. Its commit is refused as not
+    # run, a write at the old term is refused, and a restart changes none of
+    # it.
     Given target members a1, a2 and a3 with a1 as primary at term 1
     When a target transaction is open on a1 and a1 is fenced at term 2
-    Then the target connection is closed and nothing of the transaction stays
+    Then the commit is refused for its term and so are its other steps
+    And nothing of the transaction stays
     And a1 refuses target writes of term 1 and a fence at term 1
     When a1 is killed and started again
     Then a1 is fenced at term 2
@@ -43,6 +45,15 @@
     And a1 is fenced at term 2 under the waiting target write
     Then the waiting target write is refused for its term and did not run
 
+  Scenario: A write on its way when a fence comes is refused, not cut
+    # The fence and a write reach the member in one moment, the fence first.
+    # The write did not run; a connection closed on it unread would tell its
+    # caller nothing, and a planned change would leave writes in doubt.
+    Given target members a1, a2 and a3 with a1 as primary at term 1
+    When a fence and then a target write come while a1 is stopped
+    Then the target write is refused for its term and did not run
+    And the connection is of use at the new term
+
   Scenario: Limits are counted and refused
     # More statements than slots at once, and more connections than allowed:
     # the surplus is refused by the member and the peaks stay at the limits.
