Keep the ports of sessions' VMs and members while they are down

Cause: the session fleet picked free ports and let go of them, and a member that was down left its port free. Another fleet of the same run could be given such a port for a link of its fault proxy; the VM listened there first and the link failed: POST /links 400, address in use (routing.feature, once). Change: both fleets hold their ports by one class; members too. Links are closed with their fleet.

--- a/bamboospring/testing/fault_proxy.py
+++ b/bamboospring/testing/fault_proxy.py
@@ -69,6 +69,13 @@
         )
         self.listen = listening_address(self._server)
 
+    def close(self) -> None:
+        """Stop listening and reset all connections."""
+        if self._server is not None:
+            self._server.close()
+        for pair in self._pairs:
+            pair.reset()
+
     def set_mode(
         self, *, mode: str, direction: str, delay_ms: int, source: str = ""
     ) -> None:
--- a/bamboospring/testing/fleet.py
+++ b/bamboospring/testing/fleet.py
@@ -36,6 +36,7 @@
 from bamboospring.rendezvous import choose_holders
 from bamboospring.rendezvous import HOLDERS_PER_GROUP
 from bamboospring.testing.estate import Estate
+from bamboospring.testing.held_ports import HeldPorts
 from bamboospring.testing.process import ManagedProcess
 from bamboospring.testing.process import StartFailed
 
@@ -179,7 +180,7 @@
         self.entry_processes: dict[str, FleetVm] = {}
         self._vm_count = estate.vms if vms is None else vms
         self._processes: dict[str, ManagedProcess] = {}
-        self._held_ports: list[socket.socket] = []
+        self._ports = HeldPorts()
         self._platform_address = ""
         self._proxy_address = ""
         self._closed = False
@@ -225,8 +226,6 @@
         if self._closed:
             return
         self._closed = True
-        for sock in self._held_ports:
-            sock.close()
         processes = list(self._processes.values())
         for process in processes:
             process.thaw()
@@ -234,6 +233,7 @@
         end = time.monotonic() + STOP_SECONDS
         for process in processes:
             process.stop(max(0.0, end - time.monotonic()))
+        self._ports.close()
         shutil.rmtree(self.directory, ignore_errors=True)
         atexit.unregister(self.close)
 
@@ -296,8 +296,8 @@
         process = dataclasses.replace(
             main,
             name=f"{vm}-entry-{number}",
-            peers_listen=self._free_address(),
-            operators_listen=self._free_address(),
+            peers_listen=self._ports.address(),
+            operators_listen=self._ports.address(),
         )
         settings = self._settings_of(process)
         settings["entry"] = {"only": True, "of": vm, "main": main.peers}
@@ -513,17 +513,17 @@
     def _choose_addresses(self) -> None:
         for name, number in self._target_names():
             group = name.rsplit("-m", 1)[0]
-            listen = self._free_address()
+            listen = self._ports.address()
             self.targets[name] = FleetTarget(
                 name=name,
                 group=group,
                 zone=self.estate.zone(number),
                 site=self._site(number),
                 listen=listen,
-                address=self._free_address() if self.links else listen,
+                address=self._ports.address() if self.links else listen,
             )
-        self._platform_address = self._free_address()
-        self._proxy_address = self._free_address()
+        self._platform_address = self._ports.address()
+        self._proxy_address = self._ports.address()
         for number in range(self._vm_count):
             vm = self._choose_vm(number)
             self.vms[vm.name] = vm
@@ -537,34 +537,22 @@
         return self.estate.sites[number % len(self.estate.sites)]
 
     def _choose_vm(self, number: int) -> FleetVm:
-        callers = self._free_address()
-        peers = self._free_address()
+        callers = self._ports.address()
+        peers = self._ports.address()
         linked = self.links
         return FleetVm(
             name=f"vm-{number + 1}",
             zone=self.estate.zone(number),
             callers_listen=callers,
             peers_listen=peers,
-            operators_listen=self._free_address(),
-            entry=self._free_address() if linked else callers,
-            peers=self._free_address() if linked else peers,
+            operators_listen=self._ports.address(),
+            entry=self._ports.address() if linked else callers,
+            peers=self._ports.address() if linked else peers,
             platform=(
-                self._free_address() if linked else self._platform_address
+                self._ports.address() if linked else self._platform_address
             ),
         )
 
-    def _free_address(self) -> str:
-        # The socket stays bound, not listening, for the fleet's whole life.
-        # With SO_REUSEADDR on both sides the process that the port is for can
-        # listen on it all the same, while the kernel gives it to nobody else:
-        # not to another fleet, nor to an outgoing connection, which would
-        # make the process fail with "address in use", also at a restart.
-        sock = socket.socket()
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind(("127.0.0.1", 0))
-        self._held_ports.append(sock)
-        return f"127.0.0.1:{sock.getsockname()[1]}"
-
     def _spawn(self, name: str, module: str, *args: str) -> ManagedProcess:
         env = dict(os.environ)
         root = str(pathlib.Path(__file__).resolve().parents[2])
--- a/bamboospring/testing/session_fleet.py
+++ b/bamboospring/testing/session_fleet.py
@@ -11,7 +11,6 @@
 import json
 import os
 from pathlib import Path
-import socket
 import sys
 import tempfile
 import time
@@ -19,6 +18,7 @@
 import urllib.request
 
 from bamboospring.testing.fault_proxy import Link
+from bamboospring.testing.held_ports import HeldPorts
 from bamboospring.testing.process import ManagedProcess
 from bamboospring.testing.session_callers import CallerRoute
 from bamboospring.testing.session_judge import SessionJudge
@@ -82,6 +82,7 @@
         self._vm_count = vms
         self._grace_ms = grace_ms
         self._folder = tempfile.TemporaryDirectory()
+        self._ports = HeldPorts()
         self._tasks: list[asyncio.Task[None]] = []
         self._beats: dict[str, int] = {}
         self._version = 0
@@ -101,6 +102,7 @@
         await self.store.start()
         await self.desk.start()
         for member in self.members():
+            member.address = self._ports.address()
             await member.start()
             await self._link(member.id, member.address)
         for number in range(self._vm_count):
@@ -121,6 +123,10 @@
             vm.process.kill()
         for member in self.members():
             member.stop()
+        for link in self.links.values():
+            link.close()
+        await asyncio.sleep(0)
+        self._ports.close()
         self._folder.cleanup()
 
     def members(self) -> list[Member]:
@@ -243,9 +249,8 @@
 
     def _add_vm(self, name: str, zone: str) -> None:
         folder = Path(self._folder.name)
-        ports = _free_ports(4)
         callers, readiness, peers, metrics = (
-            f"127.0.0.1:{port}" for port in ports
+            self._ports.address() for _ in range(4)
         )
         settings = folder / f"{name}.json"
         cfg = {
@@ -278,13 +283,3 @@
             readiness=readiness,
             settings=settings,
         )
-
-
-def _free_ports(count: int) -> list[int]:
-    socks = [socket.socket() for _ in range(count)]
-    for sock in socks:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
-    return ports
--- a/bamboospring/testing/session_members.py
+++ b/bamboospring/testing/session_members.py
@@ -182,16 +182,12 @@
         return self.log[-1].position if self.log else (1, 0)
 
     async def start(self) -> None:
-        """Listen, at the same port as before if there was one."""
-        host, port = "127.0.0.1", 0
-        if self.address:
-            port = int(self.address.rpartition(":")[2])
+        """Listen at `address`, at each start the same."""
+        host, _, port = self.address.rpartition(":")
         self.held_term = 0
         self._server = await asyncio.start_server(
-            self._accepted, host, port, backlog=256, limit=READ_LIMIT
+            self._accepted, host, int(port), backlog=256, limit=READ_LIMIT
         )
-        port = self._server.sockets[0].getsockname()[1]
-        self.address = f"{host}:{port}"
 
     def stop(self) -> None:
         """End at once; the log stays."""
--- a/features/session_estate.feature
+++ b/features/session_estate.feature
@@ -52,6 +52,14 @@
     Then every promise was kept
     And writes were served in group0 at the end
 
+  Scenario: The ports of what is down are kept for it
+    # Several fleets run at once. A VM or a member is down, and another fleet
+    # picks a free port: were it theirs, the restart would fail, or the other
+    # fleet's start.
+    Given an estate with 1 VMs and 1 groups
+    When its VM and a member are ended
+    Then nobody else can listen at their ports
+
   Scenario: A leaving primary is replaced before its time is up
     Given an estate with 3 VMs and 2 groups
     When 10 callers work for 9 s
--- a/features/steps/session_estate_steps.py
+++ b/features/steps/session_estate_steps.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections import Counter
 import json
+import socket
 import threading
 import time
 import urllib.request
@@ -215,6 +216,29 @@
     act(context, after, pause_and_crash)
 
 
+@when("its VM and a member are ended")
+def ended(context):
+    fleet = context.stage.fleet
+    vm = fleet.vms["vm0"]
+    member = fleet.members()[0]
+    vm.process.kill()
+    context.stage.loop.call_soon_threadsafe(member.stop)
+    time.sleep(0.1)
+    context.addresses = [vm.callers, vm.readiness, member.address]
+
+
+@then("nobody else can listen at their ports")
+def kept(context):
+    for address in context.addresses:
+        host, _, port = address.rpartition(":")
+        with socket.socket() as sock:
+            try:
+                sock.bind((host, int(port)))
+            except OSError:
+                continue
+            raise AssertionError(f"{address} is free")
+
+
 @when("the settings of {vm} ask for debug logs")
 def when_settings(context, vm):
     path = context.stage.fleet.vms[vm].settings
