Let a VM that is alone on its list give up its share when cut off

Cause: a VM alone on its list hears no other VM in any case, so the rule that silence of everybody means a cut did not count for it, lest an outage of the platform stop it. Cut off and replaced it used its share on, and its successor took the whole limit: 10 of 5 connections (KNOWN-RED, found by the exploration). Change: it stops as all others do. The price: a fleet that has shrunk to one VM stops after 4 s of an outage of the platform, and needs the grace time after it. Where there never is a second VM, `single_vm` in the settings lets it go on; the default is the one that keeps the promise.

--- a/bamboospring/server.py
+++ b/bamboospring/server.py
@@ -98,6 +98,7 @@
             timing=ShareTiming(
                 grace=cfg.timing.share_grace_ms / 1000,
                 isolation=cfg.timing.share_isolation_ms / 1000,
+                single_vm=cfg.single_vm,
             ),
         ).register(self)
         self.facts.sync.on_heard.append(self.shares.heard)
--- a/bamboospring/settings.py
+++ b/bamboospring/settings.py
@@ -533,6 +533,13 @@
     region: str = Field(
         default="", max_length=64, description="Name of the region of this VM."
     )
+    single_vm: bool = Field(
+        default=False,
+        description="Whether this deployment never has another VM. Without "
+        "others a VM that hears no platform cannot tell an outage from having "
+        "been replaced, and gives up its share of targets' limits; with this "
+        "it goes on.",
+    )
     entry: EntryOnly = Field(
         default_factory=lambda: EntryOnly(),
         description="Several processes on one VM.",
--- a/bamboospring/shares.py
+++ b/bamboospring/shares.py
@@ -109,12 +109,14 @@
     alive. `isolation` is how long a VM keeps its share while it hears from
     nobody. The lag of the platform's list, `isolation` and the time between
     ticks together must be shorter than `grace`, so that a VM that is cut off
-    has stopped before the others take its share.
+    has stopped before the others take its share. With `single_vm` there are
+    never any others.
     """
 
     grace: float = 10.0
     isolation: float = 5.0
     retry: float = 0.25
+    single_vm: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -263,10 +265,12 @@
         # A VM that is cut off can't see that it has left the list. It stops
         # before `grace` has passed for the others. An outage of the platform
         # alone doesn't come here, because other VMs are still heard.
-        # Others are what counts: a VM off a list of one is cut off, too.
-        silent = now - self._heard_at
-        others = self.listed - {self.me}
-        return bool(others) and silent > self.timing.isolation
+        # A VM that is alone on its list hears nobody in an outage either. It
+        # stops as well: it may have been replaced, and its successor takes
+        # the whole limit. A deployment that has no second VM can say so.
+        if self._heard_at == NEVER or self.timing.single_vm:
+            return False
+        return now - self._heard_at > self.timing.isolation
 
 
 @dataclass(slots=True, kw_only=True)
--- a/features/exploration.feature
+++ b/features/exploration.feature
@@ -35,9 +35,9 @@
 
   Scenario: The only VM on the list is cut off and replaced
     # Its last list names nobody but itself, so it hears nobody in any case and
-    # can't tell this from an outage of the platform. It goes on; the one that
-    # replaced it takes the whole limit once the grace time is over, and the
-    # target gets twice what it allows. Listed in KNOWN-RED.txt.
+    # can't tell this from an outage of the platform. Were it to go on, the one
+    # that replaced it would take the whole limit once the grace time is over,
+    # and the target would get twice what it allows. It stops before.
     When the only VM on the list is cut off while another takes its place
     Then the limit of the target is kept until both are gone
 
--- a/features/limits.feature
+++ b/features/limits.feature
@@ -35,6 +35,13 @@
     When it hears nobody for longer than the isolation time
     Then it gives up its shares
 
+  Scenario: The only VM of a deployment goes on in an outage of the platform
+    # Its settings say that there is never another, so nobody can have taken
+    # its place. A VM that is alone by chance stops, since somebody may have.
+    Given a VM that is alone on its list, and one that is always alone
+    When they hear nobody for longer than the isolation time
+    Then the one alone by chance gives up its shares and the other goes on
+
   Scenario: The operators' limit is below the target's
     # The table's row allows one slot and three connections. The target would
     # take more, and counts what it gets.
--- a/features/steps/names_steps.py
+++ b/features/steps/names_steps.py
@@ -1,13 +1,13 @@
 """The exploration of shares, with holders that depend on names of groups.
 
 The VMs are of one zone, where all five may hold a group. Seeded faults must
-lead the exploration to an order that exceeds the limit. The list never goes
-below two VMs: one alone can't tell a cut from an outage of the platform.
+lead the exploration to an order that exceeds the limit.
 """
 
 from __future__ import annotations
 
 from contextlib import ExitStack
+import dataclasses
 import functools
 import random
 from typing import Any
@@ -67,9 +67,9 @@
     asked = staticmethod(all_asked)
 
     def publish(self, listed: frozenset[str]) -> None:
-        super().publish(listed if len(listed) > 1 else self.lists[-1])
+        super().publish(listed or self.lists[-1])
 
-    @precondition(lambda self: len(self.lists[-1]) > 2)
+    @precondition(lambda self: len(self.lists[-1]) > 1)
     @rule(name=st.sampled_from(NAMES))
     def leave(self, name: str) -> None:
         if name in self.lists[-1]:
@@ -181,6 +181,29 @@
         context.watch.tick(now=0.5 + step * 0.5)
 
 
+@given("a VM that is alone on its list, and one that is always alone")
+def given_alone(context: Any) -> None:
+    timing = shares_steps.TIMING
+    context.watch = ListWatch(me="a", timing=timing)
+    single = dataclasses.replace(timing, single_vm=True)
+    context.single = ListWatch(me="a", timing=single)
+    for watch in (context.watch, context.single):
+        watch.see(now=0.0, revision=1, listed=frozenset("a"))
+
+
+@when("they hear nobody for longer than the isolation time")
+def when_both_silent(context: Any) -> None:
+    for watch in (context.watch, context.single):
+        for step in range(1, 6):
+            watch.tick(now=step * 0.5)
+
+
+@then("the one alone by chance gives up its shares and the other goes on")
+def then_one_goes_on(context: Any) -> None:
+    assert context.watch.cut_off
+    assert not context.single.cut_off
+
+
 @then("it gives up its shares")
 def then_gives_up(context: Any) -> None:
     assert context.watch.cut_off
