Never give a target's connection number twice

Cause: a holder that gives a silent connection up orders the target to end it, by number, for up to ten seconds. The stand-in counted from 1 in each life, so after a restart the order ended a connection of the new life: seen once in six runs of four features at a time ("The primary is killed": the checker's own read at the restarted member got no answer, RemoteDisconnected). Ruled out: the rejoin (it closes nothing any more), the limit of connections (answered by 503). Measured: the new scenario lost its connection before, and passes. Conclusion: the order is safe to repeat only if numbers are not.

--- a/bamboospring/testing/target_engine.py
+++ b/bamboospring/testing/target_engine.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 import hashlib
 import sqlite3
+import time
 from typing import Any
 
 import orjson
@@ -85,8 +86,9 @@
         self._pauser = Session(holder="", abort=lambda: None)
         self._pause_end: asyncio.TimerHandle | None = None
 
-        # Notices of change.
-        self._session_numbers = 0
+        # Above all numbers of an earlier life: an order to end a connection
+        # of that life, tried until it is answered, must not end a new one.
+        self._session_numbers = time.time_ns() // 1000
 
     def changed(self) -> None:
         """Wake all that wait for a change of position, term or role."""
--- a/features/steps/target_steps.py
+++ b/features/steps/target_steps.py
@@ -346,6 +346,30 @@
     assert context.a1.rows() == [[1]]
 
 
+@when("a1 is started anew under a connection and given another one")
+def started_anew(context: Any) -> None:
+    connect = {"id": 0, "holder": "test"}
+    before = context.a1.open()
+    number = exchange(before, "POST", "/connect", connect)["connection"]
+    context.a1.kill()
+    context.a1.start()
+    context.conn = context.a1.open()
+    exchange(context.conn, "POST", "/connect", connect)
+    context.number = number
+
+
+@when("the connection of before is ordered to end")
+def order_end(context: Any) -> None:
+    body = {"connections": [context.number]}
+    assert context.a1.call("POST", "/terminate", body)["status"] == 200
+
+
+@then("the connection of the new life goes on")
+def goes_on_after(context: Any) -> None:
+    found = execute(context.conn, kind="read", sql="SELECT 1")
+    assert found["outcome"] == "ok", found
+
+
 @when("10 target connections ask a1 for 25 connections and 3 slots at once")
 def exceed(context: Any) -> None:
     context.a1.call("POST", "/settings", {"statement_ms": 30})
--- a/features/target_stand_in.feature
+++ b/features/target_stand_in.feature
@@ -54,6 +54,16 @@
     Then the target write is refused for its term and did not run
     And the connection is of use at the new term
 
+  Scenario: An order to end a connection never ends one of a later life
+    # A holder gave a connection up as silent and has the member end it, again
+    # and again until it is told so. The member restarts meanwhile: a
+    # connection of the new life is another holder's, and a statement on it
+    # would be cut for nothing.
+    Given target members a1, a2 and a3 with a1 as primary at term 1
+    When a1 is started anew under a connection and given another one
+    And the connection of before is ordered to end
+    Then the connection of the new life goes on
+
   Scenario: Limits are counted and refused
     # More statements than slots at once, and more connections than allowed:
     # the surplus is refused by the member and the peaks stay at the limits.
