--- a/bamboospring/testing/fault_proxy.py
+++ b/bamboospring/testing/fault_proxy.py
@@ -22,6 +22,7 @@
 from bamboospring.testing.http_server import Reply
 from bamboospring.testing.http_server import Request
 from bamboospring.testing.http_server import serve_http
+from bamboospring.testing.loop_watch import watch_loop
 
 __all__ = ["FaultProxy", "Link", "main"]
 
@@ -285,7 +286,7 @@
     proxy = FaultProxy()
     server = await serve_http(listen, proxy.handle)
     print(f"listening {listening_address(server)}", flush=True)
-    await server.serve_forever()
+    await asyncio.gather(server.serve_forever(), watch_loop())
 
 
 def main() -> None:
--- a/bamboospring/testing/platform.py
+++ b/bamboospring/testing/platform.py
@@ -23,6 +23,7 @@
 from bamboospring.testing.http_server import Reply
 from bamboospring.testing.http_server import Request
 from bamboospring.testing.http_server import serve_http
+from bamboospring.testing.loop_watch import watch_loop
 
 __all__ = ["ObjectStore", "Platform", "VmList", "main"]
 
@@ -353,7 +354,7 @@
     )
     server = await serve_http(options.listen, platform.handle)
     print(f"listening {listening_address(server)}", flush=True)
-    await server.serve_forever()
+    await asyncio.gather(server.serve_forever(), watch_loop())
 
 
 def main() -> None:
--- a/bamboospring/testing/target.py
+++ b/bamboospring/testing/target.py
@@ -13,6 +13,7 @@
 import asyncio
 from pathlib import Path
 
+from bamboospring.testing.loop_watch import watch_loop
 from bamboospring.testing.target_engine import Engine
 from bamboospring.testing.target_engine import Knobs
 from bamboospring.testing.target_replication import Replication
@@ -76,6 +77,7 @@
         tasks.create_task(server.serve_forever())
         tasks.create_task(replication.pull_for_ever())
         tasks.create_task(replication.apply_for_ever())
+        tasks.create_task(watch_loop())
 
 
 def main(argv: list[str] | None = None) -> None:
