Judge openings in the product, not in the adapter

Cause: how long an opening is held while a VM learns, and what it is told then, stood in platform/caller_lines.py: a decision, and one of users' promises, in the folder that is to decide nothing. Change: sessions/opening.py, a pure function of what is known, how long the process runs and how long the caller has waited; the adapter asks again when it is told to. No change of behaviour meant.

--- a/bamboospring/platform/caller_lines.py
+++ b/bamboospring/platform/caller_lines.py
@@ -17,8 +17,8 @@
 from bamboospring.reactor import Listener
 from bamboospring.reactor import Reactor
 from bamboospring.reactor import Stream
-from bamboospring.sessions.outside import Admit
-from bamboospring.sessions.outside import Hold
+from bamboospring.sessions.opening import Admit
+from bamboospring.sessions.opening import Hold
 from bamboospring.sessions.outside import MakeSession
 from bamboospring.sessions.ports import Acknowledged
 from bamboospring.sessions.ports import Begin
@@ -42,12 +42,6 @@
 
 # Seconds in which a connection must have named its database.
 OPENING_TIMEOUT = 10.0
-# A process that has just started knows what it needs within 0.2 s. Callers
-# that come before are held so long, in seconds, rather than sent away to find
-# the others starting as well; they wait 2 s for this answer.
-LONGEST_HOLD = 1.0
-HOLD_RECHECK = 0.01
-STARTING_RETRY_MS = 500
 
 STATES = {
     SessionState.IDLE: "I",
@@ -249,19 +243,15 @@
 
     def _open(self, rest: str, held_since: float | None = None) -> None:
         database, _, name = rest.partition(" ")
-        refusal = self._server.admit(database)
         reactor = self._server.reactor
+        since = reactor.now() if held_since is None else held_since
+        refusal = self._server.admit(database, reactor.now() - since)
         if isinstance(refusal, Hold):
-            since = reactor.now() if held_since is None else held_since
-            if reactor.now() - since < LONGEST_HOLD:
-                self._held = self._held or []
-                reactor.call_later(
-                    HOLD_RECHECK, lambda: self._open_again(rest, since)
-                )
-                return
-            refusal = Overloaded(
-                reason=Reason.STARTING, retry_after_ms=STARTING_RETRY_MS
+            self._held = self._held or []
+            reactor.call_later(
+                refusal.recheck, lambda: self._open_again(rest, since)
             )
+            return
         if refusal is not None:
             lines = _outcome_lines(refusal)
             self._stream.send(f"{lines[0]}\r\n".encode("latin-1", "replace"))
--- a/bamboospring/sessions/node.py
+++ b/bamboospring/sessions/node.py
@@ -19,7 +19,6 @@
 from bamboospring import logs
 from bamboospring.outcomes import NotRun
 from bamboospring.outcomes import Overloaded
-from bamboospring.outcomes import Reason
 from bamboospring.peers import Peers
 from bamboospring.platform_client import CallTiming
 from bamboospring.platform_client import PlatformClient
@@ -32,7 +31,8 @@
 from bamboospring.sessions.farewell import Farewell
 from bamboospring.sessions.leader import Leader
 from bamboospring.sessions.model import SessionBoard
-from bamboospring.sessions.outside import Hold
+from bamboospring.sessions.opening import Hold
+from bamboospring.sessions.opening import judge_opening
 from bamboospring.sessions.outside import Outside
 from bamboospring.sessions.ports import CallerChannel
 from bamboospring.sessions.ports import SessionLink
@@ -68,8 +68,6 @@
 )
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 METRICS_RECHECK = 0.05
-# So long after its start a process may still be learning, in seconds.
-STARTING = 3.0
 
 
 class SessionNode(Component):
@@ -267,18 +265,11 @@
                 return group.name
         return ""
 
-    def _admit(self, database: str) -> NotRun | Overloaded | Hold | None:
-        if self.board.catalog is None:
-            return Hold()
-        route = self.board.route(database)
-        if route is None:
-            return NotRun(reason=Reason.UNKNOWN_GROUP, message=database)
-        group = self.board.group(route.group)
-        if self.reactor.now() > self._started_at + STARTING:
-            return None
-        if group.leadership is None or not group.targets:
-            return Hold()
-        return None
+    def _admit(
+        self, database: str, held: float
+    ) -> NotRun | Overloaded | Hold | None:
+        running = self.reactor.now() - self._started_at
+        return judge_opening(self.board, database, running=running, held=held)
 
     def _make_session(
         self, database: str, caller: str, channel: CallerChannel
--- /dev/null
+++ b/bamboospring/sessions/opening.py
@@ -0,0 +1,62 @@
+"""Whether a caller may open a session now: yes, in a moment, or no."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from bamboospring.outcomes import NotRun
+from bamboospring.outcomes import Overloaded
+from bamboospring.outcomes import Reason
+from bamboospring.sessions.model import SessionBoard
+
+__all__ = ["Admit", "Hold", "judge_opening"]
+
+# A process that has just started knows what it needs within 0.2 s. Callers
+# that come before are held so long, in seconds, rather than sent away to find
+# the others starting as well; they wait 2 s for this answer.
+LONGEST_HOLD = 1.0
+# Seconds between two looks at a held opening; little against the 0.2 s.
+RECHECK = 0.01
+RETRY_MS = 500
+# Seconds after the start of a process in which a group without a record or
+# targets may only be one that is not known yet.
+STARTING = 3.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Hold:
+    """The session can't be opened yet; ask again after `recheck` seconds."""
+
+    recheck: float = RECHECK
+
+
+# Gets the database, and for how many seconds the opening has been held.
+Admit = Callable[[str, float], NotRun | Overloaded | Hold | None]
+
+
+def judge_opening(
+    board: SessionBoard, database: str, *, running: float, held: float
+) -> NotRun | Overloaded | Hold | None:
+    """Return why a session can't be opened now, or None.
+
+    `running` is for how many seconds this process has been up, `held` for how
+    many the caller has waited.
+    """
+    if board.catalog is None:
+        return _wait(held)
+    route = board.route(database)
+    if route is None:
+        return NotRun(reason=Reason.UNKNOWN_GROUP, message=database)
+    group = board.group(route.group)
+    if running > STARTING:
+        return None
+    if group.leadership is None or not group.targets:
+        return _wait(held)
+    return None
+
+
+def _wait(held: float) -> Hold | Overloaded:
+    if held < LONGEST_HOLD:
+        return Hold()
+    return Overloaded(reason=Reason.STARTING, retry_after_ms=RETRY_MS)
--- a/bamboospring/sessions/outside.py
+++ b/bamboospring/sessions/outside.py
@@ -10,26 +10,18 @@
 from bamboospring.blackboard import Target
 from bamboospring.object_store import Found
 from bamboospring.object_store import ObjectDialect
-from bamboospring.outcomes import NotRun
-from bamboospring.outcomes import Overloaded
 from bamboospring.reactor import Listener
 from bamboospring.reactor import Reactor
 from bamboospring.sessions.model import Catalog
 from bamboospring.sessions.model import TargetNews
+from bamboospring.sessions.opening import Admit
 from bamboospring.sessions.ports import CallerChannel
 from bamboospring.sessions.ports import PromotionOrders
 from bamboospring.sessions.session import Session
 from bamboospring.target_link import Dialer
 
-__all__ = ["Admit", "CallerListener", "Hold", "MakeSession", "Outside"]
+__all__ = ["CallerListener", "MakeSession", "Outside"]
 
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Hold:
-    """The session can't be opened yet, but will be in a moment."""
-
-
-Admit = Callable[[str], NotRun | Overloaded | Hold | None]
 MakeSession = Callable[[str, str, CallerChannel], Session]
 
 
--- a/features/session_decisions.feature
+++ b/features/session_decisions.feature
@@ -78,6 +78,15 @@
     When it files its entry
     Then the second try follows without a pause and replaces version 41
 
+  Scenario: An opening is held while the VM learns, and refused after a second
+    # The VM has just started and knows no configuration, or not yet the group.
+    # Callers wait for it a moment; one that has waited a second is told when
+    # to come back, since other VMs may know more by now.
+    Given a VM that has just started and knows nothing
+    Then an opening is held for 1.0 s and then told to come back
+    And one for a group without a record is held for the first 3.0 s only
+    And one for an unknown database is refused at once
+
   Scenario: Urgent statements go before all others
     # All reads have come to the primary. Instructions that need the primary
     # wait behind them though their route goes first.
--- a/features/steps/session_decisions_steps.py
+++ b/features/steps/session_decisions_steps.py
@@ -14,6 +14,9 @@
 from bamboospring.connections import Connections
 from bamboospring.connections import ConnectionTiming
 from bamboospring.object_store import Conflict
+from bamboospring.outcomes import NotRun
+from bamboospring.outcomes import Overloaded
+from bamboospring.outcomes import Reason
 from bamboospring.sessions.farewell import sessions_to_close
 from bamboospring.sessions.link_setup import link_merit
 from bamboospring.sessions.link_setup import orders_before
@@ -24,6 +27,8 @@
 from bamboospring.sessions.model import Route
 from bamboospring.sessions.model import SessionBoard
 from bamboospring.sessions.model import TargetNews
+from bamboospring.sessions.opening import Hold
+from bamboospring.sessions.opening import judge_opening
 from bamboospring.sessions.patience import change_patience
 from bamboospring.sessions.ports import Clear
 from bamboospring.sessions.target_choice import choose
@@ -418,3 +423,48 @@
     for _ in range(count):
         board.is_urgent(first)
     assert time.monotonic() - began < 1.0
+
+
+@given("a VM that has just started and knows nothing")
+def given_started(context):
+    context.board = SessionBoard(vm="v", availability_zone="z")
+
+
+@then("an opening is held for {longest:f} s and then told to come back")
+def then_held(context, longest):
+    def judge(held):
+        return judge_opening(context.board, "d", running=held, held=held)
+
+    assert isinstance(judge(longest - 0.01), Hold)
+    refusal = judge(longest)
+    assert isinstance(refusal, Overloaded), refusal
+    assert refusal.reason is Reason.STARTING
+    assert refusal.retry_after_ms > 0
+
+
+@then(
+    "one for a group without a record is held for the first {first:f} s only"
+)
+def then_first_only(context, first):
+    route = Route(
+        name="r",
+        database="d",
+        group="g",
+        freshness=Freshness.PRIMARY,
+        time_limit=1.0,
+        objective=0.2,
+    )
+    context.board.catalog = Catalog(version=1, routes={"d": route})
+
+    def judge(running):
+        return judge_opening(context.board, "d", running=running, held=0.0)
+
+    assert isinstance(judge(first), Hold)
+    assert judge(first + 0.01) is None
+
+
+@then("one for an unknown database is refused at once")
+def then_unknown(context):
+    refusal = judge_opening(context.board, "x", running=0.0, held=0.0)
+    assert isinstance(refusal, NotRun), refusal
+    assert refusal.reason is Reason.UNKNOWN_GROUP
--- a/features/steps/session_texts_steps.py
+++ b/features/steps/session_texts_steps.py
@@ -27,7 +27,7 @@
 from bamboospring.sessions.model import Freshness
 from bamboospring.sessions.model import Route
 from bamboospring.sessions.model import SessionBoard
-from bamboospring.sessions.outside import Hold
+from bamboospring.sessions.opening import judge_opening
 from bamboospring.sessions.ports import Acknowledged
 from bamboospring.sessions.ports import Served
 from bamboospring.sessions.session import Session
@@ -255,11 +255,12 @@
     root = Component()
     reactor = Reactor().register(root)
     board = SessionBoard(vm="v", availability_zone="z")
-    board.catalog = catalog(ROUTE)
     began = time.monotonic()
 
-    def admit(database):
-        return Hold() if time.monotonic() - began < seconds else None
+    def admit(database, held):
+        ready = time.monotonic() - began >= seconds
+        board.catalog = catalog(ROUTE) if ready else None
+        return judge_opening(board, database, running=10.0, held=held)
 
     def make(database, caller, channel):
         return Session(
