Tell callers to go before a stopping VM closes their sessions

Cause: a VM that stops closed sessions at rest while statements were on their way to them, and closed each one that was answered. Callers came back to the same VM, which the platform still named to them, set their values, and were closed after the first answer. Ruled out: the platform's notice (the VM says not ready at once), the grace time (stops ended after 2.5 s of 6 before and after). Change: `Session.leave` sends the beginning of an answer; a statement that arrives after it gets the end, and the connection is closed then, or after 0.5 s. `choose_leavers` is a pure choice: longest at rest first.

--- a/bamboospring/platform/caller_lines.py
+++ b/bamboospring/platform/caller_lines.py
@@ -203,6 +203,16 @@
             self._paused = False
             self._stream.resume()
 
+    def dismiss(self, refusal: NotRun) -> None:
+        """Send the beginning of an answer before anything was asked."""
+        lines = _outcome_lines(refusal)
+        self._stream.send(f"{lines[0]}\r\n".encode("latin-1", "replace"))
+
+    def conclude(self, state: SessionState) -> None:
+        """Send the end of the answer that `dismiss` began."""
+        line = f"READY {STATES[state]} {position_text(None)}\r\n"
+        self._stream.send(line.encode("latin-1", "replace"))
+
     def close(self) -> None:
         """Close once all answers have been sent."""
         self._stream.close()
--- a/bamboospring/sessions/farewell.py
+++ b/bamboospring/sessions/farewell.py
@@ -3,13 +3,14 @@
 The process says at once that it is not ready, so that the platform sends new
 connections elsewhere; that takes it two looks. Sessions at rest are closed a
 few at a time: their callers reconnect elsewhere, and all at once would be a
-herd. Sessions in a transaction have half of the time to end it. Whoever is
-answered last is closed with that answer.
+herd. Those at work are left to it until the platform has had time to notice,
+and sessions in a transaction have half of the time to end it.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Iterable
 from typing import Any
 
 from circuits import BaseComponent
@@ -24,13 +25,23 @@
 from bamboospring.reactor import Reactor
 from bamboospring.sessions.model import SessionBoard
 from bamboospring.sessions.outside import CallerListener
+from bamboospring.sessions.session import Session
 
-__all__ = ["Farewell", "plan_farewell", "sessions_to_close"]
+__all__ = [
+    "Farewell",
+    "choose_leavers",
+    "plan_farewell",
+    "sessions_to_close",
+]
 
 CHECK_INTERVAL = 0.05
 # The parts of the grace time: the platform has noticed, sessions at rest are
 # closed, open transactions are ended, the process has gone.
 NOTICED = 0.42
+# A session that was opened or answered less than so many seconds ago is at
+# work: its next statement is likely on its way. It is spared until the last
+# call, after which whatever rests is told to go.
+AT_WORK = 0.3
 RESTING_CLOSED = 0.40
 TRANSACTIONS_END = 0.5
 GONE = 0.88
@@ -59,6 +70,24 @@
     return -(-resting * interval // left).__int__()
 
 
+def choose_leavers(
+    sessions: Iterable[Session], *, elapsed: float, grace: float, now: float
+) -> list[Session]:
+    """Return the sessions to tell to go now, those at rest longest first.
+
+    Those at work are spared until the last call. Told between two statements
+    they would come back to this VM, which the platform still names to them,
+    set their values anew, and be told again: in a zone with one VM left that
+    was one in ten operations refused while it stopped.
+    """
+    resting = [s for s in sessions if s.at_rest and not s.dismissed]
+    resting.sort(key=lambda session: session.used_at)
+    count = sessions_to_close(len(resting), elapsed, grace, CHECK_INTERVAL)
+    last_call = elapsed >= grace * RESTING_CLOSED
+    spared = 0.0 if last_call else AT_WORK
+    return [s for s in resting[:count] if now - s.used_at >= spared]
+
+
 class Farewell(BaseComponent):
     """Ends the process on SIGTERM, at once on a second one."""
 
@@ -89,8 +118,6 @@
         self._plan = plan_farewell(self._reactor.now(), self._grace)
         self._board.draining = True
         logs.log_event("stopping", sessions=len(self._callers.sessions()))
-        for session in self._callers.sessions():
-            session.leaving = True
         self._check()
 
     @handler("signal", channel="*")
@@ -124,11 +151,13 @@
         self._reactor.call_later(CHECK_INTERVAL, self._check)
 
     def _close_some(self, elapsed: float) -> None:
-        resting = [s for s in self._callers.sessions() if s.at_rest]
-        count = sessions_to_close(
-            len(resting), elapsed, self._grace, CHECK_INTERVAL
+        chosen = choose_leavers(
+            self._callers.sessions(),
+            elapsed=elapsed,
+            grace=self._grace,
+            now=self._reactor.now(),
         )
-        for session in resting[:count]:
+        for session in chosen:
             session.leave()
 
     def _end_transactions(self) -> None:
--- a/bamboospring/sessions/node.py
+++ b/bamboospring/sessions/node.py
@@ -281,7 +281,6 @@
             board=self.board,
             worker=self.runner,
             channel=channel,
-            leaving=self.board.draining,
         )
 
     def _say_ready(
--- a/bamboospring/sessions/ports.py
+++ b/bamboospring/sessions/ports.py
@@ -192,6 +192,12 @@
     def answer(self, answer: SessionAnswer) -> None:
         """Send the answer to the statement under way."""
 
+    def dismiss(self, refusal: NotRun) -> None:
+        """Send the beginning of an answer before anything was asked."""
+
+    def conclude(self, state: SessionState) -> None:
+        """Send the end of the answer that `dismiss` began."""
+
     def close(self) -> None:
         """Close once all answers have been sent."""
 
--- a/bamboospring/sessions/session.py
+++ b/bamboospring/sessions/session.py
@@ -45,6 +45,9 @@
 # Statements that a caller may have sent ahead; the connection is not read on
 # beyond them.
 MAX_PENDING = 64
+# Seconds after which a caller that was told to go is closed all the same. It
+# goes when it hears so, which takes a way there and one back.
+DISMISSAL_WAIT = 0.5
 MAX_NAMES = 1024
 
 
@@ -136,11 +139,15 @@
     written: Position = Position()
     busy: bool = False
     ended: bool = False
-    leaving: bool = False
+    dismissed: bool = False
+    used_at: float = field(init=False)
     transaction: Transaction | None = None
     _pending: deque[_Pending] = field(default_factory=deque)
     _idle_timer: Timer | None = None
 
+    def __post_init__(self) -> None:
+        self.used_at = self.reactor.now()
+
     @property
     def is_full(self) -> bool:
         """Tell whether the caller has sent too much ahead."""
@@ -157,6 +164,10 @@
 
     def submit(self, id: str, statement: Statement) -> None:
         """Take a statement; it is handled after those before it."""
+        if self.dismissed:
+            self.channel.conclude(self.state)
+            self.channel.close()
+            return
         self._pending.append(
             _Pending(
                 id=id, statement=statement, received_at=self.reactor.now()
@@ -177,10 +188,18 @@
             self._drop_transaction()
 
     def leave(self) -> None:
-        """Close as soon as nothing is under way and nothing is open."""
-        self.leaving = True
-        if self.at_rest and not self.ended:
-            self.channel.close()
+        """Have the caller go once nothing is under way and nothing is open.
+
+        It is sent a refusal that it did not ask for, and closes. A statement
+        that is on its way meanwhile takes this for its answer and is not run.
+        Were the connection closed on it, its caller could not tell whether
+        it ran, and a write would not be sent again.
+        """
+        if not self.at_rest or self.ended or self.dismissed:
+            return
+        self.dismissed = True
+        self.channel.dismiss(NotRun(reason=Reason.DRAINING))
+        self.reactor.call_later(DISMISSAL_WAIT, self.channel.close)
 
     def abandon_transaction(self, reason: Reason) -> None:
         """Roll back an open transaction on which nothing is under way.
@@ -377,6 +396,7 @@
         self, outcome: SessionOutcome, position: Position | None = None
     ) -> None:
         self.busy = False
+        self.used_at = self.reactor.now()
         if self.ended:
             self._drop_transaction()
             return
@@ -385,8 +405,6 @@
         )
         if self.transaction is not None and not self._pending:
             self._start_timer()
-        if self.leaving:
-            self.leave()
         # A later turn: a long row of statements must not nest its calls.
         if self._pending:
             self.reactor.call_later(0, self._resume)
--- a/features/session_decisions.feature
+++ b/features/session_decisions.feature
@@ -119,6 +119,13 @@
     And a statement of 10.1 with 1 s is refused at once, to come back after 1.2 s
     And a statement of 11.7 with 1 s does not wait when overdue
 
+  Scenario: A stopping VM leaves sessions at work to their work
+    # The platform takes a while to notice, so callers that are sent away come
+    # back here. Those that rest go first, the longest at rest before others.
+    Given sessions that were used 5.0, 1.0 and 0.1 s ago
+    Then a VM that has stopped for 2.3 of 6 s tells the first two to go
+    And after 2.5 s it tells all three
+
   Scenario: Sessions at rest are closed a few at a time
     Then 40 sessions at rest are closed evenly over the first 2.4 s of 6 s
 
--- a/features/session_texts.feature
+++ b/features/session_texts.feature
@@ -62,6 +62,23 @@
     When it is sent READ a, SET x 1 and READ b at once
     Then the answers are served, acknowledged and served
 
+  Scenario: A caller is told to go before its connection is closed
+    # The VM stops. A write is on its way to a session at rest: were the
+    # connection closed on it, the caller could not know whether it ran, and
+    # would not send it again. It takes the refusal for its answer instead.
+    Given a session
+    When it is told to leave
+    Then the caller has a refusal and its connection
+    When a write that was on its way comes
+    Then that answer is concluded, the write has not run, and it is closed
+
+  Scenario: A caller that sends nothing after it was told to go is closed
+    # It closes by itself when it reads the refusal, unless it does not read.
+    Given a session
+    When it is told to leave
+    And 0.5 s pass
+    Then the connection is closed and nothing has run
+
   Scenario: A caller who leaves gives everything back
     Given a session
     When it is asked to BEGIN
--- a/features/steps/session_decisions_steps.py
+++ b/features/steps/session_decisions_steps.py
@@ -17,6 +17,7 @@
 from bamboospring.outcomes import NotRun
 from bamboospring.outcomes import Overloaded
 from bamboospring.outcomes import Reason
+from bamboospring.sessions.farewell import choose_leavers
 from bamboospring.sessions.farewell import sessions_to_close
 from bamboospring.sessions.link_setup import link_merit
 from bamboospring.sessions.link_setup import orders_before
@@ -468,3 +469,38 @@
     refusal = judge_opening(context.board, "x", running=0.0, held=0.0)
     assert isinstance(refusal, NotRun), refusal
     assert refusal.reason is Reason.UNKNOWN_GROUP
+
+
+@dataclasses.dataclass(kw_only=True)
+class Resting:
+    """What the choice looks at in a session."""
+
+    used_at: float
+    at_rest: bool = True
+    dismissed: bool = False
+
+
+@given("sessions that were used {a:f}, {b:f} and {c:f} s ago")
+def given_used(context, a, b, c):
+    # In no order, as they are found.
+    context.resting = [Resting(used_at=100.0 - ago) for ago in (c, a, b)]
+
+
+@then(
+    "a VM that has stopped for {elapsed:f} of {grace:d} s tells the first "
+    "two to go"
+)
+def then_first_two(context, elapsed, grace):
+    found = leavers(context, elapsed, grace)
+    assert [s.used_at for s in found] == [95.0, 99.0], found
+
+
+@then("after {elapsed:f} s it tells all three")
+def then_all_three(context, elapsed):
+    assert len(leavers(context, elapsed, 6)) == 3
+
+
+def leavers(context, elapsed, grace):
+    return choose_leavers(
+        context.resting, elapsed=elapsed, grace=float(grace), now=100.0
+    )
--- a/features/steps/session_texts_steps.py
+++ b/features/steps/session_texts_steps.py
@@ -113,6 +113,12 @@
     def answer(self, answer):
         self.answers.append(answer)
 
+    def dismiss(self, refusal):
+        self.answers.append(refusal)
+
+    def conclude(self, state):
+        self.answers.append(state)
+
     def close(self):
         self.closed = True
 
@@ -163,6 +169,39 @@
     context.board.catalog = catalog()
 
 
+@when("it is told to leave")
+def when_told(context):
+    context.session.leave()
+    context.session.leave()
+
+
+@then("the caller has a refusal and its connection")
+def then_refused(context):
+    (refusal,) = context.channel.answers
+    assert word_of(refusal) == "not_run draining", refusal
+    assert not context.channel.closed
+
+
+@when("a write that was on its way comes")
+def when_crossing(context):
+    context.session.submit("id", read_statement("WRITE a 1"))
+    context.reactor.move(0)
+
+
+@then("that answer is concluded, the write has not run, and it is closed")
+def then_concluded(context):
+    _, state = context.channel.answers
+    assert state.value == "idle", state
+    assert not context.worker.asked
+    assert context.channel.closed
+
+
+@then("the connection is closed and nothing has run")
+def then_closed(context):
+    assert context.channel.closed
+    assert len(context.channel.answers) == 1 and not context.worker.asked
+
+
 @when("the caller leaves")
 def when_leaves(context):
     context.session.end()
