--- a/features/steps/operators_steps.py
+++ b/features/steps/operators_steps.py
@@ -363,22 +363,37 @@
 
 @then("the entry and one holder log it under the same correlation id")
 def step_followed(context: Any) -> None:
-    line = next(
-        each
-        for each in _log(context, context.entry).splitlines()
-        if " event=answered " in each and " kind=write " in each
+    # The answer does not wait for the line: it may come a moment later.
+    line = wait_until(
+        lambda: _answered_line(context), seconds=5, what="the entry's line"
     )
     trace = re.search(r" trace=(\S+) ", line)
     assert trace is not None, line
-    # A holder that ran nothing logs it too, and the entry goes to the next.
-    done = [
+    done = wait_until(
+        lambda: _ran_at(context, trace[1]), seconds=5, what="a holder's line"
+    )
+    assert len(done) == 1, (line, done)
+
+
+def _answered_line(context: Any) -> str:
+    for each in _log(context, context.entry).splitlines():
+        if " event=answered " in each and " kind=write " in each:
+            return each
+    return ""
+
+
+def _ran_at(context: Any, trace: str) -> list[str]:
+    """Return the holders that ran it.
+
+    One that ran nothing logs it too, and the entry goes to the next.
+    """
+    return [
         name
         for name in context.fleet.holders(GROUP)
         for each in _log(context, name).splitlines()
-        if f" event=ran vm={name} trace={trace[1]} group={GROUP} " in each
+        if f" event=ran vm={name} trace={trace} group={GROUP} " in each
         and " outcome=done " in each
     ]
-    assert len(done) == 1, (line, done)
 
 
 # TLS.
