Print all lines of a change when it came too late

Cause: the step that failed once (another primary after 9.2 s for 8 s) printed the last 3,000 characters of each VM, which were statements; the change itself could not be traced. Change: it prints all events but statements and targets, in order of time. Ruled out: nothing yet.

--- a/features/steps/session_estate_steps.py
+++ b/features/steps/session_estate_steps.py
@@ -265,15 +265,22 @@
 def then_another(context, group, seconds):
     context.stage.play()
     after = context.stage.promoted_after.get(group)
-    assert after is not None and after <= seconds, (
-        after,
-        *(
-            context.stage.fleet.log(vm)[-3000:]
-            for vm in context.stage.fleet.vms
-        ),
+    assert after is not None and after <= seconds, "\n".join(
+        [f"after {after} s", *change_lines(context.stage.fleet)]
     )
 
 
+def change_lines(fleet):
+    """Return what VMs logged of anything but statements, in order of time."""
+    lines = [
+        line
+        for vm in fleet.vms
+        for line in fleet.log(vm).splitlines()
+        if " event=answered " not in line and " event=target" not in line
+    ]
+    return sorted(lines)
+
+
 @then("writes were served in {group} at the end")
 def then_writes(context, group):
     assert context.stage.late_writes > 0, context.stage.outcomes
