Count what the soak serves at its end from the end of the last fault

Seed 200 again: 566 (nothing wrong) and 48. The VMs' logs of that run count some 460 answered statements a second until the last one, so callers were served; the soak began to count only when the last fault had ended, and that was a fraction of a second before its end. Ruled out by these logs: a change that does not end (it ended 4 s before), callers who hang, the new way in which a stopping VM sends callers away. Change: callers work on until a settling time after the last fault; the last two seconds are always two seconds. Seed 200 is kept as an example. Conclusion: the check is stricter; a full window is asked of each run.

--- a/bamboospring/testing/session_callers.py
+++ b/bamboospring/testing/session_callers.py
@@ -68,10 +68,13 @@
         self._judge = judge
         self._random = random.Random(f"{seed}/caller/{number}")
         self._pause = pause
+        # May be put off while it works.
+        self.until = 0.0
 
     async def run(self, until: float) -> None:
         """Work until a monotonic time."""
-        while time.monotonic() < until:
+        self.until = until
+        while time.monotonic() < self.until:
             route = self._random.choice(self._routes)
             session = _Session(
                 number=next(_numbers),
@@ -83,16 +86,16 @@
             )
             try:
                 await session.open(self._random.choice(self._addresses()))
-                await self._work(session, until)
+                await self._work(session)
             except (OSError, Gone, asyncio.IncompleteReadError, TimeoutError):
                 self.outcomes["cut"] += 1
                 await asyncio.sleep(0.05)
             finally:
                 session.close()
 
-    async def _work(self, session: _Session, until: float) -> None:
+    async def _work(self, session: _Session) -> None:
         for _ in range(self._random.choice((1, 5, 40))):
-            if time.monotonic() >= until:
+            if time.monotonic() >= self.until:
                 return
             await session.operation()
             await asyncio.sleep(self._random.uniform(0, 2 * self._pause))
--- a/bamboospring/testing/session_soak.py
+++ b/bamboospring/testing/session_soak.py
@@ -33,6 +33,10 @@
 FAULT_SECONDS = (0.3, 4.0)
 PAUSE_SECONDS = (0.2, 1.2)
 SETTLE_SECONDS = 8.0
+# What is served in these last seconds is counted.
+COUNTED_SECONDS = 2.0
+# Far above what any fault lasts; callers work until they are told otherwise.
+LONGEST_FAULT = 60.0
 MOST_AT_ONCE = 3
 
 
@@ -289,10 +293,13 @@
         ]
         faults.began = time.monotonic()
         until = faults.began + seconds
-        end = until + SETTLE_SECONDS
-        work = [asyncio.create_task(w.run(end)) for w in workers]
+        latest = until + LONGEST_FAULT
+        work = [asyncio.create_task(w.run(latest)) for w in workers]
         await _inject(faults, until)
-        await asyncio.sleep(max(0.0, end - 2.0 - time.monotonic()))
+        # Counted from the end of the last fault, which may be seconds later.
+        for worker in workers:
+            worker.until = time.monotonic() + SETTLE_SECONDS
+        await asyncio.sleep(SETTLE_SECONDS - COUNTED_SECONDS)
         before = sum(len(w.latencies) for w in workers)
         await asyncio.gather(*work)
         served = sum(len(w.latencies) for w in workers) - before
--- a/features/session_soak.feature
+++ b/features/session_soak.feature
@@ -12,3 +12,9 @@
       | seed | seconds |
       | 1    | 12      |
       | 23   | 12      |
+
+    Examples: Seeds that once failed
+      # A fault that outlasts the schedule left a fraction of a second in which
+      # what is served at the end was counted.
+      | seed | seconds |
+      | 200  | 14      |
