--- a/bamboospring/drain.py
+++ b/bamboospring/drain.py
@@ -16,8 +16,8 @@
 import signal
 from typing import Any
 
-from circuits import BaseComponent
-from circuits import handler
+from bamboospring.components import BaseComponent
+from bamboospring.components import handler
 
 from bamboospring.blackboard import Blackboard
 from bamboospring.events import drain_started
--- a/bamboospring/entry.py
+++ b/bamboospring/entry.py
@@ -10,7 +10,7 @@
 import itertools
 from typing import Any
 
-from circuits import BaseComponent
+from bamboospring.components import BaseComponent
 import orjson
 from pydantic import ValidationError
 
--- a/bamboospring/entry_facts.py
+++ b/bamboospring/entry_facts.py
@@ -13,8 +13,8 @@
 import random
 from typing import Any
 
-from circuits import BaseComponent
-from circuits import handler
+from bamboospring.components import BaseComponent
+from bamboospring.components import handler
 import orjson
 
 from bamboospring.blackboard import Blackboard
--- a/bamboospring/events.py
+++ b/bamboospring/events.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from circuits import Event
+from bamboospring.components import Event
 
 __all__ = [
     "drain_started",
--- a/bamboospring/fact_store.py
+++ b/bamboospring/fact_store.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable
 from typing import Any
 
-from circuits import Event
+from bamboospring.components import Event
 
 from bamboospring.blackboard import Blackboard
 from bamboospring.blackboard import GroupRecord
--- a/bamboospring/facts.py
+++ b/bamboospring/facts.py
@@ -11,8 +11,8 @@
 import random
 from typing import Any
 
-from circuits import BaseComponent
-from circuits import handler
+from bamboospring.components import BaseComponent
+from bamboospring.components import handler
 
 from bamboospring.blackboard import Blackboard
 from bamboospring.blackboard import GroupRecord
--- a/bamboospring/holder.py
+++ b/bamboospring/holder.py
@@ -10,8 +10,8 @@
 from collections.abc import Callable
 import secrets
 
-from circuits import BaseComponent
-from circuits import handler
+from bamboospring.components import BaseComponent
+from bamboospring.components import handler
 
 from bamboospring.blackboard import Blackboard
 from bamboospring.confirm import Confirmer
--- a/bamboospring/load.py
+++ b/bamboospring/load.py
@@ -28,9 +28,9 @@
 import random
 from typing import Any
 
-from circuits import BaseComponent
-from circuits import Component
-from circuits import handler
+from bamboospring.components import BaseComponent
+from bamboospring.components import Component
+from bamboospring.components import handler
 from hdrh.histogram import HdrHistogram
 import orjson
 
--- a/bamboospring/platform/outside.py
+++ b/bamboospring/platform/outside.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from functools import partial
+import socket
+
 from bamboospring.blackboard import Target
 from bamboospring.platform.caller_lines import CallerServer
 from bamboospring.platform.entries import CATALOG_KIND
@@ -22,8 +25,8 @@
 READINESS_PATH = "/api/readiness"
 
 
-def make_outside() -> Outside:
-    """Return the adapters."""
+def make_outside(listening: socket.socket | None = None) -> Outside:
+    """Return the adapters; `listening` takes callers' connections already."""
     return Outside(
         dialect=StoreDialect(),
         catalog_kind=CATALOG_KIND,
@@ -34,7 +37,7 @@
         read_target=read_target,
         make_dialer=_make_dialer,
         make_orders=_make_orders,
-        make_listener=_make_listener,
+        make_listener=partial(_make_listener, listening),
     )
 
 
@@ -47,11 +50,16 @@
 
 
 def _make_listener(
-    reactor: Reactor, address: str, admit: Admit, make_session: MakeSession
+    listening: socket.socket | None,
+    reactor: Reactor,
+    address: str,
+    admit: Admit,
+    make_session: MakeSession,
 ) -> CallerServer:
     return CallerServer(
         reactor=reactor,
         address=address,
         admit=admit,
         make_session=make_session,
+        listening=listening,
     )
--- a/bamboospring/process.py
+++ b/bamboospring/process.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable
 from typing import Any
 
-from circuits import Component
-from circuits import handler
+from bamboospring.components import Component
+from bamboospring.components import handler
 
 from bamboospring.blackboard import Blackboard
 from bamboospring.blackboard import Vm
@@ -27,6 +27,7 @@
 from bamboospring.rendezvous import Placement
 from bamboospring.retry_budget import RetryBudget
 from bamboospring.rotation import Rotation
+from bamboospring.settings import load
 from bamboospring.settings import Settings
 from bamboospring.settings import Tls
 from bamboospring.status_view import StatusView
@@ -51,7 +52,7 @@
         super().__init__()
         self.cfg = cfg
         self.reactor = Reactor().register(self)
-        self.rotation = Rotation(reactor=self.reactor, path=path)
+        self.rotation = Rotation(reactor=self.reactor, path=path, load=load)
         self.rotation.add(self._take_settings)
         self.board = Blackboard(
             me=Vm(
--- a/bamboospring/rotation.py
+++ b/bamboospring/rotation.py
@@ -10,14 +10,16 @@
 from pathlib import Path
 import signal
 from typing import Any
+from typing import TYPE_CHECKING
 
 from bamboospring.errors import SettingsError
 from bamboospring import logs
 from bamboospring.reactor import Reactor
-from bamboospring import settings
-from bamboospring.settings import Settings
-from bamboospring.settings import Tls
-from bamboospring.tls import Keys
+
+if TYPE_CHECKING:
+    from bamboospring.settings import Settings
+    from bamboospring.settings_base import Tls
+    from bamboospring.tls import Keys
 
 __all__ = ["Rotation"]
 
@@ -35,7 +37,7 @@
         *,
         reactor: Reactor,
         path: str,
-        load: Callable[[str], Any] = settings.load,
+        load: Callable[[str], Any],
     ) -> None:
         self._reactor = reactor
         self._path = path
--- a/bamboospring/sessions/farewell.py
+++ b/bamboospring/sessions/farewell.py
@@ -13,8 +13,8 @@
 from collections.abc import Iterable
 from typing import Any
 
-from circuits import BaseComponent
-from circuits import handler
+from bamboospring.components import BaseComponent
+from bamboospring.components import handler
 
 from bamboospring.drain import DrainPlan
 from bamboospring.drain import judge_phase
--- a/bamboospring/sessions/node.py
+++ b/bamboospring/sessions/node.py
@@ -8,7 +8,7 @@
 import secrets
 import threading
 
-from circuits import Component
+from bamboospring.components import Component
 
 from bamboospring.blackboard import Target
 from bamboospring.connections import ConnectionTiming
--- a/bamboospring/sessions/settings.py
+++ b/bamboospring/sessions/settings.py
@@ -6,13 +6,13 @@
 
 from pydantic import Field
 
-from bamboospring.settings import Address
-from bamboospring.settings import Lease
-from bamboospring.settings import load_as
-from bamboospring.settings import Logs
-from bamboospring.settings import milliseconds
-from bamboospring.settings import percent
-from bamboospring.settings import Section
+from bamboospring.settings_base import Address
+from bamboospring.settings_base import Lease
+from bamboospring.settings_base import load_as
+from bamboospring.settings_base import Logs
+from bamboospring.settings_base import milliseconds
+from bamboospring.settings_base import percent
+from bamboospring.settings_base import Section
 
 __all__ = ["SessionSettings", "SessionTiming", "load"]
 
--- /dev/null
+++ b/bamboospring/settings_base.py
@@ -0,0 +1,197 @@
+"""What all settings files share: fields with units, checks and reading.
+
+A section is a validated model; `load_as` reads a file of JSON with comments
+by the model given. The sections here are those that more than one program
+has.
+"""
+
+from __future__ import annotations
+
+import ipaddress
+from pathlib import Path
+from typing import Annotated
+from typing import Any
+from typing import Literal
+from typing import TypeVar
+
+from pydantic import AfterValidator
+from pydantic import BaseModel
+from pydantic import ConfigDict
+from pydantic import Field
+from pydantic import model_validator
+from pydantic import ValidationError
+
+from bamboospring.errors import SettingsError
+from bamboospring.errors import SourceError
+from bamboospring.plain_json import parse_plain
+
+__all__ = [
+    "Address",
+    "Lease",
+    "Logs",
+    "Secret",
+    "Section",
+    "Tls",
+    "load_as",
+    "milliseconds",
+    "parse_as",
+    "percent",
+    "split_address",
+]
+
+SHORTEST_SECRET = 16
+
+
+def split_address(text: str) -> tuple[str, int]:
+    """Return the IP number and port of `"127.0.0.1:80"` or `"[::1]:80"`.
+
+    Raise `ValueError` with a plain text if it is neither.
+    """
+    host, colon, port = text.rpartition(":")
+    if not colon:
+        raise ValueError(f"{text!r} is not of the form ip:port")
+    try:
+        ip = ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        raise ValueError(f"{host!r} is not an IP number") from None
+    if not (port.isascii() and port.isdigit() and int(port) < 65536):
+        raise ValueError(f"{port!r} is not a port from 0 to 65535")
+    return str(ip), int(port)
+
+
+def _checked_address(text: str) -> str:
+    split_address(text)
+    return text
+
+
+def milliseconds(default: int, low: int, high: int, description: str) -> Any:
+    """Return the field of a duration; its key ends in `_ms`."""
+    return Field(
+        default=default,
+        ge=low,
+        le=high,
+        description=description,
+        json_schema_extra={"unit": "milliseconds"},
+    )
+
+
+def percent(default: float, low: float, high: float, description: str) -> Any:
+    """Return the field of a share; its key ends in `_percent`."""
+    return Field(
+        default=default,
+        ge=low,
+        le=high,
+        description=description,
+        json_schema_extra={"unit": "percent"},
+    )
+
+
+Address = Annotated[str, AfterValidator(_checked_address)]
+Secret = Annotated[str, Field(min_length=SHORTEST_SECRET, repr=False)]
+
+
+class Section(BaseModel):
+    """A part of the settings: unknown keys and wrong types are faults."""
+
+    model_config = ConfigDict(
+        extra="forbid", strict=True, frozen=True, str_strip_whitespace=False
+    )
+
+
+SectionT = TypeVar("SectionT", bound=Section)
+
+
+class Tls(Section):
+    """Files with keys for TLS, in PEM form.
+
+    They are read again on SIGHUP: connections that exist go on, new ones use
+    the new key.
+    """
+
+    certificate: str = Field(
+        min_length=1, description="Path of the certificate chain to show."
+    )
+    private_key: str = Field(
+        min_length=1,
+        description="Path of the private key; it has no password.",
+    )
+    authority: str = Field(
+        default="",
+        description="Path of the certificates that the other side's must be "
+        "signed by. Empty: the other side shows none. Required for peers.",
+    )
+
+
+class Lease(Section):
+    """The leases under which changes of primary are led."""
+
+    duration_ms: int = milliseconds(
+        3_000, 100, 600_000, "Life of a lease without renewal."
+    )
+    renew_ms: int = milliseconds(1_000, 10, 600_000, "Interval of renewals.")
+    margin_ms: int = milliseconds(
+        500,
+        10,
+        600_000,
+        "Time before the end of a lease at which its holder stops acting.",
+    )
+
+    @model_validator(mode="after")
+    def _pairs(self) -> "Lease":
+        if self.renew_ms + self.margin_ms >= self.duration_ms:
+            raise ValueError(
+                f"renew_ms ({self.renew_ms}) and margin_ms "
+                f"({self.margin_ms}) together must be less than duration_ms "
+                f"({self.duration_ms}), or the lease lapses before it is "
+                "renewed"
+            )
+        return self
+
+
+class Logs(Section):
+    """What is logged to standard error."""
+
+    level: Literal["debug", "info", "warning", "error"] = Field(
+        default="info",
+        description="Lowest level that is written. Read again on SIGHUP.",
+    )
+
+
+def load_as(model: type[SectionT], path: str | Path) -> SectionT:
+    """Return a file's settings by a model; `SettingsError` if unusable."""
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as exc:
+        raise SettingsError(f"cannot be read: {exc}", name=str(path)) from exc
+    return parse_as(model, text, name=str(path))
+
+
+def parse_as(model: type[SectionT], text: str, *, name: str) -> SectionT:
+    """Return a text's settings by a model; raise `SettingsError` if not."""
+    quickly = _parse_quickly(model, text)
+    if quickly is not None:
+        return quickly
+    # Loaded only for a file with a fault or with rarer grammar: a VM that
+    # starts keeps its callers waiting 40 ms longer for the parser otherwise.
+    from bamboospring import json_source
+    from bamboospring.settings_faults import first_fault
+
+    try:
+        data = json_source.parse(text, name=name)
+    except SourceError as exc:
+        raise SettingsError(
+            exc.message, name=name, line=exc.line, column=exc.column
+        ) from exc
+    try:
+        return model.model_validate(data)
+    except ValidationError as exc:
+        raise first_fault(exc, data, name=name, model=model) from exc
+
+
+def _parse_quickly(model: type[SectionT], text: str) -> SectionT | None:
+    """Return the settings in a plain text without a fault, else None."""
+    try:
+        return model.model_validate(parse_plain(text))
+    except ValueError:
+        # Also a fault found by the model: the full parser says what and where.
+        return None
--- a/bamboospring/share_keeper.py
+++ b/bamboospring/share_keeper.py
@@ -10,8 +10,8 @@
 from collections.abc import Iterable
 from typing import Any
 
-from circuits import BaseComponent
-from circuits import handler
+from bamboospring.components import BaseComponent
+from bamboospring.components import handler
 from xxhash import xxh64_intdigest
 
 from bamboospring.blackboard import Blackboard
--- a/bamboospring/steward.py
+++ b/bamboospring/steward.py
@@ -12,8 +12,8 @@
 import random
 from typing import Any
 
-from circuits import BaseComponent
-from circuits import handler
+from bamboospring.components import BaseComponent
+from bamboospring.components import handler
 
 from bamboospring.blackboard import Blackboard
 from bamboospring.blackboard import Group
--- a/bamboospring/tls.py
+++ b/bamboospring/tls.py
@@ -19,7 +19,7 @@
 from bamboospring.reactor import split_address
 from bamboospring.reactor import Stream
 from bamboospring.reactor import Timer
-from bamboospring.settings import Tls
+from bamboospring.settings_base import Tls
 
 __all__ = ["Keys", "secured"]
 
--- a/bamboospring/watcher.py
+++ b/bamboospring/watcher.py
@@ -15,8 +15,8 @@
 from http import HTTPStatus
 from typing import Any
 
-from circuits import BaseComponent
-from circuits import handler
+from bamboospring.components import BaseComponent
+from bamboospring.components import handler
 
 from bamboospring.blackboard import Blackboard
 from bamboospring.blackboard import Group
--- a/features/session_texts.feature
+++ b/features/session_texts.feature
@@ -127,3 +127,54 @@
     When 500 good and 500 bad events of a name are logged in one second
     Then 5 good and 100 bad lines are written
     And the next second's first line says how many were left out
+
+  Scenario: A VM that starts loads nothing that it needs only later or never
+    # All VMs have lost power. Callers connect, and nobody answers until the
+    # first VM has loaded its program: what is loaded for a fault in the
+    # settings, for the other outside or for a scan of the machine's packages
+    # makes every one of them wait longer.
+    Then the program of such a VM is loaded without any of these
+      | module                      |
+      | pkg_resources               |
+      | json5                       |
+      | typer                       |
+      | opentelemetry               |
+      | bamboospring.settings       |
+      | bamboospring.json_source    |
+      | bamboospring.http_dialer    |
+
+  Scenario: Settings are read the same quickly and with the full grammar
+    # What differs would be a fault that nobody is told of.
+    Then each of these texts gives what the full grammar gives
+      | text                                    |
+      | {"level": "info"}                       |
+      | // a comment\n{"level": "debug"}        |
+      | {"level": /* within */ "debug"}         |
+      | {"level": "info", "level": "debug"}     |
+      | {"level": "info",}                      |
+      | {"level": "// no comment"}              |
+      | {"level": NaN}                          |
+      | {"level":\n// between\n"info"}          |
+      | {level: "info"}                         |
+
+  Scenario: Callers who connect while a VM loads are served by it
+    # All VMs have lost power and are back. A caller connects to one that has
+    # not loaded its program yet, asks at once, and waits in the queue of the
+    # listener. Refused there it would have used up all its tries in 100 ms.
+    Given a settings file whose callers connect at a free port
+    When a VM listens early by it
+    And a caller connects and opens the database "d"
+    And the program is loaded and takes the listener over
+    Then the caller's session is open within 2 s
+
+  Scenario: A VM that can't listen early starts as if it had not tried
+    # Its settings have a fault, or another process has the address. What is
+    # wrong is said by the program that reads the settings in full.
+    Then nothing listens early by each of these settings
+      | text                            |
+      | {"callers": "127.0.0.1:0"       |
+      | {"callers": 7}                  |
+      | {"callers": "nowhere"}          |
+      | {"callers": "127.0.0.1:99999"}  |
+      | {"peers": "127.0.0.1:0"}        |
+      | []                              |
