--- a/bamboospring/connections.py
+++ b/bamboospring/connections.py
@@ -46,7 +46,8 @@
     connection that went silent counts as open at a target that does not
     confirm its end, `scarce` how long a target that was full counts as such.
     A connection that was not used for `idle` is closed, at a target that was
-    full lately after `idle_scarce`: others wait for it.
+    full lately after `idle_scarce`: others wait for it. Of those that rest
+    all but a few are closed after `idle_spare` already.
     """
 
     pace: float = 0.02
@@ -56,6 +57,7 @@
     scarce: float = 5.0
     idle: float = float("inf")
     idle_scarce: float = float("inf")
+    idle_spare: float = float("inf")
 
 
 @dataclass(slots=True, kw_only=True)
@@ -72,6 +74,8 @@
     _full_until: float = NEVER
     # How long connections may rest; None: as the timing says.
     idle_limit: float | None = None
+    # How many of them may rest for so long; those used last.
+    idle_kept: int = 1
 
     @property
     def total(self) -> int:
@@ -190,13 +194,18 @@
         limit = timing.idle if self.idle_limit is None else self.idle_limit
         if self.is_scarce(now):
             limit = min(limit, timing.idle_scarce)
-        oldest = now - limit
-        out = [conn for conn in self._idle if conn.used_at < oldest]
-        if out:
-            self._idle = [
-                conn for conn in self._idle if conn.used_at >= oldest
-            ]
-            self.open -= len(out)
+        by_use = sorted(self._idle, key=lambda conn: conn.used_at)
+        spare = max(0, len(by_use) - self.idle_kept)
+        limits = [min(limit, timing.idle_spare)] * spare
+        limits += [limit] * (len(by_use) - spare)
+        out = [
+            conn
+            for conn, longest in zip(by_use, limits)
+            if conn.used_at < now - longest
+        ]
+        for conn in out:
+            self._idle.remove(conn)
+        self.open -= len(out)
         return out
 
     def suspect_idle(self) -> None:
--- a/bamboospring/lease.py
+++ b/bamboospring/lease.py
@@ -218,6 +218,18 @@
         self._unsure[action.value.nonce] = sent_at
         self._take(now, SeenLease(version=version, value=action.value))
 
+    def noticed(self, now: float, seen: SeenLease) -> None:
+        """Take in a newer version that was seen by the way.
+
+        A lease that is noticed late is waited out late: without this a holder
+        that dies right after a renewal is followed up to a whole interval of
+        looks later.
+        """
+        if self._busy or self._unsure or self._is_mine():
+            return
+        if seen.version > self._seen.version:
+            self._take(now, seen)
+
     def conflicted(self, sent_at: float, now: float, seen: SeenLease) -> None:
         """Take in that the object was at another version.
 
--- a/bamboospring/sessions/duty.py
+++ b/bamboospring/sessions/duty.py
@@ -134,9 +134,6 @@
 
         What marks one renewal from the next matters only to the holder.
         """
-        if not self._awaiting_read:
-            return
-        self._awaiting_read = False
         value = LeaseValue(
             vm=self.holder(),
             nonce="",
@@ -144,7 +141,15 @@
             address=self.holder_address(),
         )
         seen = SeenLease(version=version, value=value)
-        self._keeper.read(asked_at, self._reactor.now(), seen)
+        self._take_seen(seen, asked_at)
+
+    def _take_seen(self, seen: SeenLease, asked_at: float) -> None:
+        now = self._reactor.now()
+        if not self._awaiting_read:
+            self._keeper.noticed(now, seen)
+            return
+        self._awaiting_read = False
+        self._keeper.read(asked_at, now, seen)
 
     def step(self) -> None:
         """Make the call that is due, if any."""
@@ -189,10 +194,9 @@
         )
 
     def _lease_seen(self, found: Found, asked_at: float) -> None:
-        if found.name == LEASE_NAME and self._awaiting_read:
-            self._awaiting_read = False
+        if found.name == LEASE_NAME:
             seen = read_lease(found.version, found.value)
-            self._keeper.read(asked_at, self._reactor.now(), seen)
+            self._take_seen(seen, asked_at)
 
     def _records_read(self, asked_at: float) -> None:
         """Note that the records were read and there was no lease in them."""
--- a/bamboospring/sessions/judgement.py
+++ b/bamboospring/sessions/judgement.py
@@ -14,8 +14,9 @@
 __all__ = ["PrimarySight", "first_record", "judge"]
 
 # A primary that has answered nothing for so many seconds, though it was
-# asked, has failed. Its queue is worked off in less under twice the load.
-SILENT_AFTER = 1.0
+# asked, has failed. A busy one answers somebody meanwhile, and one that lives
+# is found alive by the survey that a change begins with.
+SILENT_AFTER = 0.7
 # A machine that refuses connections has no such process; it counts after two
 # looks, so many seconds apart, because a restart takes less than a change.
 REFUSED_AFTER = 0.25
@@ -29,11 +30,14 @@
     """What the leading process has seen of a primary.
 
     `asked_at` is when the oldest question without an answer was sent,
-    `refused_at` when its machine first refused, `missing_at` when its entry
-    was first found missing; None where there is nothing of the kind.
+    `unanswered_since` when the first statement or question was sent since a
+    word of it came, also before this process led; `refused_at` when its
+    machine first refused, `missing_at` when its entry was first found
+    missing. None where there is nothing of the kind.
     """
 
     asked_at: float | None = None
+    unanswered_since: float | None = None
     refused_at: float | None = None
     missing_at: float | None = None
     lost_role: bool = False
@@ -57,6 +61,8 @@
         return Cause.FAILED
     if _longer(sight.asked_at, SILENT_AFTER, now):
         return Cause.FAILED
+    if _longer(sight.unanswered_since, SILENT_AFTER, now):
+        return Cause.FAILED
     if _longer(sight.missing_at, GONE_AFTER, now):
         return Cause.GONE
     news = group.targets.get(record.primary)
--- a/bamboospring/sessions/leader.py
+++ b/bamboospring/sessions/leader.py
@@ -38,6 +38,9 @@
 LOOK_INTERVAL = 0.35
 LOOK_TIMEOUT = 0.8
 ROLE_INTERVAL = 2.0
+# A primary that has left statements without a word for so many seconds is
+# asked how it is: a refused port shows at once that it has failed.
+LOOK_AFTER = 0.15
 STORE_TIMEOUT = 1.0
 # Seconds between two looks at the list of VMs.
 TIDY_INTERVAL = 10.0
@@ -149,7 +152,8 @@
         if record.primary not in group.targets and sight.missing_at is None:
             # Gone before this process began to look.
             sight.missing_at = -1e9
-        if self._should_look(group, record, now):
+        self._take_unanswered(group, record, sight)
+        if self._should_look(group, record, sight, now):
             self._looked_at[group.name] = now
             self._look(group, record, sight, now)
         cause = judge(group, sight, now)
@@ -157,8 +161,24 @@
             return
         self._changes.begin(group, record, cause, now)
 
+    def _take_unanswered(
+        self, group: GroupView, record: Leadership, sight: PrimarySight
+    ) -> None:
+        """Take what statements have shown: a word of it, or none for long."""
+        heard_at = group.view(record.primary).heard_at
+        if sight.asked_at is not None and heard_at > sight.asked_at:
+            sight.heard()
+        news = group.targets.get(record.primary)
+        sight.unanswered_since = (
+            self._questions.unanswered_since(news.target) if news else None
+        )
+
     def _should_look(
-        self, group: GroupView, record: Leadership, now: float
+        self,
+        group: GroupView,
+        record: Leadership,
+        sight: PrimarySight,
+        now: float,
     ) -> bool:
         """Tell whether to ask a primary how it is.
 
@@ -167,6 +187,9 @@
         But only a question shows that it has lost its role.
         """
         looked = now - self._looked_at.get(group.name, -1e9)
+        since = sight.unanswered_since
+        if since is not None and now - since >= LOOK_AFTER:
+            return looked >= LOOK_INTERVAL
         sample = group.samples.newest()
         age = now - sample.asked_at if sample is not None else LOOK_INTERVAL
         heard = now - group.view(record.primary).heard_at
--- a/bamboospring/sessions/node.py
+++ b/bamboospring/sessions/node.py
@@ -65,7 +65,16 @@
     heartbeat_timeout=0.5,
     idle=1.5,
     idle_scarce=0.3,
+    idle_spare=0.1,
 )
+# A target from which nothing was heard for so many seconds, though something
+# was asked of it, gets no more to wait for. A full queue of 16 statements of
+# 22 ms for two slots is worked off in half of this.
+SILENCE = 0.35
+# The head start of each better candidate for a free lease, in seconds. Two
+# that try at once cost one refused call; a long row of head starts costs
+# every group the time in which nobody leads.
+LEASE_STAGGER = 0.04
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 METRICS_RECHECK = 0.05
 
@@ -103,6 +112,7 @@
             queue_limit=cfg.limits.queue_length,
             timing=PoolTiming(
                 connect_timeout=cfg.timing.connect_timeout_ms / 1000,
+                silence=SILENCE,
                 connections=LINK_TIMING,
             ),
         )
@@ -195,6 +205,7 @@
                 duration=self.cfg.lease.duration_ms / 1000,
                 renew=self.cfg.lease.renew_ms / 1000,
                 margin=self.cfg.lease.margin_ms / 1000,
+                stagger=LEASE_STAGGER,
             ),
         )
 
--- a/bamboospring/sessions/questions.py
+++ b/bamboospring/sessions/questions.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from bamboospring.blackboard import Target
 from bamboospring.outcomes import NotRun
 from bamboospring.outcomes import Overloaded
 from bamboospring.pool import Leased
@@ -47,6 +48,10 @@
         self._reactor = reactor
         self._pools = pools
 
+    def unanswered_since(self, target: Target) -> float | None:
+        """Return since when this VM has asked a target without a word."""
+        return self._pools.pool(target).silence.unanswered_since
+
     def ask(
         self,
         group: GroupView,
--- a/bamboospring/sessions/settings.py
+++ b/bamboospring/sessions/settings.py
@@ -87,7 +87,7 @@
     )
     lease: Lease = Field(
         default_factory=lambda: Lease(
-            duration_ms=2_000, renew_ms=600, margin_ms=300
+            duration_ms=1_600, renew_ms=400, margin_ms=250
         ),
         description="The lease under which changes of primary are led.",
     )
--- a/bamboospring/sessions/target_keeper.py
+++ b/bamboospring/sessions/target_keeper.py
@@ -42,6 +42,10 @@
 IDLE_FOR_EACH = 0.4
 SHORTEST_IDLE = 0.25
 LONGEST_IDLE = 1.5
+# Of a VM's fair part of the connections this part may rest for as long, one
+# at least. A target counts those of VMs that have lost power for seconds: were
+# all places taken by what rests, VMs that come back would find none.
+KEPT_PART = 0.5
 
 
 def idle_time(fair: float) -> float:
@@ -212,4 +216,4 @@
         pool = self._pools.pool(news.target)
         if pool.share != share:
             pool.set_share(share)
-        pool.set_idle(idle_time(fair))
+        pool.set_idle(idle_time(fair), kept=max(1, int(fair * KEPT_PART)))
