--- a/bamboospring/admission.py
+++ b/bamboospring/admission.py
@@ -166,13 +166,6 @@
         self._queue.remove(ticket)
         self._leave(ticket)
 
-    def take_waiting(self) -> list[Ticket]:
-        """Take back all tickets that wait, first those that came first."""
-        taken = list(self._queue)
-        for ticket in taken:
-            self.cancel(ticket)
-        return taken
-
     def wait_estimate(self, ahead: int) -> float:
         """Return the seconds until a slot is free behind `ahead` others."""
         if self.slots <= 0:
--- a/bamboospring/pool.py
+++ b/bamboospring/pool.py
@@ -18,7 +18,6 @@
 from collections import deque
 from dataclasses import dataclass
 from dataclasses import field
-import math
 import random
 from typing import Generic
 
@@ -38,7 +37,6 @@
 from bamboospring.reactor import Reactor
 from bamboospring.reactor import Timer
 from bamboospring.shares import Units
-from bamboospring.silence import Silence
 from bamboospring.target_link import Dialer
 from bamboospring.target_link import Health
 from bamboospring.target_link import LinkT
@@ -58,22 +56,14 @@
 
 CONNECT_TIMEOUT = 1.0
 RETRY_SOON_MS = 100
-# Seconds between two looks for silence at least, so that the looks of a
-# pool that waits for long cost nothing to speak of.
-LISTEN_LEAST = 0.02
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PoolTiming:
-    """Times of all pools, in seconds.
-
-    `silence` is the shortest time without a word of a target after which what
-    waits for it is refused; infinity: never.
-    """
+    """Times of all pools, in seconds."""
 
     tick: float = 0.25
     connect_timeout: float = CONNECT_TIMEOUT
-    silence: float = float("inf")
     connections: ConnectionTiming = field(default_factory=ConnectionTiming)
 
 
@@ -156,7 +146,9 @@
         self.target = target
         self.counters = PoolCounters()
         self.breaker = Breaker()
-        self.silence = Silence(least=timing.silence)
+        # When the first opening or statement began since a word of the target
+        # came, also if it has been given up by now; None if none has.
+        self.unanswered_since: float | None = None
         # The last opening was refused at once: no process listens there.
         self.port_closed = False
         self._reactor = reactor
@@ -173,7 +165,6 @@
         self._leased: set[Leased[LinkT]] = set()
         self._pinned: set[Leased[LinkT]] = set()
         self._opener: Timer | None = None
-        self._listener: Timer | None = None
         self._silent: set[int] = set()
 
     @property
@@ -249,8 +240,6 @@
         self._free_slot(leased, now)
         if healthy:
             self._heard(now)
-        else:
-            self.silence.gave_up(asking=self._is_asking())
         if leased.gate is not None:
             seconds = now - leased.leased_at
             self._gate.finished(leased.gate, seconds)
@@ -338,8 +327,6 @@
         closed = not self.breaker.may_try(now)
         if closed and self._connections.total == 0:
             return self._unreachable(now)
-        if self._is_silent(now) and self._connections.idle == 0:
-            return self._unreachable(now)
         return None
 
     def _unreachable(self, now: float) -> NotRun:
@@ -394,7 +381,6 @@
                 asking.timer = self._reactor.call_later(
                     max(0.0, left), lambda: self._needed_too_long(asking)
                 )
-                self._listen()
 
     def _withdraw(self, asking: _Asking[LinkT]) -> None:
         """Forget an asking whose caller has gone, wherever it waits."""
@@ -418,7 +404,6 @@
 
         left = asking.deadline - self._reactor.now()
         asking.timer = self._reactor.call_later(max(0.0, left), late)
-        self._listen()
 
     def _stop_timer(self, asking: _Asking[LinkT]) -> None:
         if asking.timer is not None:
@@ -484,7 +469,7 @@
             leased.gate = asking.gate
         leased.leased_at = self._reactor.now()
         self._leased.add(leased)
-        self.silence.asked(leased.leased_at)
+        self._asked(leased.leased_at)
         asking.on_ready(leased)
 
     def _open_or_wait(self, now: float) -> None:
@@ -497,7 +482,7 @@
                 self._opener = self._reactor.call_later(wait, self._open_due)
         elif self.breaker.may_open(now):
             self._connections.opening_one(now, draw=self._chance())
-            self.silence.asked(now)
+            self._asked(now)
             self._open()
             self._open_or_wait(now)
         elif self._connections.opening == 0:
@@ -555,7 +540,6 @@
         now = self._reactor.now()
         self.counters.failed += 1
         self._connections.open_failed()
-        self.silence.gave_up(asking=self._is_asking())
         self.breaker.failed(now, draw=self._chance())
         if self._connections.opening == 0:
             self._fail_needing(now)
@@ -572,57 +556,17 @@
         for asking in needing:
             asking.on_ready(self._unreachable(now))
 
-    # Silence.
+    # Words of the target.
 
-    def _is_asking(self) -> bool:
-        """Tell whether an answer of the target is waited for."""
-        if self._connections.opening > 0:
-            return True
-        return any(leased.slot is not None for leased in self._leased)
+    def _asked(self, now: float) -> None:
+        if self.unanswered_since is None:
+            self.unanswered_since = now
 
     def _heard(self, now: float) -> None:
-        self.silence.heard(now, asking=self._is_asking())
-
-    def _is_silent(self, now: float) -> bool:
-        return self.silence.holds(now, self._slots.estimate)
-
-    def _listen(self) -> None:
-        """Look, while statements wait, whether the target is silent."""
-        due = self.silence.due_at(self._slots.estimate)
-        if self._listener is not None or due is None or math.isinf(due):
-            return
-        wait = max(LISTEN_LEAST, due - self._reactor.now())
-        self._listener = self._reactor.call_later(wait, self._listened)
-
-    def _listened(self) -> None:
-        self._listener = None
-        now = self._reactor.now()
-        if self._is_silent(now):
-            self._refuse_waiting(now)
-        if self._needing or self.waiting:
-            self._listen()
-
-    def _refuse_waiting(self, now: float) -> None:
-        """Refuse all that waits for a target that has fallen silent.
-
-        Their callers have time left to try at another VM, and reads at
-        another target. What was sent already goes on waiting: only its
-        answer tells what became of it.
-        """
-        needing, self._needing = list(self._needing), deque()
-        for asking in needing:
-            self._stop_timer(asking)
-            self._give_slot_back(asking)
-        waiting = [t.item for t in self._slots.take_waiting()]
-        for asking in waiting:
-            self._stop_timer(asking)
-            self._give_gate_back(asking)
-        gated = [t.item for t in self._gate.take_waiting()]
-        for asking in gated:
-            self._stop_timer(asking)
-        for asking in (*needing, *waiting, *gated):
-            self.counters.refused += 1
-            asking.on_ready(self._unreachable(now))
+        asking = self._connections.opening > 0 or any(
+            leased.slot is not None for leased in self._leased
+        )
+        self.unanswered_since = now if asking else None
 
     # Heartbeats.
 
--- a/bamboospring/sessions/node.py
+++ b/bamboospring/sessions/node.py
@@ -67,10 +67,6 @@
     idle_scarce=0.3,
     idle_spare=0.1,
 )
-# A target from which nothing was heard for so many seconds, though something
-# was asked of it, gets no more to wait for. A full queue of 16 statements of
-# 22 ms for two slots is worked off in half of this.
-SILENCE = 0.35
 # The head start of each better candidate for a free lease, in seconds. Two
 # that try at once cost one refused call; a long row of head starts costs
 # every group the time in which nobody leads.
@@ -112,7 +108,6 @@
             queue_limit=cfg.limits.queue_length,
             timing=PoolTiming(
                 connect_timeout=cfg.timing.connect_timeout_ms / 1000,
-                silence=SILENCE,
                 connections=LINK_TIMING,
             ),
         )
--- a/bamboospring/sessions/questions.py
+++ b/bamboospring/sessions/questions.py
@@ -50,7 +50,7 @@
 
     def unanswered_since(self, target: Target) -> float | None:
         """Return since when this VM has asked a target without a word."""
-        return self._pools.pool(target).silence.unanswered_since
+        return self._pools.pool(target).unanswered_since
 
     def ask(
         self,
--- /dev/null
+++ b/features/steps/unanswered_steps.py
@@ -0,0 +1,260 @@
+"""Steps for targets without a word: a pool under a clock of its own."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+import heapq
+import itertools
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+
+from bamboospring.blackboard import Target
+from bamboospring.connections import Connections
+from bamboospring.connections import ConnectionTiming
+from bamboospring.lease import LeaseKeeper
+from bamboospring.lease import LeaseTiming
+from bamboospring.lease import LeaseValue
+from bamboospring.lease import ReadLease
+from bamboospring.lease import SeenLease
+from bamboospring.lease import WriteLease
+from bamboospring.pool import Leased
+from bamboospring.pool import Pool
+from bamboospring.pool import PoolTiming
+from bamboospring.sessions.judgement import judge
+from bamboospring.sessions.judgement import PrimarySight
+from bamboospring.sessions.model import GroupView
+from bamboospring.sessions.model import Leadership
+from bamboospring.sessions.takeover import Cause
+from bamboospring.shares import Units
+from bamboospring.target_link import Health
+from bamboospring.target_link import Opened
+from bamboospring.target_link import OpenFailed
+
+CONNECT_TIMEOUT = 0.5
+SLOTS = 2
+
+
+class FakeTimer:
+    """A timer of the simulated clock."""
+
+    def __init__(self, act: Callable[[], None]) -> None:
+        self.act: Callable[[], None] | None = act
+
+    def cancel(self) -> None:
+        self.act = None
+
+
+class FakeClock:
+    """What a pool needs of the reactor, with time that is only counted."""
+
+    def __init__(self) -> None:
+        self.time = 0.0
+        self._order = itertools.count()
+        self._due: list[tuple[float, int, FakeTimer]] = []
+
+    def now(self) -> float:
+        return self.time
+
+    def call_later(self, wait: float, act: Callable[[], None]) -> FakeTimer:
+        timer = FakeTimer(act)
+        heapq.heappush(self._due, (self.time + wait, next(self._order), timer))
+        return timer
+
+    def run_until(self, end: float) -> None:
+        while self._due and self._due[0][0] <= end:
+            self.time, _number, timer = heapq.heappop(self._due)
+            act, timer.act = timer.act, None
+            if act is not None:
+                act()
+        self.time = end
+
+
+class FakeLink:
+    """A connection that stands until it is closed."""
+
+    usable = True
+
+    def close(self) -> None:
+        self.usable = False
+
+
+class FakeDialer:
+    """Opens connections, or lets openings hang while `answers` is false."""
+
+    def __init__(self, clock: FakeClock, *, answers: bool) -> None:
+        self.clock = clock
+        self.answers = answers
+
+    def open(self, timeout: float, on_done: Callable[[Any], None]) -> None:
+        if self.answers:
+            opened = Opened(link=FakeLink())
+            self.clock.call_later(0.005, lambda: on_done(opened))
+        else:
+            self.clock.call_later(timeout, lambda: on_done(OpenFailed()))
+
+    def check(
+        self,
+        link: FakeLink,
+        timeout: float,
+        on_done: Callable[[Health], None],
+    ) -> None:
+        self.clock.call_later(0.001, lambda: on_done(Health.ALIVE))
+
+    def end(self, number: int) -> None:
+        pass
+
+
+class World:
+    """A pool, its target and what became of each statement."""
+
+    def __init__(self, *, answers: bool) -> None:
+        self.clock = FakeClock()
+        self.dialer = FakeDialer(self.clock, answers=answers)
+        self.work = 0.02
+        self.ended: dict[int, str] = {}
+        self.numbers = itertools.count()
+        self.pool: Pool[Any] = Pool(
+            reactor=self.clock,  # type: ignore[arg-type]
+            target=Target(
+                name="t", address="h:1", availability_zone="z", site="z"
+            ),
+            make_dialer=lambda target, on_ended: self.dialer,
+            queue_limit=64,
+            timing=PoolTiming(
+                connect_timeout=CONNECT_TIMEOUT,
+                connections=ConnectionTiming(pace=0.005),
+            ),
+            chance=lambda: 0.5,
+        )
+        self.pool.set_share(Units(slots=SLOTS, connections=SLOTS))
+
+    def ask(self, seconds: float) -> int:
+        number = next(self.numbers)
+        asked_at = self.clock.now()
+
+        def ready(result: Any) -> None:
+            if isinstance(result, Leased):
+                self.clock.call_later(self.work, lambda: served(result))
+                return
+            self.ended[number] = "refused"
+
+        def served(leased: Leased[Any]) -> None:
+            self.pool.release(leased, healthy=True)
+            self.ended[number] = "served"
+
+        self.pool.acquire(
+            f"caller {number}", asked_at + seconds, ready, writes=False
+        )
+        return number
+
+
+@dataclass(kw_only=True, eq=False)
+class Resting:
+    """A connection at rest since `used_at`."""
+
+    used_at: float
+    heard_at: float = 0.0
+
+
+@given("a pool whose target {manner}")
+def given_pool(context: Any, manner: str) -> None:
+    context.world = World(answers=manner == "answers")
+
+
+@when(
+    "a statement with {left:g} s is asked for every {step:g} s until {end:g}"
+)
+def when_asked(context: Any, left: float, step: float, end: float) -> None:
+    world = context.world
+    for n in range(round(end / step) + 1):
+        world.clock.run_until(n * step)
+        world.ask(left)
+
+
+@when("the target falls silent at {at:g} and a statement is asked for")
+def when_silent(context: Any, at: float) -> None:
+    world = context.world
+    world.clock.run_until(at)
+    world.work = 60.0
+    world.ask(0.8)
+
+
+@then("at {at:g} it counts as without a word since {since:g}")
+def then_since(context: Any, at: float, since: float) -> None:
+    world = context.world
+    world.clock.run_until(at)
+    found = world.pool.unanswered_since
+    assert found is not None and abs(found - since) < 1e-6, found
+
+
+@then("at {at:g} it does not count as without a word")
+def then_heard(context: Any, at: float) -> None:
+    context.world.clock.run_until(at)
+    assert context.world.pool.unanswered_since is None
+
+
+@then("a process that takes the lead at {at:g} replaces its primary at once")
+def then_replaced(context: Any, at: float) -> None:
+    since = context.world.pool.unanswered_since
+    group = GroupView(name="g")
+    group.leadership = Leadership(group="g", version=1, term=1, primary="t")
+    sight = PrimarySight(unanswered_since=since)
+    assert judge(group, sight, at) is Cause.FAILED
+    assert judge(group, PrimarySight(), at) is None
+
+
+@given("five connections at rest of which {kept:d} may rest for {idle:g} s")
+def given_resting(context: Any, kept: int, idle: float) -> None:
+    timing = ConnectionTiming(idle_spare=0.1)
+    context.connections = Connections[Resting](timing=timing, limit=8)
+    context.connections.idle_limit = idle
+    context.connections.idle_kept = kept
+    for used_at in (0.00, 0.04, 0.02, 0.01, 0.03):
+        context.connections.opening_one(used_at, draw=0.5)
+        context.connections.opened(Resting(used_at=used_at))
+
+
+@then("at {at:g} those used at {times} are closed")
+def then_closed(context: Any, at: float, times: str) -> None:
+    expected = [float(each) for each in times.split(", ")]
+    closed = context.connections.expired(at)
+    assert sorted(conn.used_at for conn in closed) == expected, closed
+    assert context.connections.open == context.connections.idle
+
+
+@given("a VM that saw the lease at version 4 of another one at {at:g}")
+def given_lease(context: Any, at: float) -> None:
+    timing = LeaseTiming(duration=1.6, renew=0.4, margin=0.25, stagger=0.04)
+    context.keeper = LeaseKeeper(
+        bucket=0, vm="me", nonce="n", timing=timing, address=""
+    )
+    context.keeper.step(at, 0)
+    context.keeper.read(at, at, _held(4))
+
+
+@when("it notices version {version:d} by the way at {at:g}")
+def when_noticed(context: Any, version: int, at: float) -> None:
+    context.keeper.noticed(at, _held(version))
+
+
+@then("it takes the lease at {at:g} and not before")
+def then_takes(context: Any, at: float) -> None:
+    keeper = context.keeper
+    now, action = 0.0, None
+    while not isinstance(action, WriteLease):
+        now = round(now + 0.01, 2)
+        action = keeper.step(now, 0)
+        if isinstance(action, ReadLease):
+            # The store does not answer.
+            keeper.unanswered(now, now, action)
+    # It looks at the store every 0.2 s while that does not answer.
+    assert at - 0.01 <= now <= at + 0.2, now
+
+
+def _held(version: int) -> SeenLease:
+    value = LeaseValue(vm="other", nonce=f"o/{version}", duration=1.6)
+    return SeenLease(version=version, value=value)
--- /dev/null
+++ b/features/unanswered.feature
@@ -0,0 +1,43 @@
+Feature: A lost leader and a lost primary are followed soon
+
+  Scenario: What statements have shown of a primary is not lost with the leader
+    # A primary falls silent, and so does the VM that leads. Writes are refused
+    # until another VM leads, has noticed for itself that the primary says
+    # nothing, and has replaced it. Its own statements had shown that before.
+    Given a pool whose target answers
+    When a statement with 0.8 s is asked for every 0.05 s until 1.0
+    And the target falls silent at 1.1 and a statement is asked for
+    Then at 1.9 it counts as without a word since 1.1
+    And a process that takes the lead at 1.9 replaces its primary at once
+
+  Scenario: A target that answers is never without a word for long
+    Given a pool whose target answers
+    When a statement with 0.8 s is asked for every 0.05 s until 1.0
+    Then at 1.5 it does not count as without a word
+
+  Scenario: Openings that were given up still count
+    # Connections hang and are given up after half a second each, so that none
+    # is ever under way for long.
+    Given a pool whose target hangs
+    When a statement with 0.8 s is asked for every 0.05 s until 1.0
+    Then at 1.2 it counts as without a word since 0
+
+  Scenario: A renewal seen by the way is not waited out from the next look on
+    # The VM that leads renews its lease, passes the version on with other
+    # facts and dies. The store is slow, so that nobody reads the lease itself.
+    Given a VM that saw the lease at version 4 of another one at 0.2
+    When it notices version 5 by the way at 0.3
+    Then it takes the lease at 1.9 and not before
+
+  Scenario: An older renewal seen by the way changes nothing
+    Given a VM that saw the lease at version 4 of another one at 0.2
+    When it notices version 3 by the way at 0.9
+    Then it takes the lease at 1.8 and not before
+
+  Scenario: Connections beyond a few rest only shortly
+    # All VMs lose power, and targets count their connections for seconds more.
+    # VMs that come back find no place and their callers wait for nothing, if
+    # what rested had taken all places.
+    Given five connections at rest of which 2 may rest for 0.8 s
+    Then at 0.125 those used at 0.0, 0.01, 0.02 are closed
+    And at 0.835 those used at 0.03 are closed
