--- a/bamboospring/explain.py
+++ b/bamboospring/explain.py
@@ -37,6 +37,7 @@
         "release_unanswered",
         "promotion_ordered",
         "change_ended",
+        "change_finished",
         "target_told",
         "target",
         "target_gone",
@@ -49,6 +50,7 @@
         "release_unanswered",
         "promotion_ordered",
         "change_ended",
+        "change_finished",
     }
 )
 VM_EVENTS = frozenset(
@@ -219,6 +221,9 @@
         return f"served in {took} ms, {waited} of them before it was sent"
     reason = fields.get("reason", "")
     text = _CAUSES.get(reason, reason)
+    waited_for = fields.get("waited_for", "")
+    if waited_for:
+        text += f" while it waited for {waited_for}"
     targets = fields.get("targets") or "no target"
     proof = fields.get("proof_age_ms", "-1")
     age = "" if proof == "-1" else f"; the proof was {proof} ms old"
--- a/bamboospring/sessions/run.py
+++ b/bamboospring/sessions/run.py
@@ -74,6 +74,7 @@
         self._tries = 0
         self._live: set[Attempt] = set()
         self._refusal: SessionOutcome | None = None
+        self._no_target = ""
         self._timer: Timer | None = None
         self._hedge: Timer | None = None
         self.deadline = job.received_at + job.route.time_limit
@@ -96,10 +97,18 @@
         """Give up what has not been sent: nobody waits for the answer."""
         if any(each.sent for each in self._live):
             return
+        self.story.waited_for = self._waits_for()
         for each in list(self._live):
             each.withdraw()
         self._finish(NotRun(reason=Reason.CALLER_GONE), None)
 
+    def _waits_for(self) -> str:
+        """Return in words what the statement waits for, for the log."""
+        names = ", ".join(sorted(each.target for each in self._live))
+        if names:
+            return f"a connection to {names}"
+        return f"a target ({self._no_target})" if self._no_target else ""
+
     def next_try(self) -> None:
         """Choose a target and try it, or wait, or give up."""
         if self.over:
@@ -119,6 +128,7 @@
                 self._live.add(attempt)
                 attempt.start()
             case NoTarget(reason=reason):
+                self._no_target = reason.value
                 self._wait_or_refuse(reason, now)
 
     def _needs(self) -> Needs:
--- a/bamboospring/sessions/story.py
+++ b/bamboospring/sessions/story.py
@@ -28,7 +28,10 @@
 
 @dataclass(slots=True, kw_only=True)
 class Story:
-    """One statement's way: where it was sent, on what knowledge."""
+    """One statement's way: where it was sent, on what knowledge.
+
+    `waited_for` is what it still waited for when its caller left.
+    """
 
     session: Session
     job: Job
@@ -38,6 +41,7 @@
     proof_age: float | None = None
     hedged: bool = False
     sent_at: float = 0.0
+    waited_for: str = ""
 
     def sent(
         self, target: str, *, after: Position | None, proof_age: float | None
@@ -87,6 +91,7 @@
             waited_ms=_ms(waited),
             took_ms=_ms(took),
             hedged=story.hedged,
+            waited_for=story.waited_for,
         )
 
 
--- a/features/session_texts.feature
+++ b/features/session_texts.feature
@@ -178,3 +178,18 @@
       | {"callers": "127.0.0.1:99999"}  |
       | {"peers": "127.0.0.1:0"}        |
       | []                              |
+
+  Scenario: What callers lost is counted from the logs of all VMs
+    # Before anybody asks for one request: how many failed, of which kind, why,
+    # and when. A statement whose caller had left is told by what it waited for.
+    Given these lines of two VMs
+      | line |
+      | time=2026-01-31T09:30:00.100Z level=info event=answered vm=a group=g kind=read transaction=false outcome=served reason="" |
+      | time=2026-01-31T09:30:01.100Z level=warning event=answered vm=a group=g kind=write transaction=false outcome=not_run reason=no_primary |
+      | time=2026-01-31T09:30:02.100Z level=warning event=answered vm=b group=g kind=write transaction=false outcome=not_run reason=no_primary |
+      | time=2026-01-31T09:30:03.100Z level=warning event=answered vm=b group=g kind=read transaction=true outcome=not_run reason=caller_gone waited_for="a connection to t1" |
+    Then "bamboospring losses" prints, with exit code 0
+      | line |
+      | 2 g write: not_run, no_primary (2026-01-31T09:30:01 to 2026-01-31T09:30:02) |
+      | 1 g read in transaction: not_run, caller_gone, waited for a connection to t1 (2026-01-31T09:30:03 to 2026-01-31T09:30:03) |
+    And from 2026-01-31T09:30:04 on it prints "No statement failed." with exit code 1
