--- a/bamboospring/cli.py
+++ b/bamboospring/cli.py
@@ -66,7 +66,7 @@
 def serve_sessions(path: str) -> int:
     """Serve sessions on the users' platform until told to stop."""
     try:
-        import_module("bamboospring.platform.program").run(path)
+        import_module("bamboospring.platform.__main__").run(path)
     except BamboospringError as exc:
         return _complain(exc)
     return ExitCode.DONE
--- a/bamboospring/platform/caller_lines.py
+++ b/bamboospring/platform/caller_lines.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import itertools
-import socket
 
 from bamboospring import logs
 from bamboospring.outcomes import Failed
@@ -157,18 +156,13 @@
         address: str,
         admit: Admit,
         make_session: MakeSession,
-        listening: socket.socket | None = None,
     ) -> None:
         self.reactor = reactor
         self.admit = admit
         self.make_session = make_session
         self.callers: set[_Caller] = set()
         self.numbers = itertools.count(1)
-        self.listener: Listener
-        if listening is None:
-            self.listener = reactor.listen(address, self._accepted)
-        else:
-            self.listener = reactor.adopt(listening, self._accepted)
+        self.listener: Listener = reactor.listen(address, self._accepted)
 
     def sessions(self) -> list[Session]:
         """Return all sessions, those used last at the end."""
--- a/bamboospring/platform/outside.py
+++ b/bamboospring/platform/outside.py
@@ -2,9 +2,6 @@
 
 from __future__ import annotations
 
-from functools import partial
-import socket
-
 from bamboospring.blackboard import Target
 from bamboospring.platform.caller_lines import CallerServer
 from bamboospring.platform.entries import CATALOG_KIND
@@ -25,8 +22,8 @@
 READINESS_PATH = "/api/readiness"
 
 
-def make_outside(listening: socket.socket | None = None) -> Outside:
-    """Return the adapters; `listening` takes callers' connections already."""
+def make_outside() -> Outside:
+    """Return the adapters."""
     return Outside(
         dialect=StoreDialect(),
         catalog_kind=CATALOG_KIND,
@@ -37,7 +34,7 @@
         read_target=read_target,
         make_dialer=_make_dialer,
         make_orders=_make_orders,
-        make_listener=partial(_make_listener, listening),
+        make_listener=_make_listener,
     )
 
 
@@ -50,16 +47,11 @@
 
 
 def _make_listener(
-    listening: socket.socket | None,
-    reactor: Reactor,
-    address: str,
-    admit: Admit,
-    make_session: MakeSession,
+    reactor: Reactor, address: str, admit: Admit, make_session: MakeSession
 ) -> CallerServer:
     return CallerServer(
         reactor=reactor,
         address=address,
         admit=admit,
         make_session=make_session,
-        listening=listening,
     )
--- a/bamboospring/reactor.py
+++ b/bamboospring/reactor.py
@@ -21,15 +21,13 @@
 
 from bamboospring.components import BaseComponent
 from bamboospring.components import handler
-from bamboospring.sockets import BACKLOG
-from bamboospring.sockets import bound_socket
-from bamboospring.sockets import split_address
 
 __all__ = ["Listener", "Reactor", "Stream", "Timer", "split_address"]
 
 EPOLLIN = select.EPOLLIN
 READ_SIZE = 65536
 ACCEPT_BATCH = 64
+BACKLOG = 1024
 MAX_EVENTS = 512
 # A peer that does not read makes the output grow without end; beyond this
 # the stream is dropped, since its other end has stopped long before.
@@ -40,6 +38,14 @@
 MIN_CANCELLED = 1000
 
 
+def split_address(address: str) -> tuple[str, int]:
+    """Split `"ip:port"` into its two parts; ValueError if it is not one."""
+    host, _, port = address.rpartition(":")
+    if not host:
+        raise ValueError(f"not an ip:port address: {address!r}")
+    return host, int(port)
+
+
 class Timer:
     """A callback that is due once; `cancel` makes it do nothing."""
 
@@ -337,8 +343,12 @@
         socket is then only bound, until `open` is called: a process that is
         not ready would refuse callers whom the others can serve.
         """
-        sock = bound_socket(address, reuse_port=reuse_port)
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, reuse_port)
+        sock.setblocking(False)
         try:
+            sock.bind(split_address(address))
             listener = Listener(reactor=self, sock=sock, on_accept=on_accept)
             if not reuse_port:
                 listener.open()
@@ -347,14 +357,6 @@
             raise
         return listener
 
-    def adopt(
-        self, sock: socket.socket, on_accept: Callable[[Stream], None]
-    ) -> Listener:
-        """Take connections from a socket that listens already."""
-        listener = Listener(reactor=self, sock=sock, on_accept=on_accept)
-        listener.open()
-        return listener
-
     def connect(
         self,
         address: str,
--- a/bench/start.py
+++ b/bench/start.py
@@ -15,7 +15,7 @@
 import subprocess
 import sys
 
-PROGRAM = "import bamboospring.platform.program"
+PROGRAM = "import bamboospring.platform.__main__"
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 
 
--- a/features/session_texts.feature
+++ b/features/session_texts.feature
@@ -157,28 +157,6 @@
       | {"level":\n// between\n"info"}          |
       | {level: "info"}                         |
 
-  Scenario: Callers who connect while a VM loads are served by it
-    # All VMs have lost power and are back. A caller connects to one that has
-    # not loaded its program yet, asks at once, and waits in the queue of the
-    # listener. Refused there it would have used up all its tries in 100 ms.
-    Given a settings file whose callers connect at a free port
-    When a VM listens early by it
-    And a caller connects and opens the database "d"
-    And the program is loaded and takes the listener over
-    Then the caller's session is open within 2 s
-
-  Scenario: A VM that can't listen early starts as if it had not tried
-    # Its settings have a fault, or another process has the address. What is
-    # wrong is said by the program that reads the settings in full.
-    Then nothing listens early by each of these settings
-      | text                            |
-      | {"callers": "127.0.0.1:0"       |
-      | {"callers": 7}                  |
-      | {"callers": "nowhere"}          |
-      | {"callers": "127.0.0.1:99999"}  |
-      | {"peers": "127.0.0.1:0"}        |
-      | []                              |
-
   Scenario: What callers lost is counted from the logs of all VMs
     # Before anybody asks for one request: how many failed, of which kind, why,
     # and when. A statement whose caller had left is told by what it waited for.
