Ask the leader's facts through one VM of each zone

Cause: 195 VMs ask one leader for the same facts, 325 times a second, and five of six answers cross zones; at 480 VMs the leader's answers would be 390 KB/s (paper).

Ruled out: asking less often (proofs of 2 s and samples would be too old); one leader for each zone (a lease each, and changes of primary in many hands).

Change: the leader names one VM of each zone with four askers or more. It asks every 0.2 s and answers the others of its zone; ages add up over the hops. A relay that fails is left for the leader in the same round.

The exploration of changes with relays (2,000 worlds) finds no proof that outlives a promotion, and finds a relay that leaves the age out.

--- a/bamboospring/sessions/catalog_keeper.py
+++ b/bamboospring/sessions/catalog_keeper.py
@@ -48,6 +48,7 @@
         self._platform = platform
         self._kind = kind
         self._relayed_until = -1e9
+        self._relayed_at = -1e9
         self._reactor = reactor
         self._refreshing = False
         self._watch = KindWatch(
@@ -60,18 +61,28 @@
 
     @property
     def checked_at(self) -> float:
-        """Return when the store last answered that nothing newer is there."""
-        return self._watch.answered_at
+        """Return when the store last answered that nothing newer is there.
+
+        The answer may have been another VM's, which has passed it on.
+        """
+        return max(self._watch.answered_at, self._relayed_at)
 
     def start(self) -> None:
         """Follow from now on."""
         self._watch.set_watching(True)
 
-    def take_relayed(self, stored_as: int, until: float) -> None:
-        """Take which version the leader has, and read it if it is newer."""
+    def take_relayed(
+        self, stored_as: int, checked_at: float, until: float
+    ) -> None:
+        """Take which version the leader has, and read it if it is newer.
+
+        `checked_at` is when the leader had that from the store.
+        """
         self._relayed_until = until
         self._watch.set_watching(False)
-        if stored_as > self.stored_as and not self._refreshing:
+        if stored_as <= self.stored_as:
+            self._relayed_at = max(self._relayed_at, checked_at)
+        elif not self._refreshing:
             self._refreshing = True
             self._platform.list(self._kind, "catalog", self._refreshed)
         self._reactor.call_later(
--- a/bamboospring/sessions/relay.py
+++ b/bamboospring/sessions/relay.py
@@ -2,11 +2,12 @@
 
 Each VM on its own would read the records, the targets and the configuration
 about three times a second. The leader reads them anyway, so the others ask
-it, and read the store only where it does not answer or its facts are too old.
+it, or the VM that it has named as the relay of their zone, and read the store
+only where neither answers or the facts are too old.
 
 A proof that is passed on keeps its age: the one who asks counts it from
 before it asked, less the age that the answer states, so that time on the way
-makes it older and never younger.
+makes it older and never younger, over any number of hops.
 """
 
 from __future__ import annotations
@@ -32,6 +33,13 @@
 from bamboospring.sessions.record_keeper import RecordKeeper
 from bamboospring.sessions.target_keeper import TargetKeeper
 from bamboospring.sessions.vm_registry import VmRegistry
+from bamboospring.sessions.zone_relays import Asker
+from bamboospring.sessions.zone_relays import AskLeader
+from bamboospring.sessions.zone_relays import AskRelay
+from bamboospring.sessions.zone_relays import Assignment
+from bamboospring.sessions.zone_relays import FactSource
+from bamboospring.sessions.zone_relays import ServeZone
+from bamboospring.sessions.zone_relays import ZoneRelays
 from bamboospring.statements import Position
 
 __all__ = ["FactRelay", "digest_of", "read_news", "spaced", "write_news"]
@@ -39,6 +47,9 @@
 # Seconds between two questions to the leader, and the time for the answer.
 INTERVAL = 0.6
 TIMEOUT = 0.4
+# The relay of a zone asks so often, in seconds: what it passes on is older by
+# this at most.
+RELAY_INTERVAL = 0.2
 # What is older than this, in seconds, is rather read by oneself. A change of
 # configuration is to be in force within 3 s.
 OLDEST_PROOF = 1.0
@@ -127,6 +138,9 @@
         self._targets = targets
         self._catalog = catalog
         self._relayed = False
+        self._informed_until = -1e9
+        self._source = FactSource()
+        self._zone_relays = ZoneRelays()
         peers.handle("factsAsk", self._on_ask)
         peers.handle("leading", self._on_leading)
 
@@ -137,36 +151,63 @@
     # Asking.
 
     def _tick(self) -> None:
-        self._reactor.call_later(INTERVAL, self._tick)
-        name = self._duty.holder()
-        if self._duty.leads or name in ("", self._board.vm):
+        serves = self._source.serves_zone
+        interval = RELAY_INTERVAL if serves else INTERVAL
+        self._reactor.call_later(interval, self._tick)
+        leader = self._duty.holder()
+        if self._duty.leads or leader in ("", self._board.vm):
             self._set_relayed(False, "this VM leads or nobody does")
             return
         address = self._duty.holder_address()
         if not address:
             self._set_relayed(False, "the leader's address is unknown")
             return
-        self._ask(address)
+        self._ask(self._source.address(address), address)
 
-    def _ask(self, address: str) -> None:
+    def _ask(self, address: str, leader: str) -> None:
+        """Ask a VM for facts; if the relay has none, ask the leader."""
         asked_at = self._reactor.now()
         message = envelope()
         ask = message.init("factsAsk")
         ask.vm = self._board.vm
+        ask.address = self._registry.me.address
+        ask.availabilityZone = self._board.availability_zone
         ask.records = digest_of(self._records.as_bytes())
         ask.targets = digest_of(write_news(self._targets.listed))
 
         def answered(answer: Any) -> None:
-            if isinstance(answer, PeerLost) or not answer.facts.leads:
-                self._set_relayed(False, "the leader does not answer")
-            else:
+            lost = isinstance(answer, PeerLost)
+            if not lost and answer.facts.informed:
                 self._take(answer.facts, asked_at)
+            elif address != leader:
+                self._relay_failed("silent" if lost else "not informed")
+                self._ask(leader, leader)
+            else:
+                self._set_relayed(False, "the leader does not answer")
 
         self._peers.ask(address, message, TIMEOUT, answered)
 
+    def _relay_failed(self, why: str) -> None:
+        self._source.relay_failed(self._reactor.now())
+        logs.log_event("facts_relay_failed", reason=why)
+
     def _take(self, facts: Any, asked_at: float) -> None:
-        until = self._reactor.now() + STANDS
+        now = self._reactor.now()
+        until = now + STANDS
         self._set_relayed(True, "")
+        passed_on = bool(facts.leader)
+        if passed_on:
+            # The sender knows of the leader by hearsay, as we do.
+            self._duty.told_of(
+                Holder(
+                    vm=facts.leader,
+                    address=facts.leaderAddress,
+                    version=facts.leaseVersion,
+                )
+            )
+        else:
+            self._informed_until = until
+            self._take_assignment(facts, now)
         proof_age = facts.proofAgeUs / 1e6
         self._board.vms = max(1, facts.vms)
         if facts.samples:
@@ -180,11 +221,32 @@
         self._duty.lease_relayed(
             facts.leaseVersion, facts.leaseMs / 1000, asked_at
         )
-        if facts.targetsAgeMs / 1000 <= OLDEST_TARGETS:
+        targets_age = facts.targetsAgeMs / 1000
+        if targets_age <= OLDEST_TARGETS:
             listed = read_news(facts.targets) if facts.targets else None
-            self._targets.take_relayed(listed, asked_at, until)
-        if facts.catalogAgeMs / 1000 <= OLDEST_CATALOG:
-            self._catalog.take_relayed(facts.catalog, until)
+            self._targets.take_relayed(listed, asked_at - targets_age, until)
+        catalog_age = facts.catalogAgeMs / 1000
+        oldest = OLDEST_CATALOG + (RELAY_INTERVAL if passed_on else 0.0)
+        if catalog_age <= oldest:
+            self._catalog.take_relayed(
+                facts.catalog, asked_at - catalog_age, until
+            )
+
+    def _take_assignment(self, facts: Any, now: float) -> None:
+        assignment: Assignment = AskLeader()
+        if facts.servesZone:
+            assignment = ServeZone()
+        elif facts.relay:
+            assignment = AskRelay(address=facts.relay)
+        before = self._source.assignment
+        self._source.assigned(assignment, now)
+        if self._source.assignment != before:
+            logs.log_event(
+                "facts_source",
+                serves_zone=self._source.serves_zone,
+                relay=facts.relay,
+                leader=self._duty.holder(),
+            )
 
     def _take_samples(
         self,
@@ -254,13 +316,34 @@
 
     def _on_ask(self, message: Any, reply: Reply) -> None:
         ask = message.factsAsk
+        now = self._reactor.now()
         answer = envelope()
         facts = answer.init("facts")
-        facts.leads = self._duty.leads
-        if facts.leads:
+        if self._duty.leads:
+            facts.informed = True
             self._fill(facts, ask)
+            self._assign(facts, ask, now)
+        elif self._source.serves_zone and now < self._informed_until:
+            facts.informed = True
+            self._fill(facts, ask)
+            facts.leader = self._duty.holder()
+            facts.leaderAddress = self._duty.holder_address()
         reply(answer)
 
+    def _assign(self, facts: Any, ask: Any, now: float) -> None:
+        asker = Asker(
+            vm=ask.vm,
+            address=ask.address,
+            availability_zone=ask.availabilityZone,
+        )
+        match self._zone_relays.assign(asker, now):
+            case ServeZone():
+                facts.servesZone = True
+            case AskRelay(address=address):
+                facts.relay = address
+            case AskLeader():
+                pass
+
     def _fill(self, facts: Any, ask: Any) -> None:
         now = self._reactor.now()
         age = max(0.0, now - self._records.read_at)
@@ -278,7 +361,7 @@
         facts.catalog = self._catalog.stored_as
         facts.catalogAgeMs = _ms(now - self._catalog.checked_at)
         facts.samples = self._samples(now)
-        facts.vms = len(self._registry.vms)
+        facts.vms = self._board.vms
 
 
 def _ms(seconds: float) -> int:
--- a/bamboospring/wire.capnp
+++ b/bamboospring/wire.capnp
@@ -30,14 +30,18 @@
   }
 }
 
-struct FactsAsk {             # a VM that serves sessions asks the leader
+struct FactsAsk {             # a VM that serves sessions asks the leader, or
+                              # the relay of its zone
   vm @0 :Text;
   records @1 :UInt64;         # digests of what the asker has
   targets @2 :UInt64;
+  address @3 :Text;           # where the asker listens for peers
+  availabilityZone @4 :Text;
 }
 
 struct Facts {
-  leads @0 :Bool;             # false: the rest is empty
+  informed @0 :Bool;          # false: the sender neither leads nor has facts
+                              # to pass on; the rest is empty
   proofAgeUs @1 :UInt64;      # since the question to the store was sent
   records @2 :Data;           # JSON; empty: as the asker has them
   leaseVersion @3 :UInt64;    # the store's, moves with each renewal
@@ -48,6 +52,10 @@
   leaseMs @8 :UInt32;         # its duration
   samples @9 :Data;           # JSON: for each group ages and positions
   vms @10 :UInt32;            # how many VMs there are
+  relay @11 :Text;            # whom to ask from now on; empty: the leader
+  servesZone @12 :Bool;       # the asker is the relay of its zone
+  leader @13 :Text;           # who leads, if it is not the sender
+  leaderAddress @14 :Text;
 }
 
 struct Leading {              # the sender has taken the lease
--- a/features/steps/session_worlds.py
+++ b/features/steps/session_worlds.py
@@ -85,14 +85,29 @@
     record: Leadership
     proof: Proof = field(default_factory=Proof)
     reaches_store: bool = True
+    # When the newest read of the store, its own or passed on, was sent.
+    read_at: float = -1e9
 
 
 class ChangeWorld:
     """One world in which a primary is replaced."""
 
-    def __init__(self, seed, seen, *, wait, hold, finish, fence=True):
+    def __init__(
+        self,
+        seed,
+        seen,
+        *,
+        wait,
+        hold,
+        finish,
+        fence=True,
+        relays=False,
+        ages=True,
+    ):
         self.random = random.Random(seed)
         self.seen = seen
+        self.relays = relays
+        self.ages = ages
         self.wait = wait
         self.hold = hold
         self.finish = finish
@@ -149,7 +164,9 @@
         self.at(self.random.uniform(0.2, 0.9), lambda: self.prove(vm))
         asked_at = self.now
         way = self.random.uniform(0.001, 0.3)
-        if vm.reaches_store:
+        if self.relays and self.random.random() < 0.5:
+            self.at(way, lambda: self.read_relay(vm, asked_at))
+        elif vm.reaches_store:
             self.at(way, lambda: self.read_store(vm, asked_at))
         else:
             self.ask_targets(vm, asked_at)
@@ -159,7 +176,19 @@
         back = self.random.uniform(0.001, 0.3)
         self.at(back, lambda: self.take(vm, record, asked_at))
 
+    def read_relay(self, vm, asked_at):
+        """Another VM passes on what it has, with the age of its read."""
+        relay = self.random.choice(
+            [each for each in self.vms if each is not vm]
+        )
+        record = relay.record
+        age = max(0.0, self.now - relay.read_at) if self.ages else 0.0
+        back = self.random.uniform(0.001, 0.3)
+        self.seen.counts["proof_passed_on"] += 1
+        self.at(back, lambda: self.take(vm, record, asked_at - age))
+
     def take(self, vm, record, asked_at):
+        vm.read_at = max(vm.read_at, asked_at)
         if record.version < vm.record.version:
             return
         if record.version > vm.record.version:
@@ -388,12 +417,28 @@
                 other.leads = False
 
 
-def explore_changes(count, *, wait=True, hold=True, finish=False, fence=True):
+def explore_changes(
+    count,
+    *,
+    wait=True,
+    hold=True,
+    finish=False,
+    fence=True,
+    relays=False,
+    ages=True,
+):
     """Run so many worlds, each with a seed of its own."""
     seen = Seen()
     for seed in range(count):
         world = ChangeWorld(
-            seed, seen, wait=wait, hold=hold, finish=finish, fence=fence
+            seed,
+            seen,
+            wait=wait,
+            hold=hold,
+            finish=finish,
+            fence=fence,
+            relays=relays,
+            ages=ages,
         )
         world.run()
     return seen
