Run single reads of a target at one VM of each zone

Ruled out: longer and shorter rest of connections (both measured before, both worse); lending connections (their state would go over the wire with each order).

Change: reads outside transactions go to the holder of their target in the zone, by rendezvous hashing over the VMs that the zone's relay has heard. What a read must see is decided where its caller is, and checked by the target, or by the holder's own proof. Writes and transactions keep to own connections.

--- a/bamboospring/rendezvous.py
+++ b/bamboospring/rendezvous.py
@@ -22,6 +22,8 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 from collections import Counter
+from typing import Protocol
+from typing import TypeVar
 
 from xxhash import xxh64_intdigest
 
@@ -77,7 +79,18 @@
     return _hash(group) % SHARDS
 
 
-def rank(key: str, vms: Iterable[Vm]) -> list[Vm]:
+class Named(Protocol):
+    """A VM, as far as its place in an order needs it."""
+
+    @property
+    def name(self) -> str:
+        """Return the VM's name, which is its own in the whole fleet."""
+
+
+NamedT = TypeVar("NamedT", bound=Named)
+
+
+def rank(key: str, vms: Iterable[NamedT]) -> list[NamedT]:
     """Order VMs by their weight for a key, best first.
 
     The order of any two VMs depends on nothing but the key and their names.
--- a/bamboospring/sessions/attempt.py
+++ b/bamboospring/sessions/attempt.py
@@ -19,6 +19,9 @@
 from bamboospring.sessions.ports import SessionLink
 from bamboospring.sessions.ports import SessionOutcome
 from bamboospring.sessions.ports import TargetReply
+from bamboospring.sessions.refusals import costs_nothing
+from bamboospring.sessions.refusals import may_try_again
+from bamboospring.sessions.refusals import note_refusal
 from bamboospring.sessions.replies import CHANGE_RETRY_MS
 from bamboospring.sessions.replies import learn_from
 from bamboospring.sessions.replies import order_of
@@ -31,15 +34,6 @@
 
 __all__ = ["Attempt"]
 
-# A read is also sent to another target once it has taken so many times what
-# its target usually takes, and at least so many seconds: then its answer is
-# lost more probably than late.
-HEDGE_TIMES = 6.0
-SHORTEST_HEDGE = 0.08
-# A replica that lacked a position is not asked for more than it has shown for
-# this many seconds: about what replicas usually lag.
-BEHIND_PAUSE = 0.1
-
 
 @dataclass(slots=True, kw_only=True, eq=False)
 class Attempt:
@@ -156,7 +150,7 @@
         self.leased.conn.send(
             [order_of(job, after)], max(0.0, run.left()), answered
         )
-        run.start_hedge(max(SHORTEST_HEDGE, HEDGE_TIMES * view.latency))
+        run.start_hedge(view)
 
     def _needs_proof(self) -> bool:
         """Tell whether this must run at the primary of this moment."""
@@ -214,23 +208,19 @@
         assert self.leased is not None and reply.refusal is not None
         run = self.run
         refusal = reply.refusal
-        view = run.group.view(self.target)
-        if refusal is Refusal.BEHIND:
-            view.behind_until = run.runner.reactor.now() + BEHIND_PAUSE
-        elif refusal is Refusal.NOT_PRIMARY:
+        now = run.runner.reactor.now()
+        note_refusal(run.group.view(self.target), refusal, now)
+        if refusal is Refusal.NOT_PRIMARY:
             run.runner.doubt(run.group.name)
         elif refusal is Refusal.UNKNOWN_SHAPE:
             self.leased.conn.shapes.clear()
-        elif not refusal.promises_nothing_ran:
-            view.failed()
         run.runner.give_back(self.leased)
-        read_only = not run.job.writes
-        again = refusal.promises_nothing_ran or (
-            read_only and refusal is not Refusal.OTHER
-        )
+        again = may_try_again(refusal, writes=run.job.writes)
         if run.tx is not None and again:
             run.tx.wrote = False
-        cheap = refusal in (Refusal.BEHIND, Refusal.UNKNOWN_SHAPE)
-        if refusal is Refusal.BUSY and run.urgent:
-            cheap = True
-        run.failed(self, refused_from(reply), again=again, free=cheap)
+        run.failed(
+            self,
+            refused_from(reply),
+            again=again,
+            free=costs_nothing(refusal, urgent=run.urgent),
+        )
--- /dev/null
+++ b/bamboospring/sessions/forwarded_read.py
@@ -0,0 +1,193 @@
+"""One attempt to run a read at a target through the target's holder.
+
+A read changes nothing, so an answer that is lost on the way costs no more
+than another try. What its caller must see was decided before it is sent: the
+position that the log must have, or the proof that the target was the primary
+after the read had come. Both hold however long it waits at the holder.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+import itertools
+from typing import Any
+from typing import TYPE_CHECKING
+
+from bamboospring import logs
+from bamboospring.outcomes import NotRun
+from bamboospring.outcomes import Overloaded
+from bamboospring.outcomes import Reason
+from bamboospring.outcomes import Unknown
+from bamboospring.peers import envelope
+from bamboospring.peers import PeerLost
+from bamboospring.sessions.ports import LinkLost
+from bamboospring.sessions.ports import Refusal
+from bamboospring.sessions.ports import TargetReply
+from bamboospring.sessions.read_holders import ZoneVm
+from bamboospring.sessions.read_messages import decode_result
+from bamboospring.sessions.read_messages import encode_read
+from bamboospring.sessions.read_messages import HeldRead
+from bamboospring.sessions.refusals import costs_nothing
+from bamboospring.sessions.refusals import may_try_again
+from bamboospring.sessions.refusals import note_refusal
+from bamboospring.sessions.replies import learn_from
+from bamboospring.sessions.replies import refused_from
+from bamboospring.sessions.replies import served_from
+from bamboospring.sessions.target_choice import SendTo
+
+if TYPE_CHECKING:
+    from bamboospring.sessions.run import Run
+
+__all__ = ["ForwardedRead"]
+
+_numbers = itertools.count(1)
+# The holder has refused for these because of what it lacks itself: the target
+# on its list, a way there, a proof. This VM may well have it.
+HOLDER_AMISS = frozenset(
+    {Reason.NOT_HOLDER, Reason.TARGET_UNREACHABLE, Reason.PRIMARY_CHANGED}
+)
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class ForwardedRead:
+    """One try of a single read, at the VM that holds its target."""
+
+    run: Run
+    choice: SendTo
+    holder: ZoneVm
+    sent: bool = False
+    sent_at: float = 0.0
+    number: int = 0
+    over: bool = False
+
+    @property
+    def target(self) -> str:
+        """Return the name of the target."""
+        return self.choice.news.target.name
+
+    def start(self) -> None:
+        """Send the read to the holder."""
+        run = self.run
+        runner = run.runner
+        view = run.group.view(self.target)
+        now = self.sent_at = runner.reactor.now()
+        self.sent = True
+        self.number = next(_numbers)
+        view.outstanding += 1
+        run.story.sent(
+            self.target,
+            after=self.choice.after,
+            proof_age=now - run.group.proof.asked_at,
+            through=self.holder.name,
+        )
+        message = envelope()
+        ask = message.init("readAsk")
+        ask.vm = runner.board.vm
+        ask.number = self.number
+        ask.head = encode_read(self._read())
+        runner.peers.ask(
+            self.holder.address, message, max(0.0, run.left()), self._answered
+        )
+        run.start_hedge(view)
+
+    def withdraw(self) -> None:
+        """Tell the holder that nobody waits for the answer."""
+        if self.over:
+            return
+        message = envelope()
+        cancel = message.init("readCancel")
+        cancel.vm = self.run.runner.board.vm
+        cancel.number = self.number
+        self.run.runner.peers.send(self.holder.address, message)
+
+    def _read(self) -> HeldRead:
+        run = self.run
+        job, target = run.job, self.choice.news.target
+        return HeldRead(
+            id=job.id,
+            caller=run.session.caller,
+            group=run.group.name,
+            target=target.name,
+            address=target.address,
+            born=target.born,
+            values=run.session.values,
+            left=max(0.0, run.left()),
+            urgency=job.route.urgency,
+            text=job.text,
+            shape=job.shape,
+            arguments=job.arguments,
+            after=self.choice.after,
+        )
+
+    def _answered(self, answer: Any) -> None:
+        self.over = True
+        run = self.run
+        view = run.group.view(self.target)
+        view.outstanding -= 1
+        if isinstance(answer, PeerLost):
+            self._holder_lost(answer)
+            return
+        result = decode_result(answer.readAnswer.head)
+        match result:
+            case NotRun() | Overloaded():
+                self._not_run(result)
+            case LinkLost():
+                view.failed()
+                refusal = Unknown(reason=Reason.ANSWER_LOST)
+                run.failed(self, refusal, again=not result.silent)
+            case TargetReply():
+                self._replied(result)
+
+    def _holder_lost(self, lost: PeerLost) -> None:
+        run = self.run
+        self._pass_over("")
+        refusal: NotRun | Unknown = NotRun(reason=Reason.HOLDER_LOST)
+        if lost.sent:
+            refusal = Unknown(reason=Reason.HOLDER_LOST)
+        # Unlike a target's silence this says nothing of the target: it may be
+        # tried once more, by another way.
+        run.failed(
+            self, refusal, again=True, free=not lost.sent, target_tried=False
+        )
+
+    def _not_run(self, refusal: NotRun | Overloaded) -> None:
+        run = self.run
+        if refusal.reason in HOLDER_AMISS:
+            self._pass_over(self.target)
+        full = refusal.reason is Reason.TARGET_CONNECTIONS
+        run.failed(
+            self,
+            refusal,
+            again=True,
+            free=True,
+            counted=not full,
+            target_tried=refusal.reason not in HOLDER_AMISS,
+        )
+
+    def _pass_over(self, target: str) -> None:
+        self.run.runner.pass_over(self.holder.name, target)
+        logs.log_event(
+            "holder_passed_over",
+            holder=self.holder.name,
+            target=self.target,
+            trace=self.run.job.id,
+        )
+
+    def _replied(self, reply: TargetReply) -> None:
+        run = self.run
+        now = run.runner.reactor.now()
+        learn_from(run.group, self.target, reply, self.sent_at, now)
+        if reply.refusal is None:
+            outcome = served_from(reply, self.target, self.choice.at_replica)
+            run.served(self, outcome, reply.position)
+            return
+        refusal = reply.refusal
+        note_refusal(run.group.view(self.target), refusal, now)
+        if refusal is Refusal.NOT_PRIMARY:
+            run.runner.doubt(run.group.name)
+        run.failed(
+            self,
+            refused_from(reply),
+            again=may_try_again(refusal, writes=False),
+            free=costs_nothing(refusal, urgent=run.urgent),
+        )
--- a/bamboospring/sessions/node.py
+++ b/bamboospring/sessions/node.py
@@ -38,6 +38,8 @@
 from bamboospring.sessions.ports import CallerChannel
 from bamboospring.sessions.ports import SessionLink
 from bamboospring.sessions.questions import TargetQuestions
+from bamboospring.sessions.read_holders import ReadHolders
+from bamboospring.sessions.read_server import ReadServer
 from bamboospring.sessions.readiness import unreadiness
 from bamboospring.sessions.record_keeper import RecordKeeper
 from bamboospring.sessions.relay import FactRelay
@@ -159,6 +161,7 @@
                 nonce=secrets.token_hex(8),
             ),
         )
+        self.holders = ReadHolders(vm=self.cfg.vm)
         self.targets = TargetKeeper(
             reactor=self.reactor,
             board=self.board,
@@ -167,6 +170,7 @@
             kind=outside.target_kind,
             read=outside.read_target,
             leaving_limit=self.cfg.timing.target_leaving_ms / 1000,
+            holders=self.holders,
         )
         self.catalog = CatalogKeeper(
             reactor=self.reactor,
@@ -222,6 +226,13 @@
             records=self.records,
             targets=self.targets,
             catalog=self.catalog,
+            holders=self.holders,
+        )
+        self.read_server = ReadServer(
+            reactor=self.reactor,
+            board=self.board,
+            peers=self.peers,
+            pools=self.pools,
         )
 
     def _make_service(self) -> None:
@@ -233,6 +244,8 @@
             budget=RetryBudget(percent=cfg.limits.retry_percent),
             teller=StoryTeller(on_told=self.metrics.told),
             doubt=self.records.doubt,
+            peers=self.peers,
+            holders=self.holders,
         )
         self.callers = self.outside.make_listener(
             self.reactor, cfg.callers, self._admit, self._make_session
--- /dev/null
+++ b/bamboospring/sessions/read_messages.py
@@ -0,0 +1,171 @@
+"""Reads that one VM runs for another, as they are sent between the two.
+
+Heads are JSON arrays: they are small, and made and read for every read that
+is passed on.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import orjson
+
+from bamboospring.outcomes import NotRun
+from bamboospring.outcomes import Overloaded
+from bamboospring.outcomes import Reason
+from bamboospring.sessions.ports import LinkLost
+from bamboospring.sessions.ports import Refusal
+from bamboospring.sessions.ports import Shape
+from bamboospring.sessions.ports import TargetReply
+from bamboospring.statements import Position
+
+__all__ = [
+    "HeldRead",
+    "ReadResult",
+    "decode_read",
+    "decode_result",
+    "encode_read",
+    "encode_result",
+]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HeldRead:
+    """A single read, with all that its holder needs to run it.
+
+    `born` and `address` name the target's life that was chosen. `text` is
+    None for a prepared statement, whose shape and arguments are given
+    instead. `values` are those of the caller's session. The target's log must
+    have `after`, if it is given. `left` is the time for it in seconds.
+    """
+
+    id: str
+    caller: str
+    group: str
+    target: str
+    address: str
+    born: int
+    values: dict[str, str]
+    left: float
+    urgency: int = 0
+    text: str | None = None
+    shape: Shape | None = None
+    arguments: str = ""
+    after: Position | None = None
+
+
+# What became of it: the target's whole answer, a refusal of the holder's by
+# which nothing ran, or a lost connection to the target.
+ReadResult = TargetReply | NotRun | Overloaded | LinkLost
+
+REPLY = 0
+NOT_RUN = 1
+OVERLOADED = 2
+LOST = 3
+
+
+def encode_read(read: HeldRead) -> bytes:
+    """Return a read as it is sent to its holder."""
+    shape = read.shape
+    return orjson.dumps(
+        (
+            read.id,
+            read.caller,
+            read.group,
+            read.target,
+            read.address,
+            read.born,
+            read.values,
+            round(read.left * 1e6),
+            read.urgency,
+            read.text,
+            shape.text if shape is not None else None,
+            read.arguments,
+            _pair(read.after),
+        )
+    )
+
+
+def decode_read(head: bytes) -> HeldRead:
+    """Read what `encode_read` has made; only reads are passed on."""
+    (
+        id,
+        caller,
+        group,
+        target,
+        address,
+        born,
+        values,
+        left_us,
+        urgency,
+        text,
+        shape,
+        arguments,
+        after,
+    ) = orjson.loads(head)
+    return HeldRead(
+        id=id,
+        caller=caller,
+        group=group,
+        target=target,
+        address=address,
+        born=born,
+        values=values,
+        left=left_us / 1e6,
+        urgency=urgency,
+        text=text,
+        shape=None if shape is None else Shape(writes=False, text=shape),
+        arguments=arguments,
+        after=_position(after),
+    )
+
+
+def encode_result(result: ReadResult) -> bytes:
+    """Return what became of a read as it is sent back."""
+    match result:
+        case TargetReply():
+            refusal = result.refusal
+            fields: tuple = (
+                REPLY,
+                result.rows,
+                result.signature,
+                refusal.value if refusal is not None else None,
+                result.message,
+                _pair(result.position),
+            )
+        case NotRun(reason=reason, retry_after_ms=retry, message=message):
+            fields = (NOT_RUN, reason.value, retry, message)
+        case Overloaded(reason=reason, retry_after_ms=retry, message=message):
+            fields = (OVERLOADED, reason.value, retry, message)
+        case LinkLost(silent=silent):
+            fields = (LOST, silent)
+    return orjson.dumps(fields)
+
+
+def decode_result(head: bytes) -> ReadResult:
+    """Read what `encode_result` has made."""
+    kind, *rest = orjson.loads(head)
+    if kind == LOST:
+        return LinkLost(silent=rest[0])
+    if kind in (NOT_RUN, OVERLOADED):
+        reason, retry, message = rest
+        refused = NotRun if kind == NOT_RUN else Overloaded
+        return refused(
+            reason=Reason(reason), retry_after_ms=retry, message=message
+        )
+    rows, signature, refusal, message, position = rest
+    return TargetReply(
+        rows=rows,
+        signature=signature,
+        refusal=None if refusal is None else Refusal(refusal),
+        message=message,
+        position=_position(position),
+    )
+
+
+def _pair(position: Position | None) -> tuple[int, int] | None:
+    return None if position is None else (position.term, position.index)
+
+
+def _position(pair: list[int] | None) -> Position | None:
+    return None if pair is None else Position(term=pair[0], index=pair[1])
--- /dev/null
+++ b/bamboospring/sessions/read_server.py
@@ -0,0 +1,251 @@
+"""Runs reads for other VMs of the zone, at the targets that this VM holds."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from bamboospring import logs
+from bamboospring.outcomes import NotRun
+from bamboospring.outcomes import Overloaded
+from bamboospring.outcomes import Reason
+from bamboospring.peers import envelope
+from bamboospring.peers import Peers
+from bamboospring.peers import Reply
+from bamboospring.pool import Asked
+from bamboospring.pool import Leased
+from bamboospring.pool import Pools
+from bamboospring.reactor import Reactor
+from bamboospring.sessions.link_setup import link_merit
+from bamboospring.sessions.link_setup import orders_before
+from bamboospring.sessions.model import SessionBoard
+from bamboospring.sessions.model import TargetNews
+from bamboospring.sessions.ports import LinkLost
+from bamboospring.sessions.ports import Order
+from bamboospring.sessions.ports import Refusal
+from bamboospring.sessions.ports import RunShape
+from bamboospring.sessions.ports import RunText
+from bamboospring.sessions.ports import SessionLink
+from bamboospring.sessions.ports import TargetReply
+from bamboospring.sessions.read_messages import decode_read
+from bamboospring.sessions.read_messages import encode_result
+from bamboospring.sessions.read_messages import HeldRead
+from bamboospring.sessions.read_messages import ReadResult
+from bamboospring.sessions.replies import CHANGE_RETRY_MS
+from bamboospring.sessions.replies import learn_from
+
+__all__ = ["ReadServer"]
+
+# A VM that asked the wrong one knows better within one round of facts.
+RETRY_MS = 100
+
+
+class ReadServer:
+    """Answers the reads that other VMs pass on to this one."""
+
+    def __init__(
+        self,
+        *,
+        reactor: Reactor,
+        board: SessionBoard,
+        peers: Peers,
+        pools: Pools[SessionLink],
+    ) -> None:
+        self.reactor = reactor
+        self.board = board
+        self.pools = pools
+        self._held: dict[tuple[str, int], _Held] = {}
+        self.running = 0
+        peers.handle("readAsk", self._on_ask)
+        peers.handle("readCancel", self._on_cancel)
+
+    def _on_ask(self, message: Any, reply: Reply) -> None:
+        ask = message.readAsk
+        key = (ask.vm, ask.number)
+        read = decode_read(ask.head)
+
+        def done(result: ReadResult) -> None:
+            self._held.pop(key, None)
+            self.running -= 1
+            answer = envelope()
+            answer.init("readAnswer").head = encode_result(result)
+            reply(answer)
+            if not isinstance(result, TargetReply):
+                self._log_failure(read, key[0], result)
+
+        self.running += 1
+        news = self._news_of(read)
+        if news is None:
+            done(NotRun(reason=Reason.NOT_HOLDER, retry_after_ms=RETRY_MS))
+            return
+        held = _Held(server=self, read=read, news=news, on_done=done)
+        self._held[key] = held
+        held.start()
+
+    def _news_of(self, read: HeldRead) -> TargetNews | None:
+        """Return the target that was meant; None if it is not to be used."""
+        if self.board.draining:
+            return None
+        news = self.board.group(read.group).targets.get(read.target)
+        if news is None:
+            return None
+        target = news.target
+        same = (target.address, target.born) == (read.address, read.born)
+        if not same or self.reactor.now() >= news.usable_until:
+            return None
+        return news
+
+    def _on_cancel(self, message: Any, _reply: Reply) -> None:
+        cancel = message.readCancel
+        held = self._held.get((cancel.vm, cancel.number))
+        if held is not None:
+            held.cancel()
+
+    def _log_failure(
+        self,
+        read: HeldRead,
+        vm: str,
+        result: NotRun | Overloaded | LinkLost,
+    ) -> None:
+        reason = Reason.ANSWER_LOST
+        if not isinstance(result, LinkLost):
+            reason = result.reason
+        logs.log_event(
+            "held_read_failed",
+            level=logs.Level.WARNING,
+            trace=read.id,
+            of=vm,
+            group=read.group,
+            target=read.target,
+            reason=reason,
+        )
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class _Held:
+    """One read on its way to its target."""
+
+    server: ReadServer
+    read: HeldRead
+    news: TargetNews
+    on_done: Callable[[ReadResult], None]
+    deadline: float = 0.0
+    leased: Leased[SessionLink] | None = None
+    asked: Asked | None = None
+    over: bool = False
+
+    def start(self) -> None:
+        read = self.read
+        self.deadline = self.server.reactor.now() + read.left
+        self.asked = self.server.pools.acquire(
+            self.news.target,
+            self.deadline,
+            read.caller,
+            self._ready,
+            urgency=read.urgency,
+            merit=lambda link: link_merit(link, read.values, read.shape),
+        )
+
+    def cancel(self) -> None:
+        """Give up the place in the queue; what runs goes on to its end."""
+        if self.leased is None and self.asked is not None:
+            self.asked.withdraw()
+            self._finish(NotRun(reason=Reason.CALLER_GONE))
+
+    def _ready(
+        self, leased: Leased[SessionLink] | NotRun | Overloaded
+    ) -> None:
+        if not isinstance(leased, Leased):
+            self._finish(leased)
+            return
+        self.leased = leased
+        read = self.read
+        orders = orders_before(leased.conn, read.values, read.shape, None)
+        if not orders:
+            self._send()
+            return
+        # The statement waits for the answers: it must not run with values
+        # that are not its session's.
+        leased.conn.send(orders, self._left(), self._prepared)
+
+    def _prepared(self, result: list[TargetReply] | LinkLost) -> None:
+        if isinstance(result, LinkLost):
+            self._release(healthy=False)
+            self._finish(NotRun(reason=Reason.TARGET_UNREACHABLE))
+            return
+        refused = [reply for reply in result if reply.refusal is not None]
+        if refused:
+            self._replied(refused[0])
+        else:
+            self._send()
+
+    def _send(self) -> None:
+        assert self.leased is not None
+        sent_at = self.server.reactor.now()
+        if not self._may_send(sent_at):
+            self._release(healthy=True)
+            self._finish(
+                NotRun(
+                    reason=Reason.PRIMARY_CHANGED,
+                    retry_after_ms=CHANGE_RETRY_MS,
+                )
+            )
+            return
+
+        def answered(result: list[TargetReply] | LinkLost) -> None:
+            if isinstance(result, LinkLost):
+                self._release(healthy=False)
+                self._finish(result)
+                return
+            now = self.server.reactor.now()
+            group = self.server.board.group(self.read.group)
+            learn_from(group, self.read.target, result[0], sent_at, now)
+            self._replied(result[0])
+
+        self.leased.conn.send([_order(self.read)], self._left(), answered)
+
+    def _may_send(self, now: float) -> bool:
+        """Tell whether the target may still run this read.
+
+        Without a position to ask for only the primary may, and it may have
+        been replaced while the read waited here for a connection.
+        """
+        if self.read.after is not None:
+            return True
+        group = self.server.board.group(self.read.group)
+        primary = group.primary()
+        if primary is None or primary.target.name != self.read.target:
+            return False
+        return group.proof.covers(now)
+
+    def _replied(self, reply: TargetReply) -> None:
+        assert self.leased is not None
+        if reply.refusal is Refusal.UNKNOWN_SHAPE:
+            self.leased.conn.shapes.clear()
+        self._release(healthy=True)
+        self._finish(reply)
+
+    def _release(self, *, healthy: bool) -> None:
+        assert self.leased is not None
+        usable = healthy and self.leased.conn.usable
+        self.server.pools.release(self.leased, healthy=usable)
+
+    def _finish(self, result: ReadResult) -> None:
+        if not self.over:
+            self.over = True
+            self.on_done(result)
+
+    def _left(self) -> float:
+        return max(0.0, self.deadline - self.server.reactor.now())
+
+
+def _order(read: HeldRead) -> Order:
+    if read.shape is not None:
+        return RunShape(
+            id=read.id,
+            shape=read.shape,
+            arguments=read.arguments,
+            after=read.after,
+        )
+    return RunText(id=read.id, text=read.text or "", after=read.after)
--- a/bamboospring/sessions/relay.py
+++ b/bamboospring/sessions/relay.py
@@ -30,6 +30,8 @@
 from bamboospring.sessions.freshness import Sample
 from bamboospring.sessions.model import SessionBoard
 from bamboospring.sessions.model import TargetNews
+from bamboospring.sessions.read_holders import ReadHolders
+from bamboospring.sessions.read_holders import ZoneVm
 from bamboospring.sessions.record_keeper import RecordKeeper
 from bamboospring.sessions.target_keeper import TargetKeeper
 from bamboospring.sessions.vm_registry import VmRegistry
@@ -40,6 +42,7 @@
 from bamboospring.sessions.zone_relays import FactSource
 from bamboospring.sessions.zone_relays import ServeZone
 from bamboospring.sessions.zone_relays import ZoneRelays
+from bamboospring.sessions.zone_relays import ZoneRoll
 from bamboospring.statements import Position
 
 __all__ = ["FactRelay", "digest_of", "read_news", "spaced", "write_news"]
@@ -128,6 +131,7 @@
         records: RecordKeeper,
         targets: TargetKeeper,
         catalog: CatalogKeeper,
+        holders: ReadHolders,
     ) -> None:
         self._reactor = reactor
         self._board = board
@@ -141,6 +145,8 @@
         self._informed_until = -1e9
         self._source = FactSource()
         self._zone_relays = ZoneRelays()
+        self._roll = ZoneRoll()
+        self._holders = holders
         peers.handle("factsAsk", self._on_ask)
         peers.handle("leading", self._on_leading)
 
@@ -174,6 +180,7 @@
         ask.availabilityZone = self._board.availability_zone
         ask.records = digest_of(self._records.as_bytes())
         ask.targets = digest_of(write_news(self._targets.listed))
+        ask.zoneVms = digest_of(_write_vms(self._holders.listed))
 
         def answered(answer: Any) -> None:
             lost = isinstance(answer, PeerLost)
@@ -205,6 +212,8 @@
                     version=facts.leaseVersion,
                 )
             )
+            if facts.zoneVmsKnown:
+                self._take_zone(facts.zoneVms, now)
         else:
             self._informed_until = until
             self._take_assignment(facts, now)
@@ -232,6 +241,13 @@
                 facts.catalog, asked_at - catalog_age, until
             )
 
+    def _take_zone(self, data: bytes, now: float) -> None:
+        listed = self._holders.listed
+        if data:
+            rows = orjson.loads(data)
+            listed = tuple(ZoneVm(name=n, address=a) for n, a in rows)
+        self._holders.take_list(listed, now)
+
     def _take_assignment(self, facts: Any, now: float) -> None:
         assignment: Assignment = AskLeader()
         if facts.servesZone:
@@ -328,8 +344,22 @@
             self._fill(facts, ask)
             facts.leader = self._duty.holder()
             facts.leaderAddress = self._duty.holder_address()
+            self._fill_zone(facts, ask, now)
         reply(answer)
 
+    def _fill_zone(self, facts: Any, ask: Any, now: float) -> None:
+        """Note who asks, and tell it who else of the zone does."""
+        self._roll.heard(ZoneVm(name=ask.vm, address=ask.address), now)
+        me = ZoneVm(name=self._board.vm, address=self._registry.me.address)
+        vms = self._roll.vms(me, now)
+        if vms is None:
+            return
+        self._holders.take_list(vms, now)
+        facts.zoneVmsKnown = True
+        data = _write_vms(self._holders.listed)
+        if digest_of(data) != ask.zoneVms:
+            facts.zoneVms = data
+
     def _assign(self, facts: Any, ask: Any, now: float) -> None:
         asker = Asker(
             vm=ask.vm,
@@ -364,5 +394,9 @@
         facts.vms = self._board.vms
 
 
+def _write_vms(vms: tuple[ZoneVm, ...]) -> bytes:
+    return orjson.dumps([(vm.name, vm.address) for vm in vms])
+
+
 def _ms(seconds: float) -> int:
     return min(max(0, round(seconds * 1000)), 2**31)
--- a/bamboospring/sessions/run.py
+++ b/bamboospring/sessions/run.py
@@ -8,7 +8,9 @@
 from bamboospring.outcomes import Reason
 from bamboospring.reactor import Timer
 from bamboospring.sessions.attempt import Attempt
+from bamboospring.sessions.forwarded_read import ForwardedRead
 from bamboospring.sessions.model import GroupView
+from bamboospring.sessions.model import TargetView
 from bamboospring.sessions.patience import change_patience
 from bamboospring.sessions.ports import SessionOutcome
 from bamboospring.sessions.replies import CHANGE_RETRY_MS
@@ -41,6 +43,11 @@
 # gets in. What others are refused is what these need.
 URGENT_PATIENCE_PART = 0.8
 URGENT_TRIES = 16
+# A read is also sent to another target once it has taken so many times what
+# its target usually takes, and at least so many seconds: then its answer is
+# lost more probably than late.
+HEDGE_TIMES = 6.0
+SHORTEST_HEDGE = 0.08
 
 
 class Run:
@@ -72,7 +79,8 @@
         self._on: OnOutcome | None = on
         self._excluded: set[str] = set()
         self._tries = 0
-        self._live: set[Attempt] = set()
+        self._live: set[Attempt | ForwardedRead] = set()
+        self._caller_gone = False
         self._refusal: SessionOutcome | None = None
         self._no_target = ""
         self._timer: Timer | None = None
@@ -95,7 +103,11 @@
 
     def withdraw(self) -> None:
         """Give up what has not been sent: nobody waits for the answer."""
+        self._caller_gone = True
         if any(each.sent for each in self._live):
+            for each in self._live:
+                if isinstance(each, ForwardedRead):
+                    each.withdraw()
             return
         self.story.waited_for = self._waits_for()
         for each in list(self._live):
@@ -124,13 +136,26 @@
         match choice:
             case SendTo():
                 self._tries += 1
-                attempt = Attempt(run=self, choice=choice)
+                attempt = self._attempt(choice, now)
                 self._live.add(attempt)
                 attempt.start()
             case NoTarget(reason=reason):
                 self._no_target = reason.value
                 self._wait_or_refuse(reason, now)
 
+    def _attempt(self, choice: SendTo, now: float) -> Attempt | ForwardedRead:
+        """Return a try by the target's holder, or by a connection of ours.
+
+        Transactions and writes keep to connections of this VM: what becomes
+        of them can't be asked again if an answer is lost on the way.
+        """
+        holder = None
+        if self.tx is None and not self.job.writes:
+            holder = self.runner.holder_of(self.group.name, choice, now)
+        if holder is None:
+            return Attempt(run=self, choice=choice)
+        return ForwardedRead(run=self, choice=choice, holder=holder)
+
     def _needs(self) -> Needs:
         tx = self.tx
         at_primary = self.job.writes if tx is None else not tx.read_only
@@ -180,8 +205,9 @@
 
     # What becomes of a try.
 
-    def start_hedge(self, after: float) -> None:
-        """Try elsewhere too if a read has no answer after some seconds."""
+    def start_hedge(self, view: TargetView) -> None:
+        """Try elsewhere too if a read has no answer after some time."""
+        after = max(SHORTEST_HEDGE, HEDGE_TIMES * view.latency)
         if self.tx is None and not self.job.writes and self._hedge is None:
             self._hedge = self.runner.reactor.call_later(after, self._hedged)
 
@@ -196,7 +222,7 @@
 
     def served(
         self,
-        attempt: Attempt,
+        attempt: Attempt | ForwardedRead,
         outcome: SessionOutcome,
         position: Position | None,
     ) -> None:
@@ -206,19 +232,21 @@
 
     def failed(
         self,
-        attempt: Attempt,
+        attempt: Attempt | ForwardedRead,
         outcome: SessionOutcome,
         *,
         again: bool,
         free: bool = False,
         counted: bool = True,
+        target_tried: bool = True,
     ) -> None:
         """Take that a try came to nothing; `again` if another may be made.
 
         A further try is paid for from the retry budget unless it is `free`:
         one that was refused before it cost the target anything. One that
         found no place for a connection is not `counted`: it ends with the
-        statement's patience.
+        statement's patience. Without `target_tried` the same target may be
+        chosen for the next one.
         """
         if not counted:
             self._tries -= 1
@@ -226,9 +254,10 @@
         if self.over or self._live:
             return
         self._refusal = outcome
-        self._excluded.add(attempt.target)
+        if target_tried:
+            self._excluded.add(attempt.target)
         over = self._tries >= (URGENT_TRIES if self.urgent else MAX_TRIES)
-        if not again or over or self.left() <= 0:
+        if not again or over or self._caller_gone or self.left() <= 0:
             self._finish(outcome, None)
         elif free or self.runner.budget.may_retry():
             self.next_try()
--- a/bamboospring/sessions/runner.py
+++ b/bamboospring/sessions/runner.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Callable
 
+from bamboospring.peers import Peers
 from bamboospring.pool import Leased
 from bamboospring.pool import Pools
 from bamboospring.reactor import Reactor
@@ -21,6 +22,8 @@
 from bamboospring.sessions.ports import SessionOutcome
 from bamboospring.sessions.ports import SessionState
 from bamboospring.sessions.ports import TargetReply
+from bamboospring.sessions.read_holders import ReadHolders
+from bamboospring.sessions.read_holders import ZoneVm
 from bamboospring.sessions.run import Run
 from bamboospring.sessions.session import Job
 from bamboospring.sessions.session import OnOutcome
@@ -29,6 +32,7 @@
 from bamboospring.sessions.session import Worker
 from bamboospring.sessions.step import Step
 from bamboospring.sessions.story import StoryTeller
+from bamboospring.sessions.target_choice import SendTo
 from bamboospring.statements import Position
 
 __all__ = ["StatementRunner"]
@@ -50,6 +54,8 @@
         budget: RetryBudget,
         teller: StoryTeller,
         doubt: Callable[[str], None],
+        peers: Peers,
+        holders: ReadHolders,
     ) -> None:
         self.reactor = reactor
         self.board = board
@@ -57,6 +63,8 @@
         self.budget = budget
         self.teller = teller
         self.doubt = doubt
+        self.peers = peers
+        self._holders = holders
         self.running = 0
         self._waiting: dict[Session, Run] = {}
 
@@ -96,6 +104,28 @@
         if leased is not None:
             self.give_back(leased)
 
+    def holder_of(
+        self, group: str, choice: SendTo, now: float
+    ) -> ZoneVm | None:
+        """Return who runs a single read of a group; None: this VM."""
+        catalog = self.board.catalog
+        limits = catalog.groups.get(group) if catalog is not None else None
+        if limits is None:
+            return None
+        return self._holders.holder(
+            choice.news.target.name,
+            connections=limits.connections,
+            vms=self.board.vms,
+            now=now,
+        )
+
+    def pass_over(self, holder: str, target: str) -> None:
+        """Ask another VM than this holder for a while.
+
+        For one target, or for all of them if none is named.
+        """
+        self._holders.failed(holder, target, self.reactor.now())
+
     def withdraw(self, session: Session) -> None:
         """Forget what a caller who has gone still waits for."""
         run = self._waiting.get(session)
--- a/bamboospring/sessions/story.py
+++ b/bamboospring/sessions/story.py
@@ -30,7 +30,8 @@
 class Story:
     """One statement's way: where it was sent, on what knowledge.
 
-    `waited_for` is what it still waited for when its caller left.
+    `waited_for` is what it still waited for when its caller left, `through`
+    the VM that the last try was passed on to.
     """
 
     session: Session
@@ -42,12 +43,19 @@
     hedged: bool = False
     sent_at: float = 0.0
     waited_for: str = ""
+    through: str = ""
 
     def sent(
-        self, target: str, *, after: Position | None, proof_age: float | None
+        self,
+        target: str,
+        *,
+        after: Position | None,
+        proof_age: float | None,
+        through: str = "",
     ) -> None:
         """Note a try and what spoke for it."""
         self.targets.append(target)
+        self.through = through
         self.after = after
         self.proof_age = proof_age
         if not self.sent_at:
@@ -86,6 +94,7 @@
             outcome=word_of(outcome),
             reason=getattr(outcome, "reason", ""),
             targets=",".join(story.targets),
+            through=story.through,
             after=_text(story.after),
             proof_age_ms=_ms(story.proof_age),
             waited_ms=_ms(waited),
--- a/bamboospring/sessions/target_keeper.py
+++ b/bamboospring/sessions/target_keeper.py
@@ -17,6 +17,8 @@
 from bamboospring.sessions.model import SessionBoard
 from bamboospring.sessions.model import TargetNews
 from bamboospring.sessions.ports import SessionLink
+from bamboospring.sessions.read_holders import FEWEST_CONNECTIONS
+from bamboospring.sessions.read_holders import ReadHolders
 from bamboospring.shares import Units
 
 __all__ = ["TargetKeeper", "idle_time"]
@@ -31,11 +33,10 @@
 # An entry that is missing is kept this long, in seconds: after an outage of
 # the platform entries of live targets are back within two.
 GONE_AFTER = 2.2
-# One VM may use so many times its fair part of a target's connections, and at
-# least so many. They are opened when they are needed and closed when they
-# rest; the target itself refuses what goes beyond its limit.
+# One VM may use so many times its fair part of a target's connections. They
+# are opened when they are needed and closed when they rest; the target itself
+# refuses what goes beyond its limit.
 SHARE_TIMES = 2.0
-FEWEST_CONNECTIONS = 2
 # A connection may rest for so many seconds for each that a VM has by fair
 # parts, within these bounds: where VMs are more than connections, those that
 # rest are the ones that others wait for.
@@ -70,7 +71,9 @@
         kind: str,
         read: Callable[[Found], TargetNews | None],
         leaving_limit: float,
+        holders: ReadHolders,
     ) -> None:
+        self._holders = holders
         self._leaving_limit = leaving_limit * LEAVING_PART
         self._reactor = reactor
         self._board = board
@@ -212,8 +215,14 @@
             return
         fair = limits.connections / self._board.vms
         bound = max(FEWEST_CONNECTIONS, int(fair * SHARE_TIMES))
+        idle, kept = idle_time(fair), max(1, int(fair * KEPT_PART))
+        if self._holders.holds(news.target.name, self._reactor.now()):
+            # Its zone's reads come here: as many as the target runs at once
+            # may, over connections that stay for the next ones.
+            bound = max(bound, news.target.slots)
+            idle, kept = LONGEST_IDLE, bound
         share = Units(slots=bound, connections=bound)
         pool = self._pools.pool(news.target)
         if pool.share != share:
             pool.set_share(share)
-        pool.set_idle(idle_time(fair), kept=max(1, int(fair * KEPT_PART)))
+        pool.set_idle(idle, kept=kept)
--- a/bamboospring/sessions/zone_relays.py
+++ b/bamboospring/sessions/zone_relays.py
@@ -16,6 +16,8 @@
 from dataclasses import dataclass
 from dataclasses import field
 
+from bamboospring.sessions.read_holders import ZoneVm
+
 __all__ = [
     "AskLeader",
     "AskRelay",
@@ -24,6 +26,7 @@
     "FactSource",
     "ServeZone",
     "ZoneRelays",
+    "ZoneRoll",
 ]
 
 # In a zone of fewer VMs a relay would save no answers worth its hop.
@@ -114,6 +117,35 @@
         return AskRelay(address=relay.address)
 
 
+@dataclass(slots=True, kw_only=True)
+class ZoneRoll:
+    """Which VMs of its zone a relay has heard lately."""
+
+    _heard: dict[ZoneVm, float] = field(default_factory=dict)
+    _began_at: float = -1e9
+
+    def heard(self, vm: ZoneVm, now: float) -> None:
+        """Note that a VM has asked."""
+        if not self._heard:
+            self._began_at = now
+        self._heard[vm] = now
+
+    def vms(self, me: ZoneVm, now: float) -> list[ZoneVm] | None:
+        """Return who is there, this VM included; None while not all know it.
+
+        A relay that has just been named has not heard most of its zone yet;
+        who has a list from before goes on by that.
+        """
+        self._heard = {
+            vm: at
+            for vm, at in self._heard.items()
+            if now - at <= HEARD_WITHIN
+        }
+        if not self._heard or now - self._began_at < HEARD_WITHIN:
+            return None
+        return [me, *self._heard]
+
+
 @dataclass(slots=True, kw_only=True)
 class FactSource:
     """Whom one VM asks for facts: the leader, or the relay of its zone."""
--- a/bamboospring/wire.capnp
+++ b/bamboospring/wire.capnp
@@ -27,6 +27,9 @@
     recordSeen @19 :RecordSeen;
     leading @20 :Leading;
     witness @21 :Witness;
+    readAsk @22 :ReadAsk;
+    readAnswer @23 :ReadAnswer;
+    readCancel @24 :ReadCancel;
   }
 }
 
@@ -37,6 +40,7 @@
   targets @2 :UInt64;
   address @3 :Text;           # where the asker listens for peers
   availabilityZone @4 :Text;
+  zoneVms @5 :UInt64;         # digest, as above
 }
 
 struct Facts {
@@ -56,6 +60,23 @@
   servesZone @12 :Bool;       # the asker is the relay of its zone
   leader @13 :Text;           # who leads, if it is not the sender
   leaderAddress @14 :Text;
+  zoneVms @15 :Data;          # JSON: the zone's VMs; empty: as the asker has it
+  zoneVmsKnown @16 :Bool;     # the sender knows the zone's VMs
+}
+
+struct ReadAsk {              # a read for the holder of its target to run
+  vm @0 :Text;
+  number @1 :UInt64;          # the asker's own, to cancel it by
+  head @2 :Data;              # JSON; its members: see read_messages.py
+}
+
+struct ReadAnswer {
+  head @0 :Data;              # JSON; its members: see read_messages.py
+}
+
+struct ReadCancel {           # nobody waits for the answer any more
+  vm @0 :Text;
+  number @1 :UInt64;
 }
 
 struct Leading {              # the sender has taken the lease
