Queue a zone's reads at their holder, and send what finds slots

Cause: holders of several zones share a target's slots and know nothing of each other. What found no slot was bounced to its caller's VM, tried again from there a few times and refused; and a holder that is cut off from its target held reads until their time was up.

Change: a holder that is told of no free slot sends less at once and queues the read again within its caller's patience; a read without an answer is tried once more past the holder.

--- /dev/null
+++ b/bamboospring/concurrency_limit.py
@@ -0,0 +1,55 @@
+"""How many statements one process keeps under way at a target.
+
+The load that it answers: several processes that share the slots of a target
+and know nothing of each other. What finds no slot is refused by the target
+and has to be sent again; with all of them sending as much as they have, most
+of what a busy target does is to refuse. So each of them sends less at once
+after a refusal and slowly more while none comes, as senders on a network do,
+and what has to wait waits in its own queue, in order.
+
+No I/O here, no clock and no randomness.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+__all__ = ["ConcurrencyLimit"]
+
+# After a refusal this part of the limit is left.
+DECREASE = 0.7
+# Refusals within so many seconds tell of one moment and lower the limit once.
+ONE_MOMENT = 0.03
+
+
+@dataclass(slots=True, kw_only=True)
+class ConcurrencyLimit:
+    """A limit between 1 and `most`; it begins at `most`."""
+
+    most: int
+    _value: float = 0.0
+    _lowered_at: float = -1e9
+
+    def __post_init__(self) -> None:
+        self._value = float(self.most)
+
+    @property
+    def value(self) -> int:
+        """Return how many may be under way."""
+        return max(1, min(self.most, int(self._value)))
+
+    def set_most(self, most: int) -> None:
+        """Take another upper bound."""
+        if most > self.most:
+            self._value += most - self.most
+        self.most = most
+
+    def served(self) -> None:
+        """Note that one was run: by one more after as many as it allows."""
+        self._value = min(float(self.most), self._value + 1 / self._value)
+
+    def refused(self, now: float) -> None:
+        """Note that the target had no slot."""
+        if now - self._lowered_at >= ONE_MOMENT:
+            self._lowered_at = now
+            self._value = max(1.0, self._value * DECREASE)
--- a/bamboospring/pool.py
+++ b/bamboospring/pool.py
@@ -30,6 +30,7 @@
 from bamboospring.blackboard import Target
 from bamboospring.breaker import Breaker
 from bamboospring.breaker import BreakerTiming
+from bamboospring.concurrency_limit import ConcurrencyLimit
 from bamboospring.connections import Connections
 from bamboospring.connections import ConnectionTiming
 from bamboospring.outcomes import NotRun
@@ -159,6 +160,7 @@
         self._chance = chance
         self._dialer = make_dialer(target, self._on_ended)
         self._share = Units()
+        self._limit = ConcurrencyLimit(most=1)
         self._slots = Admission(slots=0, queue_limit=queue_limit)
         self._gate = Admission(slots=0, queue_limit=queue_limit)
         self._connections = Connections[Leased[LinkT]](
@@ -195,6 +197,7 @@
     def set_share(self, share: Units) -> None:
         """Take a new share; what is idle beyond it is closed at once."""
         self._share = share
+        self._limit.set_most(max(1, share.slots))
         self._apply_share()
         for leased in self._connections.set_limit(share.connections):
             leased.conn.close()
@@ -262,6 +265,18 @@
         self._apply_share()
         self._serve()
 
+    def found_slot(self, *, found: bool) -> None:
+        """Note whether the target had a slot for a statement.
+
+        Whoever shares the target with other processes and queues for many
+        callers says so; then as many are sent at once as find slots.
+        """
+        if found:
+            self._limit.served()
+        else:
+            self._limit.refused(self._reactor.now())
+        self._apply_share()
+
     def park(self, leased: Leased[LinkT]) -> None:
         """Keep a transaction's connection and give its slot back."""
         now = self._reactor.now()
@@ -315,6 +330,7 @@
     def _apply_share(self) -> None:
         now = self._reactor.now()
         slots = self.breaker.slots(self._share.slots, now)
+        slots = min(slots, self._limit.value)
         if self._pinned:
             slots = max(1, slots)
         self._slots.slots = slots
--- a/bamboospring/sessions/forwarded_read.py
+++ b/bamboospring/sessions/forwarded_read.py
@@ -112,6 +112,7 @@
             born=target.born,
             values=run.session.values,
             left=max(0.0, run.left()),
+            patience=run.patience_left(),
             urgency=job.route.urgency,
             text=job.text,
             shape=job.shape,
--- a/bamboospring/sessions/read_messages.py
+++ b/bamboospring/sessions/read_messages.py
@@ -36,7 +36,8 @@
     `born` and `address` name the target's life that was chosen. `text` is
     None for a prepared statement, whose shape and arguments are given
     instead. `values` are those of the caller's session. The target's log must
-    have `after`, if it is given. `left` is the time for it in seconds.
+    have `after`, if it is given. `left` is the time for it in seconds, within
+    `patience` of them it must have found a slot.
     """
 
     id: str
@@ -47,6 +48,7 @@
     born: int
     values: dict[str, str]
     left: float
+    patience: float
     urgency: int = 0
     text: str | None = None
     shape: Shape | None = None
@@ -77,6 +79,7 @@
             read.born,
             read.values,
             round(read.left * 1e6),
+            round(read.patience * 1e6),
             read.urgency,
             read.text,
             shape.text if shape is not None else None,
@@ -97,6 +100,7 @@
         born,
         values,
         left_us,
+        patience_us,
         urgency,
         text,
         shape,
@@ -112,6 +116,7 @@
         born=born,
         values=values,
         left=left_us / 1e6,
+        patience=patience_us / 1e6,
         urgency=urgency,
         text=text,
         shape=None if shape is None else Shape(writes=False, text=shape),
--- a/bamboospring/sessions/read_server.py
+++ b/bamboospring/sessions/read_server.py
@@ -37,6 +37,9 @@
 
 __all__ = ["ReadServer"]
 
+# What found no slot at the target is queued again after so many seconds: less
+# than a statement usually runs.
+BUSY_PAUSE = 0.005
 # A VM that asked the wrong one knows better within one round of facts.
 RETRY_MS = 100
 
@@ -131,13 +134,21 @@
     news: TargetNews
     on_done: Callable[[ReadResult], None]
     deadline: float = 0.0
+    patient_until: float = 0.0
     leased: Leased[SessionLink] | None = None
     asked: Asked | None = None
     over: bool = False
 
     def start(self) -> None:
+        now = self.server.reactor.now()
+        self.deadline = now + self.read.left
+        self.patient_until = now + self.read.patience
+        self._acquire()
+
+    def _acquire(self) -> None:
+        if self.over:
+            return
         read = self.read
-        self.deadline = self.server.reactor.now() + read.left
         self.asked = self.server.pools.acquire(
             self.news.target,
             self.deadline,
@@ -160,6 +171,9 @@
             self._finish(leased)
             return
         self.leased = leased
+        if self.over:
+            self._release(healthy=True)
+            return
         read = self.read
         orders = orders_before(leased.conn, read.values, read.shape, None)
         if not orders:
@@ -223,13 +237,21 @@
         assert self.leased is not None
         if reply.refusal is Refusal.UNKNOWN_SHAPE:
             self.leased.conn.shapes.clear()
+        busy = reply.refusal is Refusal.BUSY
+        pool = self.server.pools.pool(self.news.target)
+        pool.found_slot(found=not busy)
         self._release(healthy=True)
-        self._finish(reply)
+        now = self.server.reactor.now()
+        if busy and now + BUSY_PAUSE < self.patient_until:
+            self.server.reactor.call_later(BUSY_PAUSE, self._acquire)
+        else:
+            self._finish(reply)
 
     def _release(self, *, healthy: bool) -> None:
         assert self.leased is not None
-        usable = healthy and self.leased.conn.usable
-        self.server.pools.release(self.leased, healthy=usable)
+        leased, self.leased = self.leased, None
+        usable = healthy and leased.conn.usable
+        self.server.pools.release(leased, healthy=usable)
 
     def _finish(self, result: ReadResult) -> None:
         if not self.over:
--- a/bamboospring/sessions/run.py
+++ b/bamboospring/sessions/run.py
@@ -19,6 +19,7 @@
 from bamboospring.sessions.session import Session
 from bamboospring.sessions.session import Transaction
 from bamboospring.sessions.story import Story
+from bamboospring.sessions.target_choice import Choice
 from bamboospring.sessions.target_choice import choose
 from bamboospring.sessions.target_choice import Needs
 from bamboospring.sessions.target_choice import NoTarget
@@ -81,6 +82,7 @@
         self._tries = 0
         self._live: set[Attempt | ForwardedRead] = set()
         self._caller_gone = False
+        self._directly = False
         self._refusal: SessionOutcome | None = None
         self._no_target = ""
         self._timer: Timer | None = None
@@ -126,15 +128,8 @@
         if self.over:
             return
         now = self.runner.reactor.now()
-        choice = choose(
-            self.group,
-            self.job.route,
-            self._needs(),
-            zone=self.runner.board.availability_zone,
-            now=now,
-        )
-        match choice:
-            case SendTo():
+        match self._choose(now):
+            case SendTo() as choice:
                 self._tries += 1
                 attempt = self._attempt(choice, now)
                 self._live.add(attempt)
@@ -143,6 +138,15 @@
                 self._no_target = reason.value
                 self._wait_or_refuse(reason, now)
 
+    def _choose(self, now: float) -> Choice:
+        return choose(
+            self.group,
+            self.job.route,
+            self._needs(),
+            zone=self.runner.board.availability_zone,
+            now=now,
+        )
+
     def _attempt(self, choice: SendTo, now: float) -> Attempt | ForwardedRead:
         """Return a try by the target's holder, or by a connection of ours.
 
@@ -150,7 +154,7 @@
         of them can't be asked again if an answer is lost on the way.
         """
         holder = None
-        if self.tx is None and not self.job.writes:
+        if self.tx is None and not self.job.writes and not self._directly:
             holder = self.runner.holder_of(self.group.name, choice, now)
         if holder is None:
             return Attempt(run=self, choice=choice)
@@ -215,10 +219,17 @@
         self._hedge = None
         if self.over or self._tries >= MAX_TRIES:
             return
-        if self.runner.budget.may_retry():
-            self.story.hedged = True
-            self._excluded.update(each.target for each in self._live)
-            self.next_try()
+        if not self.runner.budget.may_retry():
+            return
+        self.story.hedged = True
+        # A holder may be what is silent, so the second try passes by it.
+        self._directly = True
+        excluded = set(self._excluded)
+        self._excluded.update(each.target for each in self._live)
+        if isinstance(self._choose(self.runner.reactor.now()), NoTarget):
+            if any(isinstance(each, ForwardedRead) for each in self._live):
+                self._excluded = excluded
+        self.next_try()
 
     def served(
         self,
@@ -264,6 +275,11 @@
         else:
             self._finish(outcome, None)
 
+    def patience_left(self) -> float:
+        """Return the seconds within which the statement should find a slot."""
+        now = self.runner.reactor.now()
+        return max(0.0, self._patient_until - now)
+
     def left(self) -> float:
         """Return the seconds until the statement's time is up."""
         return self.deadline - self.runner.reactor.now()
--- /dev/null
+++ b/features/read_holders.feature
@@ -0,0 +1,60 @@
+Feature: A zone's reads of a target go through few connections
+
+  Scenario: The VMs of a zone agree on who holds a target
+    Given 23 VMs of a zone that were heard lately
+    Then for 30 targets of 34 connections 68 VMs use holders of their own zone
+    And no VM holds more than 6 of the 30 targets
+    And the loss of a VM moves no target that it does not hold
+
+  Scenario: Where every VM can keep connections, none of it is used
+    Given 23 VMs of a zone that were heard lately
+    Then for 30 targets of 136 connections 68 VMs use their own
+    And a VM whose list is 6 s old uses its own
+
+  Scenario: A holder that does not answer is passed over
+    # The holder has lost power. Its zone's reads would wait for it until the
+    # list of VMs is new; the next VM in the order stands in for it, and with
+    # both gone each VM uses connections of its own.
+    Given 23 VMs of a zone that were heard lately
+    Then a VM whose holder failed asks the next one for 3 s
+    And a VM whose next one failed too uses its own
+
+  Scenario: All of a group's reads come to one target with few places
+    # Replicas lag, so that all reads of a group come to its primary: 3 slots
+    # and 34 connections for 68 VMs. Each VM opens a connection for nearly every
+    # read, for 12 ms of a slot; most find no place and refuse their callers.
+    # Two thirds of the slots' time is asked for, so nearly all can be served.
+    Given 68 VMs in 3 zones before a target of 3 slots and 34 connections
+    When reads of 20 ms come at 100 a second for 10 s
+    Then at least 0.99 of them are served
+    And at most 0.1 connections are opened for each read
+
+  Scenario: A jam ends with its cause
+    # Twice as many reads as the target can run come for five seconds. Whoever
+    # comes after it is served as if nothing had been.
+    Given 68 VMs in 3 zones before a target of 3 slots and 34 connections
+    When reads of 20 ms come at 300 a second for 5 s
+    And 1 s goes by in the crowd
+    And reads of 20 ms come at 100 a second for 4 s
+    Then at least 0.95 of them are served
+
+  Scenario: Holders die in the middle of the load
+    # A third of the VMs lose power, holders among them. What they were asked
+    # has no answer; it is a read, so it goes another way, and no caller is told
+    # that it has not run while it may still.
+    Given 68 VMs in 3 zones before a target of 3 slots and 34 connections
+    When reads of 20 ms come at 90 a second for 5 s
+    And a third of the VMs die
+    And reads of 20 ms come at 60 a second for 5 s
+    Then at least 0.97 of them are served
+
+  Scenario: Only the target's own limits are waited for at a holder
+    # A holder can't reach the target, the VMs that ask it can. They use their
+    # own connections instead of being told that the target is away.
+    Given 68 VMs in 3 zones before a target of 3 slots and 34 connections
+    When holders can't reach the target
+    And reads of 20 ms come at 40 a second for 5 s
+    Then at least 0.95 of them are served
+
+  Scenario: Reads come back whole, whatever is in them
+    Then 300 generated reads and results are the same after the way
--- /dev/null
+++ b/features/steps/read_holders_steps.py
@@ -0,0 +1,567 @@
+"""Steps for reads that VMs of a zone pass on to the holder of a target.
+
+The crowd is made of the real decisions, pools and runners of many VMs, under
+one clock that is only counted. The target and the network are simulated.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+from dataclasses import field
+import random
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+from hypothesis import given as for_all
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from bamboospring.blackboard import Target
+from bamboospring.outcomes import NotRun
+from bamboospring.outcomes import Overloaded
+from bamboospring.outcomes import Reason
+from bamboospring.peers import PeerLost
+from bamboospring.pool import Pools
+from bamboospring.pool import PoolTiming
+from bamboospring.retry_budget import RetryBudget
+from bamboospring.sessions.model import Catalog
+from bamboospring.sessions.model import Freshness
+from bamboospring.sessions.model import GroupLimits
+from bamboospring.sessions.model import Leadership
+from bamboospring.sessions.model import Route
+from bamboospring.sessions.model import SessionBoard
+from bamboospring.sessions.model import TargetNews
+from bamboospring.sessions.node import LINK_BREAKER
+from bamboospring.sessions.node import LINK_TIMING
+from bamboospring.sessions.ports import LinkLost
+from bamboospring.sessions.ports import Refusal
+from bamboospring.sessions.ports import Served
+from bamboospring.sessions.ports import SessionState
+from bamboospring.sessions.ports import Shape
+from bamboospring.sessions.ports import TargetReply
+from bamboospring.sessions.read_holders import ReadHolders
+from bamboospring.sessions.read_holders import ZoneVm
+from bamboospring.sessions.read_messages import decode_read
+from bamboospring.sessions.read_messages import decode_result
+from bamboospring.sessions.read_messages import encode_read
+from bamboospring.sessions.read_messages import encode_result
+from bamboospring.sessions.read_messages import HeldRead
+from bamboospring.sessions.read_server import ReadServer
+from bamboospring.sessions.runner import StatementRunner
+from bamboospring.sessions.session import Job
+from bamboospring.sessions.session import Session
+from bamboospring.sessions.story import StoryTeller
+from bamboospring.sessions.target_keeper import TargetKeeper
+from bamboospring.statements import Position
+from bamboospring.target_link import Health
+from bamboospring.target_link import Opened
+from bamboospring.target_link import OpenFailed
+from features.steps.unanswered_steps import FakeClock
+
+HOP = 0.0005
+OPENING = 0.012
+ROUTE = Route(
+    name="r",
+    database="d",
+    group="g",
+    freshness=Freshness.PRIMARY,
+    time_limit=1.0,
+    objective=0.25,
+    max_age=None,
+)
+TARGET = Target(
+    name="t", address="h:1", availability_zone="z-0", site="z-0", slots=3
+)
+
+
+class FakeTarget:
+    """A primary with slots and places; whoever finds no slot is told so."""
+
+    def __init__(self, clock: FakeClock, slots: int, places: int) -> None:
+        self.clock = clock
+        self.slots = slots
+        self.places = places
+        self.busy = 0
+        self.connections = 0
+        self.opened = 0
+        self.work = 0.02
+
+    def take(self, seconds: float, done: Any, refused: Any) -> None:
+        if self.busy >= self.slots:
+            self.clock.call_later(HOP, refused)
+            return
+        self.busy += 1
+
+        def over() -> None:
+            self.busy -= 1
+            done()
+
+        self.clock.call_later(HOP + seconds, over)
+
+
+@dataclass(eq=False)
+class FakeLink:
+    """A connection of one VM to the target."""
+
+    target: FakeTarget
+    vm: CrowdVm
+    values: dict[str, str] = field(default_factory=dict)
+    shapes: set[Shape] = field(default_factory=set)
+    state: SessionState = SessionState.IDLE
+    usable: bool = True
+    closed: bool = False
+
+    def close(self) -> None:
+        if not self.closed:
+            self.closed, self.usable = True, False
+            self.target.connections -= 1
+
+    def send(self, orders: Any, timeout: float, on_done: Any) -> None:
+        def answer(reply: TargetReply) -> None:
+            if self.vm.up:
+                on_done([reply])
+
+        def done() -> None:
+            answer(
+                TargetReply(signature="s", position=Position(term=1, index=1))
+            )
+
+        def refused() -> None:
+            answer(TargetReply(refusal=Refusal.BUSY))
+
+        self.target.take(self.target.work, done, refused)
+
+
+class FakeDialer:
+    """Opens connections of one VM."""
+
+    def __init__(self, target: FakeTarget, vm: CrowdVm) -> None:
+        self.target = target
+        self.vm = vm
+
+    def open(self, timeout: float, on_done: Any) -> None:
+        target, clock = self.target, self.target.clock
+        if not self.vm.reaches_target:
+            clock.call_later(timeout, lambda: on_done(OpenFailed()))
+        elif target.connections >= target.places:
+            full = OpenFailed(full=True)
+            clock.call_later(HOP, lambda: on_done(full))
+        else:
+            target.connections += 1
+            target.opened += 1
+            link = FakeLink(target, self.vm)
+            opened = Opened(link=link)
+
+            def again() -> None:
+                # A new connection waits for a slot to greet in.
+                target.take(OPENING, lambda: on_done(opened), again)
+
+            again()
+
+    def check(self, link: FakeLink, timeout: float, on_done: Any) -> None:
+        self.target.clock.call_later(HOP, lambda: on_done(Health.ALIVE))
+
+    def end(self, number: int) -> None:
+        pass
+
+
+class FakePeers:
+    """The network between the VMs of a crowd."""
+
+    def __init__(self, crowd: Crowd, vm: CrowdVm) -> None:
+        self.crowd = crowd
+        self.vm = vm
+        self.handlers: dict[str, Any] = {}
+
+    def handle(self, which: str, callback: Any) -> None:
+        self.handlers[which] = callback
+
+    def send(self, address: str, message: Any) -> None:
+        self._deliver(address, message, lambda answer: None)
+
+    def ask(
+        self, address: str, message: Any, timeout: float, on_answer: Any
+    ) -> None:
+        clock = self.crowd.clock
+        pending = [on_answer]
+
+        def once(answer: Any) -> None:
+            if pending and self.vm.up:
+                pending.pop()(answer)
+
+        other = self.crowd.by_address[address]
+        if not other.up:
+            lost = PeerLost(sent=False)
+            clock.call_later(0.002, lambda: once(lost))
+            return
+        silent = PeerLost(sent=True)
+        clock.call_later(timeout, lambda: once(silent))
+        other.waiting.append(lambda: once(silent))
+        self._deliver(address, message, once)
+
+    def _deliver(self, address: str, message: Any, on_answer: Any) -> None:
+        other = self.crowd.by_address[address]
+        clock = self.crowd.clock
+
+        def reply(answer: Any) -> None:
+            if other.up:
+                clock.call_later(HOP, lambda: on_answer(answer))
+
+        def arrive() -> None:
+            if other.up:
+                other.peers.handlers[message.which()](message, reply)
+
+        clock.call_later(HOP, arrive)
+
+
+class CrowdVm:
+    """One VM of the crowd."""
+
+    def __init__(self, crowd: Crowd, number: int, zone: str) -> None:
+        self.up = True
+        self.reaches_target = True
+        self.waiting: list[Any] = []
+        self.listed = ZoneVm(name=f"vm-{number}", address=f"vm-{number}:1")
+        self.zone = zone
+        self.peers: Any = FakePeers(crowd, self)
+        clock: Any = crowd.clock
+        self.board = SessionBoard(vm=self.listed.name, availability_zone=zone)
+        self.board.vms = crowd.count
+        limits = GroupLimits(name="g", connections=crowd.target.places)
+        self.board.catalog = Catalog(
+            version=1, routes={"d": ROUTE}, groups={"g": limits}
+        )
+        group = self.board.group("g")
+        group.leadership = Leadership(
+            group="g", version=1, term=1, primary="t"
+        )
+        group.targets["t"] = TargetNews(target=TARGET, group="g", leads=True)
+        self.pools: Any = Pools(
+            reactor=clock,
+            make_dialer=lambda target, on_ended: FakeDialer(
+                crowd.target, self
+            ),
+            timing=PoolTiming(
+                connect_timeout=0.5,
+                connections=LINK_TIMING,
+                breaker=LINK_BREAKER,
+            ),
+            chance=crowd.chance.random,
+        )
+        self.holders = ReadHolders(vm=self.listed.name)
+        self.server = ReadServer(
+            reactor=clock,
+            board=self.board,
+            peers=self.peers,
+            pools=self.pools,
+        )
+        self.keeper = TargetKeeper(
+            reactor=clock,
+            board=self.board,
+            platform=None,  # type: ignore[arg-type]
+            pools=self.pools,
+            kind="",
+            read=lambda found: None,
+            leaving_limit=7.0,
+            holders=self.holders,
+        )
+        self.runner = StatementRunner(
+            reactor=clock,
+            board=self.board,
+            pools=self.pools,
+            budget=RetryBudget(percent=20.0),
+            teller=StoryTeller(on_told=lambda story, outcome, took: None),
+            doubt=lambda group: None,
+            peers=self.peers,
+            holders=self.holders,
+        )
+        self.pools.start()
+
+    def die(self) -> None:
+        self.up = False
+        waiting, self.waiting = self.waiting, []
+        for lost in waiting:
+            lost()
+
+
+class Crowd:
+    """Many VMs before one target."""
+
+    def __init__(
+        self, count: int, zones: int, slots: int, places: int
+    ) -> None:
+        self.clock = FakeClock()
+        self.chance = random.Random(1)
+        self.count = count
+        self.target = FakeTarget(self.clock, slots, places)
+        self.vms = [
+            CrowdVm(self, number, f"z-{number % zones}")
+            for number in range(count)
+        ]
+        self.by_address = {vm.listed.address: vm for vm in self.vms}
+        self.outcomes: Counter[str] = Counter()
+        self.asked = 0
+        self.opened_before = 0
+        self.refresh()
+
+    def refresh(self) -> None:
+        """Have all VMs know who is there and that the primary is proven."""
+        now = self.clock.now()
+        self.clock.call_later(0.5, self.refresh)
+        for vm in self.vms:
+            vm.board.group("g").proof.renew(now)
+            vm.holders.take_list(
+                [v.listed for v in self.vms if v.up and v.zone == vm.zone],
+                now,
+            )
+            vm.keeper.apply_bounds()
+
+    def load(self, rate: float, seconds: float) -> None:
+        self.outcomes.clear()
+        self.asked = 0
+        self.opened_before = self.target.opened
+        end = self.clock.now() + seconds
+        while self.clock.now() < end:
+            wait = self.chance.expovariate(rate)
+            self.clock.run_until(self.clock.now() + wait)
+            self.ask()
+        self.clock.run_until(end + ROUTE.time_limit + 0.1)
+
+    def ask(self) -> None:
+        vm = self.chance.choice([vm for vm in self.vms if vm.up])
+        clock: Any = self.clock
+        number = self.asked
+        self.asked += 1
+        session = Session(
+            caller=f"caller {number % 400}",
+            database="d",
+            reactor=clock,
+            board=vm.board,
+            worker=vm.runner,
+            channel=None,  # type: ignore[arg-type]
+        )
+        job = Job(
+            id=str(number),
+            writes=False,
+            route=ROUTE,
+            received_at=self.clock.now(),
+            text="READ a",
+        )
+
+        def ended(outcome: Any, position: Any) -> None:
+            served = isinstance(outcome, Served)
+            self.outcomes["served" if served else outcome.reason.value] += 1
+
+        vm.runner.run(session, job, None, ended)
+
+
+@given("{count:d} VMs of a zone that were heard lately")
+def given_zone(context: Any, count: int) -> None:
+    context.zone = [
+        ZoneVm(name=f"vm-{n}", address=f"vm-{n}:1") for n in range(count)
+    ]
+
+
+def view_of(context: Any, vm: ZoneVm) -> ReadHolders:
+    holders = ReadHolders(vm=vm.name)
+    holders.take_list(context.zone, 0.0)
+    return holders
+
+
+def holder_names(
+    context: Any, targets: int, connections: int, vms: int
+) -> list[set[str]]:
+    """Return for each target the holders that the zone's VMs name."""
+    views = [view_of(context, vm) for vm in context.zone]
+    found = []
+    for n in range(targets):
+        names = set()
+        for view in views:
+            vm = view.holder(
+                f"target-{n}", connections=connections, vms=vms, now=1.0
+            )
+            names.add(vm.name if vm is not None else "itself")
+        found.append(names)
+    return found
+
+
+@then(
+    "for {targets:d} targets of {connections:d} connections {vms:d} VMs use"
+    " holders of their own zone"
+)
+def then_agree(context: Any, targets: int, connections: int, vms: int) -> None:
+    found = holder_names(context, targets, connections, vms)
+    # The holder itself uses its own connections.
+    assert all(len(names - {"itself"}) == 1 for names in found), found
+    held = [name for names in found for name in names - {"itself"}]
+    context.held = Counter(held)
+
+
+@then("no VM holds more than {most:d} of the {targets:d} targets")
+def then_even(context: Any, most: int, targets: int) -> None:
+    assert sum(context.held.values()) == targets
+    assert max(context.held.values()) <= most, context.held
+
+
+@then("the loss of a VM moves no target that it does not hold")
+def then_stable(context: Any) -> None:
+    before = holder_names(context, 30, 34, 68)
+    gone = context.zone.pop(7).name
+    after = holder_names(context, 30, 34, 68)
+    for old, new in zip(before, after):
+        if gone not in old:
+            assert old - {"itself"} == new - {"itself"}, (old, new)
+
+
+@then(
+    "for {targets:d} targets of {connections:d} connections {vms:d} VMs use"
+    " their own"
+)
+def then_own(context: Any, targets: int, connections: int, vms: int) -> None:
+    found = holder_names(context, targets, connections, vms)
+    assert all(names == {"itself"} for names in found), found
+
+
+@then("a VM whose list is {age:g} s old uses its own")
+def then_old_list(context: Any, age: float) -> None:
+    view = view_of(context, context.zone[0])
+    assert view.holder("t", connections=34, vms=68, now=age) is None
+
+
+def other_than_holders(context: Any) -> ReadHolders:
+    names = [view_of(context, vm) for vm in context.zone]
+    return next(
+        view
+        for view in names
+        if view.holder("t", connections=34, vms=68, now=1.0) is not None
+    )
+
+
+@then("a VM whose holder failed asks the next one for {seconds:g} s")
+def then_next(context: Any, seconds: float) -> None:
+    view = context.view = other_than_holders(context)
+    first = view.holder("t", connections=34, vms=68, now=1.0)
+    view.failed(first.name, "", 1.0)
+    second = view.holder("t", connections=34, vms=68, now=1.1)
+    assert second is None or second != first
+    late = 1.0 + seconds + 0.01
+    assert view.holder("t", connections=34, vms=68, now=late) == first
+
+
+@then("a VM whose next one failed too uses its own")
+def then_none_left(context: Any) -> None:
+    view = context.view
+    for at in (2.0, 2.1):
+        vm = view.holder("t", connections=34, vms=68, now=at)
+        if vm is not None:
+            view.failed(vm.name, "t", at)
+    assert view.holder("t", connections=34, vms=68, now=2.2) is None
+
+
+@given(
+    "{count:d} VMs in {zones:d} zones before a target of {slots:d} slots and"
+    " {places:d} connections"
+)
+def given_crowd(
+    context: Any, count: int, zones: int, slots: int, places: int
+) -> None:
+    context.crowd = Crowd(count, zones, slots, places)
+
+
+@when("reads of {work:d} ms come at {rate:g} a second for {seconds:g} s")
+def when_load(context: Any, work: int, rate: float, seconds: float) -> None:
+    context.crowd.target.work = work / 1000
+    context.crowd.load(rate, seconds)
+
+
+@when("{seconds:g} s goes by in the crowd")
+def when_crowd_time(context: Any, seconds: float) -> None:
+    clock = context.crowd.clock
+    clock.run_until(clock.now() + seconds)
+
+
+@when("a third of the VMs die")
+def when_third_dies(context: Any) -> None:
+    for vm in context.crowd.vms[::3]:
+        vm.die()
+
+
+@when("holders can't reach the target")
+def when_cut(context: Any) -> None:
+    for vm in context.crowd.vms:
+        vm.reaches_target = not vm.holders.holds("t", 0.0)
+
+
+@then("at least {share:g} of them are served")
+def then_served(context: Any, share: float) -> None:
+    crowd = context.crowd
+    assert sum(crowd.outcomes.values()) == crowd.asked, crowd.outcomes
+    part = crowd.outcomes["served"] / crowd.asked
+    assert part >= share, (part, crowd.outcomes)
+
+
+@then("at most {part:g} connections are opened for each read")
+def then_few_opened(context: Any, part: float) -> None:
+    crowd = context.crowd
+    opened = crowd.target.opened - crowd.opened_before
+    assert opened <= part * crowd.asked, (opened, crowd.asked)
+
+
+TEXT = st.text(st.characters(max_codepoint=255), max_size=20)
+POSITIONS = st.none() | st.builds(
+    Position, term=st.integers(0, 9), index=st.integers(0, 10**9)
+)
+READS = st.builds(
+    HeldRead,
+    id=TEXT,
+    caller=TEXT,
+    group=TEXT,
+    target=TEXT,
+    address=TEXT,
+    born=st.integers(0, 2**42),
+    values=st.dictionaries(TEXT, TEXT, max_size=3),
+    left=st.integers(0, 9_000_000).map(lambda us: us / 1e6),
+    patience=st.integers(0, 9_000_000).map(lambda us: us / 1e6),
+    urgency=st.integers(0, 9),
+    text=st.none() | TEXT,
+    shape=st.none() | st.builds(Shape, writes=st.just(False), text=TEXT),
+    arguments=TEXT,
+    after=POSITIONS,
+)
+RESULTS = (
+    st.builds(
+        TargetReply,
+        rows=st.lists(TEXT, max_size=3),
+        signature=TEXT,
+        refusal=st.none() | st.sampled_from(Refusal),
+        message=TEXT,
+        position=POSITIONS,
+    )
+    | st.builds(
+        NotRun,
+        reason=st.sampled_from(Reason),
+        retry_after_ms=st.integers(0, 9000),
+        message=TEXT,
+    )
+    | st.builds(
+        Overloaded,
+        reason=st.sampled_from(Reason),
+        retry_after_ms=st.integers(0, 9000),
+        message=TEXT,
+    )
+    | st.builds(LinkLost, silent=st.booleans())
+)
+
+
+@then("{count:d} generated reads and results are the same after the way")
+def then_same(context: Any, count: int) -> None:
+    @settings(max_examples=count, derandomize=True, deadline=None)
+    @for_all(READS, RESULTS)
+    def check(read: HeldRead, result: Any) -> None:
+        assert decode_read(encode_read(read)) == read
+        assert decode_result(encode_result(result)) == result
+
+    check()
