--- a/bamboospring/peers.py
+++ b/bamboospring/peers.py
@@ -116,6 +116,15 @@
         message.id = next(self._ids)
         self._link(address).ask(message, timeout, on_answer)
 
+    def silence(self, address: str) -> float | None:
+        """Return for how many seconds a peer has owed an answer.
+
+        0 if it owes none or has said something since; None if no link stands
+        that a question could be sent on. Then one is opened, for later.
+        """
+        link = self._link(address)
+        return link.silence(self.reactor.now()) if link.ready else None
+
     def close(self) -> None:
         """Stop listening and drop all links."""
         self.listener.close()
@@ -192,6 +201,9 @@
             self.heard_at = self.peers.reactor.now()
             self._watch_silence()
 
+    def silence(self, now: float) -> float:
+        return now - self.heard_at if self.exchanges else 0.0
+
     def opened(self, stream: Stream | None) -> None:
         if self.ended:
             if stream is not None:
--- a/bamboospring/sessions/leader.py
+++ b/bamboospring/sessions/leader.py
@@ -44,8 +44,11 @@
 # asked how it is: a refused port shows at once that it has failed.
 LOOK_AFTER = 0.15
 STORE_TIMEOUT = 1.0
-# Seconds between two looks at the list of VMs.
+# Seconds between two looks at the list of VMs, and the first of them, each
+# twice the one before: a fleet that has just started is listed while it still
+# grows, and how many VMs there are decides how they share connections.
 TIDY_INTERVAL = 10.0
+FIRST_TIDY_INTERVAL = 1.0
 # A change that ended without a new primary is begun again after this.
 TRY_AGAIN = 0.5
 
@@ -76,6 +79,7 @@
         self._registry = registry
         self._releases = releases
         self._tidied_at = -1e9
+        self._tidy_interval = FIRST_TIDY_INTERVAL
         self._sights: dict[str, tuple[str, PrimarySight]] = {}
         self._looked_at: dict[str, float] = {}
         self._begin_after: dict[str, float] = {}
@@ -128,6 +132,7 @@
         if leads:
             # The others are told at once.
             self._tidied_at = -1e9
+            self._tidy_interval = FIRST_TIDY_INTERVAL / 2
             self._changes.put_all_right()
         else:
             self._changes.drop_all()
@@ -139,9 +144,10 @@
     def _tidy(self) -> None:
         """Keep the list of VMs, and remove those that have long gone."""
         now = self._reactor.now()
-        if now - self._tidied_at < TIDY_INTERVAL:
+        if now - self._tidied_at < self._tidy_interval:
             return
         self._tidied_at = now
+        self._tidy_interval = min(TIDY_INTERVAL, self._tidy_interval * 2)
 
         def listed(vms: dict[str, ListedVm] | None) -> None:
             if vms is not None:
--- a/bamboospring/sessions/runner.py
+++ b/bamboospring/sessions/runner.py
@@ -37,6 +37,9 @@
 
 __all__ = ["StatementRunner"]
 
+# A holder that owes answers and has been silent for so many seconds gets no
+# more reads: it refuses within less what it can't run, and runs the rest.
+HOLDER_SILENCE = 0.2
 # The rollback of what a caller has left needs no longer than this, in
 # seconds; a connection that does not answer it is closed.
 ROLLBACK_TIMEOUT = 1.0
@@ -112,12 +115,20 @@
         limits = catalog.groups.get(group) if catalog is not None else None
         if limits is None:
             return None
-        return self._holders.holder(
+        holder = self._holders.holder(
             choice.news.target.name,
             connections=limits.connections,
             vms=self.board.vms,
             now=now,
         )
+        if holder is None:
+            return None
+        # A read that waits for a link that never stands, or for a holder that
+        # says nothing any more, waits through most of its time for nothing.
+        silence = self.peers.silence(holder.address)
+        if silence is None or silence > HOLDER_SILENCE:
+            return None
+        return holder
 
     def pass_over(self, holder: str, target: str) -> None:
         """Ask another VM than this holder for a while.
--- a/features/steps/read_holders_steps.py
+++ b/features/steps/read_holders_steps.py
@@ -175,6 +175,11 @@
         self.crowd = crowd
         self.vm = vm
         self.handlers: dict[str, Any] = {}
+        self.owed: dict[str, list[float]] = {}
+
+    def silence(self, address: str) -> float | None:
+        now = self.crowd.clock.now()
+        return max((now - at for at in self.owed.get(address, [])), default=0)
 
     def handle(self, which: str, callback: Any) -> None:
         self.handlers[which] = callback
@@ -187,10 +192,17 @@
     ) -> None:
         clock = self.crowd.clock
         pending = [on_answer]
+        owed = self.owed.setdefault(address, [])
+        asked_at = clock.now()
+        owed.append(asked_at)
 
         def once(answer: Any) -> None:
-            if pending and self.vm.up:
-                pending.pop()(answer)
+            if not pending:
+                return
+            owed.remove(asked_at)
+            on_done = pending.pop()
+            if self.vm.up:
+                on_done(answer)
 
         other = self.crowd.by_address[address]
         if not other.up:
--- a/features/steps/session_estate_steps.py
+++ b/features/steps/session_estate_steps.py
@@ -184,6 +184,32 @@
     act(context, after, kill)
 
 
+@when("after {after:d} s {names} are killed")
+def when_some_killed(context, after, names):
+    async def kill():
+        context.stage.killed_at = time.time()
+        for name in names.replace(" and ", ", ").split(", "):
+            context.stage.fleet.vms[name].process.kill()
+
+    act(context, after, kill)
+
+
+@then("reads were passed on before and after the kill")
+def then_passed_on(context):
+    stage = context.stage
+    times = [
+        event.time
+        for event in explain.read_events(all_lines(stage))
+        if event.name == "answered"
+        and event.fields.get("through")
+        and event.fields.get("outcome") == "served"
+    ]
+    at = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(stage.killed_at))
+    before = sum(each < at for each in times)
+    assert before > 100, before
+    assert len(times) - before > 100, len(times) - before
+
+
 @when("after {after:d} s the primary of {group} leaves")
 def when_leaves(context, after, group):
     stage = context.stage
