Leave a replica that lags until it can have caught up

Cause: replicas that lag by seconds were asked again every 0.1 s by every VM; each read that accepts an age first went to both of them, then to the primary.

Change: a replica that lacked a position is left for as long as the primary took from the position that it has shown to the one that it lacked, 1 s at most.

Measured: replay of 20 reads a second for 5 s at two replicas that lag by 6 s: each asked 50 times before, 6 at most now; they are used again within 1.1 s of catching up. Both scenarios fail with the pause of before.

--- a/bamboospring/sessions/attempt.py
+++ b/bamboospring/sessions/attempt.py
@@ -209,7 +209,9 @@
         run = self.run
         refusal = reply.refusal
         now = run.runner.reactor.now()
-        note_refusal(run.group.view(self.target), refusal, now)
+        note_refusal(
+            run.group, self.target, refusal, now, needed=self.choice.after
+        )
         if refusal is Refusal.NOT_PRIMARY:
             run.runner.doubt(run.group.name)
         elif refusal is Refusal.UNKNOWN_SHAPE:
--- a/bamboospring/sessions/forwarded_read.py
+++ b/bamboospring/sessions/forwarded_read.py
@@ -183,7 +183,9 @@
             run.served(self, outcome, reply.position)
             return
         refusal = reply.refusal
-        note_refusal(run.group.view(self.target), refusal, now)
+        note_refusal(
+            run.group, self.target, refusal, now, needed=self.choice.after
+        )
         if refusal is Refusal.NOT_PRIMARY:
             run.runner.doubt(run.group.name)
         run.failed(
--- a/bamboospring/sessions/freshness.py
+++ b/bamboospring/sessions/freshness.py
@@ -82,6 +82,20 @@
         found = (self._at(n) for n in range(first, len(self._times)))
         return [sample for sample in found if sample is not None]
 
+    def time_between(self, shown: Position, needed: Position) -> float | None:
+        """Return how long after one position the primary had another.
+
+        None if no sample is as old as the first.
+        """
+        pairs = list(zip(self._times, self._positions))
+        before = [at for at, position in pairs if position <= shown]
+        after = [at for at, position in pairs if position >= needed]
+        if not before:
+            return None
+        if not after:
+            return self._times[-1] - before[-1]
+        return max(0.0, after[0] - before[-1])
+
     def _at(self, place: int) -> Sample | None:
         if place >= len(self._times):
             return None
--- a/bamboospring/sessions/refusals.py
+++ b/bamboospring/sessions/refusals.py
@@ -5,20 +5,51 @@
 
 from __future__ import annotations
 
-from bamboospring.sessions.model import TargetView
+from bamboospring.sessions.freshness import SampleLog
+from bamboospring.sessions.model import GroupView
 from bamboospring.sessions.ports import Refusal
+from bamboospring.statements import Position
 
-__all__ = ["costs_nothing", "may_try_again", "note_refusal"]
+__all__ = ["behind_pause", "costs_nothing", "may_try_again", "note_refusal"]
 
-# A replica that lacked a position is not asked for more than it has shown for
-# this many seconds: about what replicas usually lag.
-BEHIND_PAUSE = 0.1
+# Seconds for which a replica that lacked a position is not asked for more than
+# it has shown: about what replicas usually lag, and the longest time in which
+# one that catches up all at once may go unused.
+SHORTEST_BEHIND_PAUSE = 0.1
+LONGEST_BEHIND_PAUSE = 1.0
 
 
-def note_refusal(view: TargetView, refusal: Refusal, now: float) -> None:
-    """Note what a refusal shows of a target."""
+def behind_pause(
+    samples: SampleLog, shown: Position, needed: Position | None
+) -> float:
+    """Return how long a replica surely lacks what it was asked for.
+
+    A replica follows the primary at its own distance, so it has the position
+    that it lacked as long after the one that it has shown as the primary had.
+    Asked sooner it refuses again, and each read that waits for its refusal
+    comes later to the target that can serve it.
+    """
+    gap = None
+    if needed is not None:
+        gap = samples.time_between(shown, needed)
+    if gap is None:
+        gap = LONGEST_BEHIND_PAUSE if needed is not None else 0.0
+    return min(LONGEST_BEHIND_PAUSE, max(SHORTEST_BEHIND_PAUSE, gap))
+
+
+def note_refusal(
+    group: GroupView,
+    target: str,
+    refusal: Refusal,
+    now: float,
+    *,
+    needed: Position | None,
+) -> None:
+    """Note what a refusal of a statement that needed a position shows."""
+    view = group.view(target)
     if refusal is Refusal.BEHIND:
-        view.behind_until = now + BEHIND_PAUSE
+        pause = behind_pause(group.samples, view.applied, needed)
+        view.behind_until = now + pause
     elif not refusal.promises_nothing_ran:
         view.failed()
 
--- a/features/session_decisions.feature
+++ b/features/session_decisions.feature
@@ -71,6 +71,21 @@
     When a session that wrote position 9 reads at 11.3
     Then it goes to a replica that must have position 9
 
+  Scenario: Replicas that lag by seconds are not asked again and again
+    # Both replicas lag by six seconds and reads accept 1.5. Each read was first
+    # refused by both, then came to the primary, where it waited once more.
+    Given a group with a primary and two replicas
+    And a sample of each 0.1 s, and replicas that lag by 6 s
+    When 20 reads a second that accept 1.5 s come for 5 s
+    Then each replica was asked at most 6 times
+    When the replicas lag by 1.0 s from now on
+    And 20 reads a second that accept 1.5 s come for 3 s
+    Then after the first 1.1 s all reads ran at replicas
+
+  Scenario: A replica that lags a little too much is asked when it can be there
+    Then a replica that has shown what is 0.3 s older is left for 0.3 s
+    And one that has shown what is 20 s older is left for 1.0 s
+
   Scenario: A replica that was behind is passed over for a while
     Given a group with a primary and two replicas
     And a sample of position 7 taken at 10.0
--- a/features/steps/session_decisions_steps.py
+++ b/features/steps/session_decisions_steps.py
@@ -23,6 +23,7 @@
 from bamboospring.sessions.finish import finished_record
 from bamboospring.sessions.finish import is_overdue
 from bamboospring.sessions.finish import takes_part
+from bamboospring.sessions.freshness import SampleLog
 from bamboospring.sessions.link_setup import link_merit
 from bamboospring.sessions.link_setup import orders_before
 from bamboospring.sessions.model import Catalog
@@ -37,7 +38,10 @@
 from bamboospring.sessions.opening import judge_opening
 from bamboospring.sessions.patience import change_patience
 from bamboospring.sessions.ports import Clear
+from bamboospring.sessions.ports import Refusal
 from bamboospring.sessions.proofs import Report
+from bamboospring.sessions.refusals import behind_pause
+from bamboospring.sessions.refusals import note_refusal
 from bamboospring.sessions.takeover import Cause
 from bamboospring.sessions.takeover import OrderPromotion
 from bamboospring.sessions.takeover import StoreRecord
@@ -122,6 +126,82 @@
         context.group.view(name).behind_until = at + 0.1
 
 
+@given("a sample of each 0.1 s, and replicas that lag by {lag:g} s")
+def given_lagging(context, lag):
+    context.lag = lag
+    context.time = 20.0
+    context.asked = {}
+    context.ran = []
+
+
+def index_at(instant):
+    """Return the newest position of the primary at an instant."""
+    return int(instant * 10)
+
+
+@when("the replicas lag by {lag:g} s from now on")
+def when_lag(context, lag):
+    context.lag = lag
+
+
+@when("{rate:d} reads a second that accept {age:g} s come for {seconds:g} s")
+def when_reads(context, rate, age, seconds):
+    context.ran = []
+    group = context.group
+    for _ in range(int(rate * seconds)):
+        context.time += 1 / rate
+        now = context.time
+        group.proof.renew(now)
+        group.samples.add(now, Position(term=1, index=index_at(now)))
+        context.ran.append((now, read_once(context, age, now)))
+
+
+def read_once(context, age, now):
+    """Run one read and return where it was served."""
+    group, excluded = context.group, set()
+    while True:
+        needs = Needs(received_at=now, at_primary=False, excluded=excluded)
+        choice = choose(
+            group, route(Freshness.BOUNDED, age), needs, zone="a", now=now
+        )
+        name = choice.news.target.name
+        context.asked[name] = context.asked.get(name, 0) + 1
+        shown = Position(term=1, index=index_at(now - context.lag))
+        if name == "p" or shown >= choice.after:
+            return name
+        group.view(name).shows(shown, now)
+        note_refusal(group, name, Refusal.BEHIND, now, needed=choice.after)
+        excluded.add(name)
+
+
+@then("each replica was asked at most {most:d} times")
+def then_asked(context, most):
+    assert context.asked["r1"] <= most, context.asked
+    assert context.asked["r2"] <= most, context.asked
+
+
+@then("after the first {seconds:g} s all reads ran at replicas")
+def then_at_replicas(context, seconds):
+    began = context.ran[0][0]
+    late = [name for at, name in context.ran if at - began > seconds]
+    assert late and "p" not in late, context.ran
+
+
+@then(
+    "a replica that has shown what is {gap:g} s older is left for {pause:g} s"
+)
+@then("one that has shown what is {gap:g} s older is left for {pause:g} s")
+def then_left(context, gap, pause):
+    samples = SampleLog()
+    for n in range(100):
+        at = 20.0 + n / 10
+        samples.add(at, Position(term=1, index=index_at(at)))
+    needed = Position(term=1, index=index_at(28.0))
+    shown = Position(term=1, index=index_at(28.0 - gap))
+    found = behind_pause(samples, shown, needed)
+    assert abs(found - pause) < 0.11, found
+
+
 @given("the primary may be used until {at:f}")
 def given_until(context, at):
     news = context.group.targets["p"]
