--- a/bamboospring/sessions/node.py
+++ b/bamboospring/sessions/node.py
@@ -129,6 +129,7 @@
             platform=self.platform,
             duty=self.leader.duty,
             listener=self.callers,
+            read_server=self.read_server,
             now=self.reactor.now,
         )
 
--- a/bamboospring/sessions/read_server.py
+++ b/bamboospring/sessions/read_server.py
@@ -59,7 +59,7 @@
         self.board = board
         self.pools = pools
         self._held: dict[tuple[str, int], _Held] = {}
-        self.running = 0
+        self.taken = 0
         peers.handle("readAsk", self._on_ask)
         peers.handle("readCancel", self._on_cancel)
 
@@ -70,14 +70,13 @@
 
         def done(result: ReadResult) -> None:
             self._held.pop(key, None)
-            self.running -= 1
             answer = envelope()
             answer.init("readAnswer").head = encode_result(result)
             reply(answer)
             if not isinstance(result, TargetReply):
                 self._log_failure(read, key[0], result)
 
-        self.running += 1
+        self.taken += 1
         news = self._news_of(read)
         if news is None:
             done(NotRun(reason=Reason.NOT_HOLDER, retry_after_ms=RETRY_MS))
--- a/bamboospring/sessions/session_metrics.py
+++ b/bamboospring/sessions/session_metrics.py
@@ -28,6 +28,7 @@
     from bamboospring.sessions.duty import Duty
     from bamboospring.sessions.outside import CallerListener
     from bamboospring.sessions.ports import SessionLink
+    from bamboospring.sessions.read_server import ReadServer
 
 __all__ = ["SessionMetrics"]
 
@@ -51,6 +52,7 @@
         self._routes: set[str] = set()
         self._replica_reads = 0
         self._hedged = 0
+        self._passed_on = 0
         self._unready = ""
 
     def told(
@@ -69,6 +71,7 @@
         key = (self._route(story.job.route.name), kind, cause)
         self._outcomes[key] = self._outcomes.get(key, 0) + 1
         self._hedged += story.hedged
+        self._passed_on += bool(story.through)
         if isinstance(outcome, Served) and outcome.at_replica:
             self._replica_reads += 1
 
@@ -85,6 +88,7 @@
         platform: PlatformClient,
         duty: Duty,
         listener: CallerListener,
+        read_server: ReadServer,
         now: Callable[[], float],
     ) -> None:
         """Show what the components of the node hold and have counted."""
@@ -126,6 +130,12 @@
             label="target",
             description="Connections that the target's limit forbade.",
         )
+        watch(
+            "bamboospring.reads.held",
+            lambda: read_server.taken,
+            kind=Kind.COUNTER,
+            description="Reads that other VMs have passed on to this one.",
+        )
         watch(
             "bamboospring.platform.calls",
             lambda: {k: c.calls for k, c in platform.counts.items()},
@@ -214,6 +224,7 @@
         for name, value, text in (
             ("reads.replica", self._replica_reads, "Reads at replicas."),
             ("reads.hedged", self._hedged, "Reads also sent elsewhere."),
+            ("reads.passed_on", self._passed_on, "Reads at holders."),
         ):
             yield Series(
                 name=f"bamboospring.{name}",
