Let a limit that refusals have lowered rise again by itself

Found by reading: a VM that stops being a holder while its target is full gets no more word of free slots, and its own statements would keep to one at a time for good. The new scenario fails without the change.

--- a/bamboospring/concurrency_limit.py
+++ b/bamboospring/concurrency_limit.py
@@ -20,6 +20,9 @@
 DECREASE = 0.7
 # Refusals within so many seconds tell of one moment and lower the limit once.
 ONE_MOMENT = 0.03
+# Seconds without a refusal after which nothing is left of the last one. Else a
+# limit that is lowered and then not used would stay low for good.
+FORGOTTEN_AFTER = 1.0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -33,9 +36,10 @@
     def __post_init__(self) -> None:
         self._value = float(self.most)
 
-    @property
-    def value(self) -> int:
+    def allowed(self, now: float) -> int:
         """Return how many may be under way."""
+        if now - self._lowered_at > FORGOTTEN_AFTER:
+            self._value = float(self.most)
         return max(1, min(self.most, int(self._value)))
 
     def set_most(self, most: int) -> None:
--- a/bamboospring/pool.py
+++ b/bamboospring/pool.py
@@ -330,7 +330,7 @@
     def _apply_share(self) -> None:
         now = self._reactor.now()
         slots = self.breaker.slots(self._share.slots, now)
-        slots = min(slots, self._limit.value)
+        slots = min(slots, self._limit.allowed(now))
         if self._pinned:
             slots = max(1, slots)
         self._slots.slots = slots
--- a/bamboospring/sessions/forwarded_read.py
+++ b/bamboospring/sessions/forwarded_read.py
@@ -47,7 +47,7 @@
 _numbers = itertools.count(1)
 # The holder has refused for these because of what it lacks itself: the target
 # on its list, a way there, a proof. This VM may well have it.
-HOLDER_AMISS = frozenset(
+HOLDER_FAULTS = frozenset(
     {Reason.NOT_HOLDER, Reason.TARGET_UNREACHABLE, Reason.PRIMARY_CHANGED}
 )
 
@@ -157,7 +157,7 @@
 
     def _not_run(self, refusal: NotRun | Overloaded) -> None:
         run = self.run
-        if refusal.reason in HOLDER_AMISS:
+        if refusal.reason in HOLDER_FAULTS:
             self._pass_over(self.target)
         full = refusal.reason is Reason.TARGET_CONNECTIONS
         run.failed(
@@ -166,7 +166,7 @@
             again=True,
             free=True,
             counted=not full,
-            target_tried=refusal.reason not in HOLDER_AMISS,
+            target_tried=refusal.reason not in HOLDER_FAULTS,
         )
 
     def _pass_over(self, target: str) -> None:
--- a/bamboospring/sessions/relay.py
+++ b/bamboospring/sessions/relay.py
@@ -41,8 +41,8 @@
 from bamboospring.sessions.zone_relays import Assignment
 from bamboospring.sessions.zone_relays import FactSource
 from bamboospring.sessions.zone_relays import ServeZone
+from bamboospring.sessions.zone_relays import ZoneMembers
 from bamboospring.sessions.zone_relays import ZoneRelays
-from bamboospring.sessions.zone_relays import ZoneRoll
 from bamboospring.statements import Position
 
 __all__ = ["FactRelay", "digest_of", "read_news", "spaced", "write_news"]
@@ -145,7 +145,7 @@
         self._informed_until = -1e9
         self._source = FactSource()
         self._zone_relays = ZoneRelays()
-        self._roll = ZoneRoll()
+        self._zone_members = ZoneMembers()
         self._holders = holders
         peers.handle("factsAsk", self._on_ask)
         peers.handle("leading", self._on_leading)
@@ -349,9 +349,9 @@
 
     def _fill_zone(self, facts: Any, ask: Any, now: float) -> None:
         """Note who asks, and tell it who else of the zone does."""
-        self._roll.heard(ZoneVm(name=ask.vm, address=ask.address), now)
+        self._zone_members.heard(ZoneVm(name=ask.vm, address=ask.address), now)
         me = ZoneVm(name=self._board.vm, address=self._registry.me.address)
-        vms = self._roll.vms(me, now)
+        vms = self._zone_members.vms(me, now)
         if vms is None:
             return
         self._holders.take_list(vms, now)
--- a/bamboospring/sessions/zone_relays.py
+++ b/bamboospring/sessions/zone_relays.py
@@ -26,7 +26,7 @@
     "FactSource",
     "ServeZone",
     "ZoneRelays",
-    "ZoneRoll",
+    "ZoneMembers",
 ]
 
 # In a zone of fewer VMs a relay would save no answers worth its hop.
@@ -118,7 +118,7 @@
 
 
 @dataclass(slots=True, kw_only=True)
-class ZoneRoll:
+class ZoneMembers:
     """Which VMs of its zone a relay has heard lately."""
 
     _heard: dict[ZoneVm, float] = field(default_factory=dict)
--- a/features/read_holders.feature
+++ b/features/read_holders.feature
@@ -56,5 +56,12 @@
     And reads of 20 ms come at 40 a second for 5 s
     Then at least 0.95 of them are served
 
+  Scenario: A limit that a refusal has lowered rises again
+    # A VM that was a holder while the target was full has one slot left, and
+    # nobody tells it any more that the target has free ones.
+    Given a limit of 4 that refusals at 0.1, 0.2, 0.3 and 0.4 have lowered
+    Then at 0.5 it allows 1, and after 6 served ones more than 1
+    And at 1.5 it allows 4 again
+
   Scenario: Reads come back whole, whatever is in them
     Then 300 generated reads and results are the same after the way
--- a/features/steps/read_holders_steps.py
+++ b/features/steps/read_holders_steps.py
@@ -20,6 +20,7 @@
 from hypothesis import strategies as st
 
 from bamboospring.blackboard import Target
+from bamboospring.concurrency_limit import ConcurrencyLimit
 from bamboospring.outcomes import NotRun
 from bamboospring.outcomes import Overloaded
 from bamboospring.outcomes import Reason
@@ -522,6 +523,31 @@
     assert opened <= part * crowd.asked, (opened, crowd.asked)
 
 
+@given("a limit of {most:d} that refusals at {times} have lowered")
+def given_limit(context: Any, most: int, times: str) -> None:
+    context.limit = ConcurrencyLimit(most=most)
+    for at in times.replace(" and ", ", ").split(", "):
+        context.limit.refused(float(at))
+
+
+@then(
+    "at {at:g} it allows {few:d}, and after {count:d} served ones more than"
+    " {more:d}"
+)
+def then_limited(
+    context: Any, at: float, few: int, count: int, more: int
+) -> None:
+    assert context.limit.allowed(at) == few
+    for _ in range(count):
+        context.limit.served()
+    assert context.limit.allowed(at) > more
+
+
+@then("at {at:g} it allows {most:d} again")
+def then_forgotten(context: Any, at: float, most: int) -> None:
+    assert context.limit.allowed(at) == most
+
+
 TEXT = st.text(st.characters(max_codepoint=255), max_size=20)
 POSITIONS = st.none() | st.builds(
     Position, term=st.integers(0, 9), index=st.integers(0, 10**9)
