Print when a write began and when its primary was killed

A write that a majority holds before the kill may be confirmed late on a loaded machine; only when each began can tell, and that was not kept.

Change: the load keeps when a write began, and the failed check prints it beside the moment of the kill. The check and its bound are as they were.

--- a/features/steps/primary_change_steps.py
+++ b/features/steps/primary_change_steps.py
@@ -115,6 +115,7 @@
 def kill_and_freeze_member(context: Any) -> None:
     context.frozen = context.fleet.replicas(GROUP)[0]
     context.fleet.freeze(context.frozen)
+    context.killed_at = time.monotonic()
     context.fleet.kill(context.primary)
     break_primary(context)
 
@@ -282,7 +283,7 @@
     start = time.monotonic()
     time.sleep(1.5)
     done = context.load.done_since(start)
-    assert not done, done[:3]
+    assert not done, (f"killed at {context.killed_at:.3f}", done[:3])
     # A term won without a majority in reach would only prolong the gap.
     value = context.fleet.object("group", GROUP)["value"]
     assert (value["term"], value["primary"]) == (1, context.primary), value
--- a/features/steps/primary_change_support.py
+++ b/features/steps/primary_change_support.py
@@ -19,9 +19,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class WriteRecord:
-    """One write: its row, when it ended, and how."""
+    """One write: its row, when it began and ended, and how."""
 
     row: int
+    began: float
     at: float
     outcome: str
     term: int
@@ -62,6 +63,7 @@
     def _write(self, caller: Caller, row: int) -> WriteRecord:
         sql = "INSERT INTO entries VALUES (?, 'x')"
         outcome, term = "lost", 0
+        began = time.monotonic()
         try:
             answer = caller.write(GROUP, sql, [row])
             outcome, term = answer.outcome, answer.term
@@ -69,7 +71,11 @@
             # No session could be opened, so nothing was sent.
             outcome = "not_run"
         return WriteRecord(
-            row=row, at=time.monotonic(), outcome=outcome, term=term
+            row=row,
+            began=began,
+            at=time.monotonic(),
+            outcome=outcome,
+            term=term,
         )
 
     def stop(self) -> None:
