Keep own connections where each VM can have one

Change: reads go through holders only where a VM's fair part of the connections is under one, not under two. The scenario with 12 real VMs has 10 connections now, so that it still goes through holders.

--- a/bamboospring/sessions/read_holders.py
+++ b/bamboospring/sessions/read_holders.py
@@ -22,9 +22,11 @@
 
 __all__ = ["FEWEST_CONNECTIONS", "ReadHolders", "ZoneVm"]
 
-# A VM may open so many connections to a target at least. With a smaller part
-# of them for each VM, reads go through holders.
+# A VM may open so many connections to a target at least.
 FEWEST_CONNECTIONS = 2
+# With a fair part of so many each VM keeps a connection of its own. Reads that
+# then queued at holders would wait there while the others' were at rest.
+OWN_CONNECTIONS = 1.0
 # A zone of fewer VMs saves too few connections for the hop.
 FEWEST_VMS = 4
 # A holder that did not answer, or can't reach a target, is passed over for so
@@ -75,7 +77,7 @@
         `connections` is what the target allows, `vms` how many VMs there are
         in all zones.
         """
-        if connections >= FEWEST_CONNECTIONS * vms or not self.is_current(now):
+        if connections >= OWN_CONNECTIONS * vms or not self.is_current(now):
             return None
         for vm in self._order(target)[: 1 + SPARES]:
             if vm.name == self.vm:
--- a/features/read_holders.feature
+++ b/features/read_holders.feature
@@ -8,7 +8,7 @@
 
   Scenario: Where every VM can keep connections, none of it is used
     Given 23 VMs of a zone that were heard lately
-    Then for 30 targets of 136 connections 68 VMs use their own
+    Then for 30 targets of 68 connections 68 VMs use their own
     And a VM whose list is 6 s old uses its own
 
   Scenario: A holder that does not answer is passed over
--- a/features/session_estate.feature
+++ b/features/session_estate.feature
@@ -53,11 +53,11 @@
     And writes were served in group0 at the end
 
   Scenario: Many VMs pass their reads on to few, and some of these die
-    # Twelve VMs share 22 connections of each target, so reads go through one VM
+    # Twelve VMs share 10 connections of each target, so reads go through one VM
     # of each zone. Four VMs die, relays and holders among them. Reads on their
     # way have no answer and go another way; callers of the dead VMs come back
     # to others, and what they had written is there.
-    Given an estate with 12 VMs and 2 groups
+    Given an estate with 12 VMs and 2 groups of 10 connections
     When 24 callers work for 12 s
     And after 7 s vm0, vm4, vm8 and vm11 are killed
     Then every promise was kept
--- a/features/steps/session_estate_steps.py
+++ b/features/steps/session_estate_steps.py
@@ -17,6 +17,7 @@
 from bamboospring import explain
 from bamboospring.testing.session_callers import SessionCaller
 from bamboospring.testing.session_fleet import SessionFleet
+from bamboospring.testing.session_members import MemberKnobs
 from bamboospring.testing.session_platform import StoreFaults
 from bamboospring.testing.session_soak import run_session_soak
 
@@ -24,13 +25,14 @@
 class Stage:
     """The estate in an event loop of its own, and what is done to it."""
 
-    def __init__(self, vms, groups):
+    def __init__(self, vms, groups, connections=22):
         self.loop = asyncio.new_event_loop()
         self.thread = threading.Thread(
             target=self.loop.run_forever, daemon=True
         )
         self.thread.start()
-        self.fleet = SessionFleet(vms=vms, groups=groups, seed=3)
+        knobs = MemberKnobs(connections=connections)
+        self.fleet = SessionFleet(vms=vms, groups=groups, knobs=knobs, seed=3)
         self.outcomes = Counter()
         self.acts = []
         self.seconds = 0.0
@@ -107,6 +109,16 @@
     context.stage.call(context.stage.fleet.start())
 
 
+@given(
+    "an estate with {vms:d} VMs and {groups:d} groups of {connections:d}"
+    " connections"
+)
+def given_scarce_estate(context, vms, groups, connections):
+    context.stage = Stage(vms, groups, connections)
+    context.add_cleanup(context.stage.close)
+    context.stage.call(context.stage.fleet.start())
+
+
 @when("{count:d} callers work for {seconds:d} s")
 def when_work(context, count, seconds):
     context.stage.callers = list(range(count))
