Log the store's era and what of the configuration is ignored

From the logs nobody could tell whether the VMs were not shown the new configuration (a watch that is stuck) or did not take it (its revision was below the one they held).

The HTTP client keeps one named header of each answer; the store's adapter names Store-Era. A rise is logged (store_era, with the era before) and shown as a metric. A version that is not put in force is logged once (catalog_ignored, with both store versions), and history_lost says from which revision was asked. Nothing is decided by any of it yet.

--- a/bamboospring/http_client.py
+++ b/bamboospring/http_client.py
@@ -33,10 +33,15 @@
 
 @dataclass(slots=True, kw_only=True)
 class HttpAnswer:
-    """The whole answer to a request of ours."""
+    """The whole answer to a request of ours.
+
+    `header` is the value of the one header that the connection keeps, empty
+    if the answer has none.
+    """
 
     status: int
     body: bytes
+    header: str = ""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -51,13 +56,18 @@
 
 
 class HttpConnection:
-    """One client connection; after any doubt it is closed for good."""
+    """One client connection; after any doubt it is closed for good.
+
+    `kept_header` names, in lower case, the header that answers bring along.
+    """
 
     __slots__ = (
         "_address",
         "_begun",
         "_body",
+        "_header",
         "_host",
+        "_kept_header",
         "_on_answer",
         "_parser",
         "_reactor",
@@ -67,9 +77,13 @@
         "on_close",
     )
 
-    def __init__(self, *, reactor: Reactor, address: str) -> None:
+    def __init__(
+        self, *, reactor: Reactor, address: str, kept_header: str = ""
+    ) -> None:
         self._reactor = reactor
         self._address = address
+        self._kept_header = kept_header.encode("latin-1")
+        self._header = b""
         self._host = f" HTTP/1.1\r\nHost: {address}\r\n"
         self._stream: Stream | None = None
         self._parser: httptools.HttpResponseParser | None = None
@@ -150,6 +164,11 @@
             # this for its answer; a parser error closes the connection.
             raise Malformed()
         self._begun = True
+        self._header = b""
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if self._kept_header and name.lower() == self._kept_header:
+            self._header = value
 
     def on_body(self, data: bytes) -> None:
         self._body.append(data)
@@ -159,7 +178,9 @@
         if parser is None:
             return
         answer = HttpAnswer(
-            status=parser.get_status_code(), body=self._take_body()
+            status=parser.get_status_code(),
+            body=self._take_body(),
+            header=self._header.decode("latin-1"),
         )
         if not parser.should_keep_alive():
             self._finish(answer)
@@ -231,9 +252,12 @@
 class HttpClient:
     """A client that connects when needed and sends requests one by one."""
 
-    def __init__(self, *, reactor: Reactor, address: str) -> None:
+    def __init__(
+        self, *, reactor: Reactor, address: str, kept_header: str = ""
+    ) -> None:
         self._reactor = reactor
         self._address = address
+        self._kept_header = kept_header
         self._conn: HttpConnection | None = None
         self._calls: deque[_Call] = deque()
         self._active = False
@@ -285,7 +309,9 @@
             self._send(call)
             return
         self._conn = HttpConnection(
-            reactor=self._reactor, address=self._address
+            reactor=self._reactor,
+            address=self._address,
+            kept_header=self._kept_header,
         )
         left = call.deadline - self._reactor.now()
         timeout = min(CONNECT_TIMEOUT, max(0.0, left))
--- a/bamboospring/object_store.py
+++ b/bamboospring/object_store.py
@@ -133,8 +133,13 @@
 
     The reading methods raise ValueError, KeyError or TypeError on a body
     that is not what it should be.
+
+    `era_header` names, in lower case, the header of each answer that counts
+    how often the store has come back from an older copy; empty: it never does.
     """
 
+    era_header: str
+
     def get(self, kind: str, name: str) -> Call:
         """Return the call that reads one object."""
 
@@ -175,6 +180,8 @@
 class OwnDialect:
     """This project's own protocol, which docs/PROTOCOLS.md describes."""
 
+    era_header = ""
+
     def get(self, kind: str, name: str) -> Call:
         """Return the call that reads one object."""
         return Call(method="GET", path=f"/objects/{kind}/{name}")
--- a/bamboospring/platform/store.py
+++ b/bamboospring/platform/store.py
@@ -27,6 +27,8 @@
     the object's specification is the value; nothing of ours uses the status.
     """
 
+    era_header = "store-era"
+
     def get(self, kind: str, name: str) -> Call:
         """Return the call that reads one object."""
         return Call(method="GET", path=_path(kind, name))
--- a/bamboospring/platform_client.py
+++ b/bamboospring/platform_client.py
@@ -202,6 +202,9 @@
         self._chance = chance
         self._lanes: dict[str, _Lane] = {}
         self._times = AnswerTimes(least=timing.least_timeout)
+        # The store's newest era: it rises when the store has come back from
+        # an older copy.
+        self.era = 0
 
     def get(
         self,
@@ -428,6 +431,8 @@
 
         def answered(answer: HttpAnswer | HttpLost) -> None:
             lane.busy = False
+            if isinstance(answer, HttpAnswer):
+                self._note_era(answer)
             if not unhurried:
                 self._note_time(answer, self._reactor.now() - sent_at)
             judged = self._judge(lane, counts, call.method, answer)
@@ -450,6 +455,32 @@
         lane.waiting.append(_Waiting(send=send, refuse=refuse))
         self._send_next(lane)
 
+    def _note_era(self, answer: HttpAnswer) -> None:
+        era = self._era_of(answer)
+        if era <= self.era:
+            return
+        logs.log_event(
+            "store_era",
+            level=logs.Level.WARNING if self.era else logs.Level.INFO,
+            era=era,
+            before=self.era,
+        )
+        self.era = era
+
+    def _era_of(self, answer: HttpAnswer) -> int:
+        """Return the era of an answer; a store without eras stays at 0."""
+        if not answer.header:
+            return 0
+        try:
+            return int(answer.header)
+        except ValueError:
+            logs.log_event(
+                "store_era_unreadable",
+                level=logs.Level.WARNING,
+                value=answer.header[:20],
+            )
+            return 0
+
     def _note_time(
         self, answer: HttpAnswer | HttpLost, seconds: float
     ) -> None:
@@ -503,7 +534,9 @@
                 limit = min(limit, MAX_URGENT_BACKOFF)
             lane = _Lane(
                 client=HttpClient(
-                    reactor=self._reactor, address=self._address
+                    reactor=self._reactor,
+                    address=self._address,
+                    kept_header=self._dialect.era_header,
                 ),
                 backoff=Backoff(limit=limit, first=self._timing.first_backoff),
             )
--- a/bamboospring/platform_watch.py
+++ b/bamboospring/platform_watch.py
@@ -117,7 +117,9 @@
             case HistoryLost():
                 # What changed meanwhile will never come by a watch, so all
                 # is read anew.
-                logs.log_event("history_lost", kind=self.kind)
+                logs.log_event(
+                    "history_lost", kind=self.kind, asked_from=self._revision
+                )
                 self.listed = False
                 self._next()
             case Unavailable():
--- a/bamboospring/sessions/catalog_keeper.py
+++ b/bamboospring/sessions/catalog_keeper.py
@@ -66,6 +66,7 @@
         self._refreshing = False
         self._refresh_asked_at = -1e9
         self._unreadable = 0
+        self._ignored = 0
         self._value: Any = None
         self._bytes: bytes | None = None
         self.leading: Callable[[], bool] = lambda: False
@@ -174,7 +175,10 @@
             # The store's versions only grow. One that comes late, from a
             # lagging copy or an answer overtaken by another, must not undo
             # what callers have already seen in force.
-            if found.name != self._name or found.version <= self.stored_as:
+            if found.name != self._name:
+                continue
+            if found.version <= self.stored_as:
+                self._log_ignored(found)
                 continue
             catalog = self._read(found)
             if catalog is None:
@@ -184,6 +188,20 @@
             self._value, self._bytes = found.value, None
             self._put_in_force(catalog)
 
+    def _log_ignored(self, found: Found) -> None:
+        """Log once that what the store shows is taken for an older version."""
+        if found.version in (self.stored_as, self._ignored):
+            return
+        self._ignored = found.version
+        catalog = self._board.catalog
+        logs.log_event(
+            "catalog_ignored",
+            level=logs.Level.WARNING,
+            stored_as=found.version,
+            known_as=self.stored_as,
+            known_version=catalog.version if catalog else 0,
+        )
+
     def _put_in_force(self, catalog: Catalog) -> None:
         self._board.catalog = catalog
         for name in catalog.groups:
--- a/bamboospring/sessions/session_metrics.py
+++ b/bamboospring/sessions/session_metrics.py
@@ -160,6 +160,11 @@
             label="purpose",
             description="Calls to the store that told nothing.",
         )
+        watch(
+            "bamboospring.platform.era",
+            lambda: platform.era,
+            description="Era of the store, by its newest answer.",
+        )
         watch(
             "bamboospring.leads",
             lambda: int(duty.leads),
