Reproduce a store that comes back from an older copy

The stand-in of the store keeps an era, sends it as Store-Era in all answers, and can come back from a copy: revisions go on from the copy's, watches from later ones get 410, waiting watches are cut. Members file their entries again with their next heartbeat, the operator writes the newest configuration again.

The scenario fails on the code as landed: the store comes back from a copy of 5 s before, a database is added 1.2 s later, and none of 3 VMs opens it within 6 s (asked: 2 s). Their logs tell the hypotheses apart: each list shows the new configuration, and catalog_ignored says that its store version is below the one they hold. Hypothesis 1 it is; the watch that asks from a revision which the store does not have is a second symptom of the same cause.

--- a/bamboospring/testing/session_fleet.py
+++ b/bamboospring/testing/session_fleet.py
@@ -29,6 +29,8 @@
 from bamboospring.testing.session_members import MemberKnobs
 from bamboospring.testing.session_platform import PromotionDesk
 from bamboospring.testing.session_platform import SessionStore
+from bamboospring.testing.session_platform import StoreCopy
+from bamboospring.testing.session_platform import StoreFaults
 
 __all__ = ["FleetTeam", "SessionFleet", "VmProcess"]
 
@@ -102,6 +104,8 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._beats: dict[str, int] = {}
         self._version = 0
+        self._config: dict[str, Any] = {}
+        self.added_databases: list[str] = []
         self.silent_entries: set[str] = set()
         for number in range(groups):
             name = f"group{number}"
@@ -192,6 +196,10 @@
                 if age is not None:
                     route["maxStalenessMs"] = int(age * 1000)
                 routes.append(route)
+        for database in self.added_databases:
+            routes.append(
+                {**routes[0], "name": database, "database": database}
+            )
         services = [
             {
                 "name": group,
@@ -211,9 +219,25 @@
             config["tenants"] = [
                 _tenant(name, team) for name, team in self.teams.items()
             ]
+        self._config = config
         self.store.put("config", "main", config)
         return self._version
 
+    async def lose_newest_writes(
+        self, copy: StoreCopy, *, away: float, rewritten_after: float
+    ) -> None:
+        """Have the store go away and come back from an older copy.
+
+        Members file their entries again at their next heartbeat; the operator
+        writes the newest configuration again so many seconds after the return.
+        """
+        self.store.faults = StoreFaults(down="reset")
+        await asyncio.sleep(away)
+        self.store.restore(copy)
+        self.store.faults = StoreFaults()
+        await asyncio.sleep(rewritten_after)
+        self.store.put("config", "main", self._config)
+
     def remove_key(self, key: str) -> None:
         """Take a key away; from now on the judge counts its time."""
         for team in (self.teams or {}).values():
--- a/bamboospring/testing/session_platform.py
+++ b/bamboospring/testing/session_platform.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from dataclasses import dataclass
+from dataclasses import replace
 import random
 from typing import Any
 
@@ -24,6 +25,7 @@
     "PromotionDesk",
     "PromotionOrder",
     "SessionStore",
+    "StoreCopy",
     "StoreFaults",
 ]
 
@@ -66,11 +68,25 @@
         }
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StoreCopy:
+    """All that a store holds at one moment."""
+
+    revision: int
+    objects: dict[tuple[str, str], Stored]
+    events: list[tuple[int, str, dict[str, Any]]]
+    oldest: int
+
+
 class SessionStore:
-    """Objects by kind and name, one revision counter, watches."""
+    """Objects by kind and name, one revision counter, watches.
+
+    `era` counts how often it has come back from an older copy.
+    """
 
     def __init__(self, *, seed: int = 0) -> None:
         self.faults = StoreFaults()
+        self.era = 1
         self.revision = 1
         self.address = ""
         self.calls = 0
@@ -113,6 +129,27 @@
         self._oldest = self.revision
         self._wake()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy to come back from."""
+        return StoreCopy(
+            revision=self.revision,
+            objects={k: replace(v) for k, v in self._objects.items()},
+            events=list(self._events),
+            oldest=self._oldest,
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from a copy: what was written since is gone.
+
+        Revisions go on from the copy's, so some are given out twice.
+        """
+        self.era += 1
+        self.revision = copy.revision
+        self._objects = {k: replace(v) for k, v in copy.objects.items()}
+        self._events = list(copy.events)
+        self._oldest = copy.oldest
+        self._wake()
+
     def _store(self, kind: str, name: str, spec: Any) -> Stored:
         self.revision += 1
         old = self._objects.get((kind, name))
@@ -142,7 +179,8 @@
         faults = self.faults
         match faults.down:
             case "busy":
-                return Reply(status=503, body={})
+                era = {"Store-Era": str(self.era)}
+                return Reply(status=503, body={}, headers=era)
             case "reset":
                 return CLOSE
             case "silent":
@@ -152,7 +190,10 @@
             await asyncio.sleep(faults.slow)
         if req.method != "GET" and self._random.random() < faults.lose:
             return await self._lose(req)
-        return await self._route(req)
+        reply = await self._route(req)
+        if reply is not None:
+            reply.headers["Store-Era"] = str(self.era)
+        return reply
 
     async def _lose(self, req: Request) -> Reply | None:
         """Do a write, perhaps later, and answer nothing."""
@@ -197,12 +238,14 @@
         }
         return Reply(body=body)
 
-    async def _watch(self, kind: str, query: dict[str, str]) -> Reply:
-        since = int(query["watch"])
+    async def _watch(self, kind: str, query: dict[str, str]) -> Reply | None:
+        since, era = int(query["watch"]), self.era
         loop = asyncio.get_running_loop()
         until = loop.time() + int(query.get("waitMs", "0")) / 1000
         while True:
-            if since < self._oldest:
+            if self.era != era:
+                return CLOSE
+            if not self._oldest <= since <= self.revision:
                 return Reply(status=410, body={})
             events = [
                 event
--- a/features/steps/session_estate_steps.py
+++ b/features/steps/session_estate_steps.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections import Counter
 import json
 import socket
-import threading
 import time
 import urllib.request
 
@@ -15,91 +13,11 @@
 from behave import when
 
 from bamboospring import explain
-from bamboospring.testing.session_callers import SessionCaller
-from bamboospring.testing.session_fleet import SessionFleet
-from bamboospring.testing.session_members import MemberKnobs
 from bamboospring.testing.session_platform import StoreFaults
 from bamboospring.testing.session_soak import run_session_soak
-
-
-class Stage:
-    """The estate in an event loop of its own, and what is done to it."""
-
-    def __init__(self, vms, groups, connections=22):
-        self.loop = asyncio.new_event_loop()
-        self.thread = threading.Thread(
-            target=self.loop.run_forever, daemon=True
-        )
-        self.thread.start()
-        knobs = MemberKnobs(connections=connections)
-        self.fleet = SessionFleet(vms=vms, groups=groups, knobs=knobs, seed=3)
-        self.outcomes = Counter()
-        self.acts = []
-        self.seconds = 0.0
-        self.callers = []
-        self.promoted_after = {}
-        self.acted_at = 0.0
-        self.done = False
-
-    def call(self, coro, timeout=60):
-        return asyncio.run_coroutine_threadsafe(coro, self.loop).result(
-            timeout
-        )
-
-    def close(self):
-        self.call(self.fleet.close())
-        self.loop.call_soon_threadsafe(self.loop.stop)
-        self.thread.join(5)
-
-    def play(self):
-        """Run the callers and the acts once, at the first check."""
-        if not self.done:
-            self.done = True
-            self.call(self._play(), self.seconds + 60)
-
-    async def _play(self):
-        fleet = self.fleet
-        until = time.monotonic() + self.seconds
-        workers = [
-            SessionCaller(
-                number=number,
-                routes=fleet.routes(),
-                addresses=fleet.addresses,
-                judge=fleet.judge,
-                seed=5,
-            )
-            for number in range(len(self.callers))
-        ]
-        work = [asyncio.create_task(w.run(until)) for w in workers]
-        acts = [asyncio.create_task(act()) for act in self.acts]
-        await asyncio.sleep(self.seconds - 1.5)
-        self.late_before = self._writes()
-        await asyncio.gather(*work, *acts)
-        self.late_writes = self._writes() - self.late_before
-        fleet.judge.check_orders(fleet.desk.orders)
-        for worker in workers:
-            self.outcomes.update(worker.outcomes)
-
-    def _writes(self):
-        members = self.fleet.groups["group0"].members.values()
-        return max(len(m.log) for m in members)
-
-    def served(self):
-        good = sum(n for k, n in self.outcomes.items() if k.endswith(":ok"))
-        return good / max(1, sum(self.outcomes.values()))
-
-    async def watch_promotion(self, group, old):
-        began = self.acted_at = time.monotonic()
-        while time.monotonic() - began < 12:
-            leader = self.fleet.primary(group) if self._leads(group) else None
-            if leader is not None and leader.id != old:
-                self.promoted_after[group] = time.monotonic() - began
-                return
-            await asyncio.sleep(0.02)
-
-    def _leads(self, group):
-        members = self.fleet.groups[group].members.values()
-        return any(m.leads for m in members)
+from features.steps.session_stage import act
+from features.steps.session_stage import crash
+from features.steps.session_stage import Stage
 
 
 @given("an estate with {vms:d} VMs and {groups:d} groups")
@@ -125,23 +43,6 @@
     context.stage.seconds = float(seconds)
 
 
-def act(context, after, what):
-    async def later():
-        await asyncio.sleep(after)
-        await what()
-
-    context.stage.acts.append(later)
-
-
-async def crash(stage, group, seconds):
-    member = stage.fleet.primary(group)
-    member.stop()
-    watch = asyncio.create_task(stage.watch_promotion(group, member.id))
-    await asyncio.sleep(seconds)
-    await member.start()
-    await watch
-
-
 @when("after {after:d} s the primary of {group} crashes for {seconds:d} s")
 def when_crash(context, after, group, seconds):
     act(context, after, lambda: crash(context.stage, group, seconds))
--- /dev/null
+++ b/features/steps/store_restore_steps.py
@@ -0,0 +1,94 @@
+"""Steps for a store that comes back from an older copy."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+import time
+from typing import Any
+
+from behave import then
+from behave import when
+
+from features.steps.session_stage import act
+
+AWAY_SECONDS = 0.8
+REWRITTEN_AFTER = 0.3
+ADDED = "added-database"
+# How long to look for the added database in vain.
+OPEN_PATIENCE = 6.0
+
+
+@when("after {after:d} s the store comes back from a copy of {age:d} s before")
+def when_restored(context: Any, after: int, age: int) -> None:
+    fleet = context.stage.fleet
+
+    async def restore() -> None:
+        copy = fleet.store.copy()
+        for _ in range(age):
+            await asyncio.sleep(1)
+            fleet.write_config()
+        await fleet.lose_newest_writes(
+            copy, away=AWAY_SECONDS, rewritten_after=REWRITTEN_AFTER
+        )
+
+    act(context, after - age, restore)
+
+
+@when("after {after:d} s a database is added")
+def when_added(context: Any, after: int) -> None:
+    stage = context.stage
+    stage.opened_after = {}
+
+    async def add() -> None:
+        stage.fleet.added_databases.append(ADDED)
+        stage.fleet.write_config()
+        began = time.monotonic()
+        await asyncio.gather(
+            *(_look(stage, vm, began) for vm in stage.fleet.vms.values())
+        )
+
+    act(context, after, add)
+
+
+async def _look(stage: Any, vm: Any, began: float) -> None:
+    """Open the added database again and again until a VM knows it."""
+    while time.monotonic() - began < OPEN_PATIENCE:
+        if await _opens(vm.callers):
+            stage.opened_after[vm.name] = time.monotonic() - began
+            return
+        await asyncio.sleep(0.1)
+
+
+async def _opens(address: str) -> bool:
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        writer.write(f"OPEN {ADDED} u1\r\n".encode())
+        line = await asyncio.wait_for(reader.readline(), 2)
+        return line.startswith(b"READY")
+    finally:
+        writer.close()
+
+
+@then("every VM has opened the added database within {seconds:d} s")
+def then_opened(context: Any, seconds: int) -> None:
+    context.stage.play()
+    opened = context.stage.opened_after
+    late = {
+        vm: opened.get(vm)
+        for vm in context.stage.fleet.vms
+        if opened.get(vm, OPEN_PATIENCE) > seconds
+    }
+    assert not late, late
+
+
+@then("no VM has put an older configuration in force")
+def then_never_older(context: Any) -> None:
+    for vm in context.stage.fleet.vms:
+        text = context.stage.fleet.log(vm)
+        versions = [
+            int(found)
+            for found in re.findall(r"event=catalog .*?version=(\d+)", text)
+        ]
+        assert versions and versions == sorted(versions), (vm, versions)
