Order what the store shows by its era before its revision

Cause: the store had come back from a copy some 14 s old, and its revisions had gone back with it (the lease's object from 163 to 124). A VM took a configuration only if its revision was above the one it held, so versions 50, 53 and 56 were ignored until revision 161 passed 156. The watch kept the highest revision that it had seen for the same reason, was answered 410, listed, and asked from there again: 60 lists a second at the leader. The class of fault: a number that orders states only within one life of its source is compared across two of them.

Ruled out: a watch that brings nothing (catalog_ignored shows that each list had the new version); news that is not passed on (the leader was late itself).

Change: a version is now the store's era and its revision, in that order, made once where answers come in (store_version, PlatformClient). All that compares versions goes by it. An update whose condition was read in an earlier era is not sent, since its revision may have been given out again: the object is read and the update reported as a conflict. One that was done in another era than its condition's is reported as unsure, and is read back. A watch that spans two eras has lost its history; pages of two eras are no list. A watch that loses its history twice in a row pauses.

Which configuration is the newest its own version tells: the store shows an older one, newly, until the operator has written the newest again, and it must neither be put in force nor confirm keys.

--- a/bamboospring/object_store.py
+++ b/bamboospring/object_store.py
@@ -95,7 +95,8 @@
 class HistoryLost:
     """The store has forgotten what changed since the watch's revision.
 
-    Only a new list shows how things stand.
+    Only a new list shows how things stand. It may also have come back from an
+    older copy, in which that revision means something else.
     """
 
 
--- a/bamboospring/platform_client.py
+++ b/bamboospring/platform_client.py
@@ -21,7 +21,6 @@
 from http import HTTPStatus
 import random
 from typing import Any
-from typing import TypeVar
 
 import orjson
 
@@ -44,6 +43,10 @@
 from bamboospring.object_store import Stored
 from bamboospring.object_store import Unavailable
 from bamboospring.reactor import Reactor
+from bamboospring.store_version import Dated
+from bamboospring.store_version import era_of
+from bamboospring.store_version import in_era
+from bamboospring.store_version import revision_of
 
 __all__ = [
     "Backoff",
@@ -76,8 +79,6 @@
 
 SERVER_ERRORS = 500
 
-T = TypeVar("T")
-
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class VmsFound:
@@ -224,8 +225,7 @@
                 case HttpAnswer(status=HTTPStatus.NOT_FOUND):
                     on_result(Missing(kind=kind, name=name))
                 case HttpAnswer():
-                    read = self._dialect.found
-                    on_result(self._read(lambda: read(answer.body)))
+                    on_result(self._read(answer, self._dialect.found))
 
         call = self._dialect.get(kind, name)
         self._call(call, purpose, timeout, answered)
@@ -254,22 +254,51 @@
                 case Unavailable():
                     on_result(answer)
                 case HttpAnswer(status=HTTPStatus.OK | HTTPStatus.CREATED):
-                    read = dialect.stored
-                    on_result(self._read(lambda: read(answer.body)))
+                    if if_version and self._era_of(answer) != era_of(
+                        if_version
+                    ):
+                        on_result(_of_another_era(maybe_applied=True))
+                        return
+                    on_result(self._read(answer, dialect.stored))
                 case HttpAnswer(
                     status=HTTPStatus.NOT_FOUND | HTTPStatus.CONFLICT
                 ):
-                    status, body = answer.status, answer.body
-                    on_result(
-                        self._read(lambda: dialect.conflict(status, body))
-                    )
+                    on_result(self._read_conflict(answer))
                 case HttpAnswer():
                     on_result(Rejected(status=answer.status))
 
+        if if_version and era_of(if_version) < self.era:
+            self._conflict_of(kind, name, purpose, on_result, timeout)
+            return
         dialect = self._dialect
-        call = dialect.put(kind, name, if_version, value)
+        call = dialect.put(kind, name, revision_of(if_version), value)
         self._call(call, purpose, timeout, answered)
 
+    def _conflict_of(
+        self,
+        kind: str,
+        name: str,
+        purpose: str,
+        on_result: Callable[[Conflict | Unavailable], None],
+        timeout: float | None,
+    ) -> None:
+        """Read the object whose update is conditional on an earlier era.
+
+        The store may have given the same revision out again, and would take
+        the update for one of what it has there now.
+        """
+
+        def answered(result: Found | Missing | Unavailable) -> None:
+            match result:
+                case Found(version=version, value=value):
+                    on_result(Conflict(version=version, value=value))
+                case Missing():
+                    on_result(Conflict(version=0, value=None))
+                case Unavailable():
+                    on_result(result)
+
+        self.get(kind, name, purpose, answered, timeout=timeout)
+
     def delete(
         self,
         kind: str,
@@ -285,15 +314,14 @@
                 case Unavailable():
                     on_result(answer)
                 case HttpAnswer(status=HTTPStatus.CONFLICT):
-                    status, body = answer.status, answer.body
-                    on_result(
-                        self._read(lambda: dialect.conflict(status, body))
-                    )
+                    on_result(self._read_conflict(answer))
                 case HttpAnswer():
                     on_result(Deleted())
 
-        dialect = self._dialect
-        call = dialect.delete(kind, name, if_version)
+        if if_version and era_of(if_version) < self.era:
+            self._conflict_of(kind, name, purpose, on_result, None)
+            return
+        call = self._dialect.delete(kind, name, revision_of(if_version))
         self._call(call, purpose, None, answered)
 
     def list(
@@ -307,7 +335,8 @@
         """Read all objects of a kind, however many pages they fill.
 
         The result is of the revision of the first page: a watch from there
-        brings again what changed while the others were read.
+        brings again what changed while the others were read. Pages of two eras
+        make no list.
         """
         timeout = timeout or LIST_FACTOR * self._timing.timeout
         objects: list[Found] = []
@@ -318,10 +347,13 @@
             if isinstance(answer, Unavailable):
                 on_result(answer)
                 return
-            page = self._read(lambda: dialect.page(kind, answer.body))
+            page = self._read(answer, lambda body: dialect.page(kind, body))
             if isinstance(page, Unavailable):
                 on_result(page)
                 return
+            if revision and era_of(page.changes.revision) != era_of(revision):
+                on_result(_of_another_era(maybe_applied=False))
+                return
             objects.extend(page.changes.objects)
             revision = revision or page.changes.revision
             if page.after:
@@ -355,13 +387,20 @@
                     on_result(answer)
                 case HttpAnswer(status=HTTPStatus.GONE):
                     on_result(HistoryLost())
+                case HttpAnswer() if self._era_of(answer) != era_of(after):
+                    on_result(HistoryLost())
                 case HttpAnswer():
-                    read = self._dialect.events
-                    on_result(self._read(lambda: read(kind, answer.body)))
+                    on_result(self._read(answer, read))
+
+        def read(body: bytes) -> Changes:
+            return self._dialect.events(kind, body)
 
+        if era_of(after) < self.era:
+            self._reactor.call_later(0, lambda: on_result(HistoryLost()))
+            return
         timeout = wait_ms / 1000 + self._timing.watch_margin
         lane = f"{purpose}/watch/{kind}"
-        call = self._dialect.watch(kind, after, wait_ms)
+        call = self._dialect.watch(kind, revision_of(after), wait_ms)
         self._call(call, lane, timeout, answered, waits=True)
 
     def vms(
@@ -392,10 +431,17 @@
         for lane in self._lanes.values():
             lane.client.close()
 
-    def _read(self, read: Callable[[], T]) -> T | Unavailable:
+    def _read_conflict(self, answer: HttpAnswer) -> Conflict | Unavailable:
+        return self._read(
+            answer, lambda body: self._dialect.conflict(answer.status, body)
+        )
+
+    def _read(
+        self, answer: HttpAnswer, read: Callable[[bytes], Dated]
+    ) -> Dated | Unavailable:
         """Read a body; one that can't be read tells nothing."""
         try:
-            return read()
+            return in_era(read(answer.body), self._era_of(answer))
         except (ValueError, KeyError, TypeError) as exc:
             logs.log_event(
                 "platform_answer_unreadable",
@@ -547,6 +593,12 @@
         return self.counts.setdefault(_counted_as(purpose), CallCounts())
 
 
+def _of_another_era(*, maybe_applied: bool) -> Unavailable:
+    return Unavailable(
+        maybe_applied=maybe_applied, retry_after=0.0, reason="store_era"
+    )
+
+
 def _held(seconds: float) -> Unavailable:
     return Unavailable(
         maybe_applied=False, retry_after=seconds, reason="backoff"
--- a/bamboospring/platform_watch.py
+++ b/bamboospring/platform_watch.py
@@ -70,6 +70,8 @@
         self._revision = 0
         self._watching = False
         self._busy = False
+        # How often in a row a watch had no history to follow.
+        self._losses = 0
 
     def set_watching(self, watching: bool) -> None:
         """Watch from now on, or stop after the call under way."""
@@ -121,16 +123,23 @@
                     "history_lost", kind=self.kind, asked_from=self._revision
                 )
                 self.listed = False
-                self._next()
+                self._losses += 1
+                if self._losses == 1:
+                    self._next()
+                    return
+                # What was listed is gone as well: this may go on for long.
+                self._reactor.call_later(RETRY_DELAY, self._next)
             case Unavailable():
                 self._tell_listed(False)
                 wait = max(RETRY_DELAY, result.retry_after)
                 self._reactor.call_later(wait, self._next)
 
     def _take(self, changes: Changes) -> None:
-        # A revision never goes back: after an answer of a lagging copy of
-        # the platform the next watch would bring everything again.
+        # After an answer of a lagging copy of the platform the next watch
+        # would bring everything again.
         self._revision = max(self._revision, changes.revision)
+        if self.listed:
+            self._losses = 0
         self.listed = True
         self.answered_at = self._reactor.now()
         self.confirmed_at = self._asked_at
--- a/bamboospring/sessions/catalog_keeper.py
+++ b/bamboospring/sessions/catalog_keeper.py
@@ -1,4 +1,9 @@
-"""Keep the configuration in force: the newest that was ever seen."""
+"""Keep the configuration in force: the newest that was ever seen.
+
+Which is the newest its own version tells, not the store's: a store that has
+come back from an older copy shows an older configuration, newly, until the
+operator has written the newest one again.
+"""
 
 from __future__ import annotations
 
@@ -66,7 +71,7 @@
         self._refreshing = False
         self._refresh_asked_at = -1e9
         self._unreadable = 0
-        self._ignored = 0
+        self._older = 0
         self._value: Any = None
         self._bytes: bytes | None = None
         self.leading: Callable[[], bool] = lambda: False
@@ -162,9 +167,11 @@
     def _confirm(self, instant: float) -> None:
         """Note that nothing newer was stored before an instant.
 
-        A version that can't be read may have taken keys away.
+        A version that can't be read may have taken keys away, and where the
+        store shows an older one it has lost what it had acknowledged.
         """
-        if self.stored_as and self._unreadable <= self.stored_as:
+        doubtful = max(self._unreadable, self._older)
+        if self.stored_as and doubtful <= self.stored_as:
             board = self._board
             board.catalog_confirmed_at = max(
                 board.catalog_confirmed_at, instant
@@ -178,29 +185,37 @@
             if found.name != self._name:
                 continue
             if found.version <= self.stored_as:
-                self._log_ignored(found)
                 continue
             catalog = self._read(found)
             if catalog is None:
                 self._unreadable = found.version
                 continue
+            if self._is_older(catalog, found):
+                continue
             self.stored_as = found.version
             self._value, self._bytes = found.value, None
             self._put_in_force(catalog)
 
-    def _log_ignored(self, found: Found) -> None:
-        """Log once that what the store shows is taken for an older version."""
-        if found.version in (self.stored_as, self._ignored):
-            return
-        self._ignored = found.version
-        catalog = self._board.catalog
-        logs.log_event(
-            "catalog_ignored",
-            level=logs.Level.WARNING,
-            stored_as=found.version,
-            known_as=self.stored_as,
-            known_version=catalog.version if catalog else 0,
-        )
+    def _is_older(self, catalog: Catalog, found: Found) -> bool:
+        """Tell whether the store shows less than is in force; log it once.
+
+        The version in force stays as it was stored, so nothing confirms it
+        until the store shows it again.
+        """
+        known = self._board.catalog
+        if known is None or catalog.version >= known.version:
+            return False
+        if found.version > self._older:
+            logs.log_event(
+                "catalog_ignored",
+                level=logs.Level.WARNING,
+                version=catalog.version,
+                stored_as=found.version,
+                known_version=known.version,
+                known_as=self.stored_as,
+            )
+        self._older = max(self._older, found.version)
+        return True
 
     def _put_in_force(self, catalog: Catalog) -> None:
         self._board.catalog = catalog
--- a/features/store_restore.feature
+++ b/features/store_restore.feature
@@ -10,3 +10,37 @@
     Then every promise was kept
     And every VM has opened the added database within 2 s
     And no VM has put an older configuration in force
+
+  Scenario: An update is not sent under a condition of an earlier era
+    # Guards against: the revision was given out again, and the update replaces
+    # what another VM has stored since.
+    Given a store whose answers are of era 2
+    When a VM updates an object that it has read in era 1
+    Then the object is read instead, and shown as a conflict
+
+  Scenario: An update that was done in a later era is read back
+    # Guards against: the store comes back while the update is on its way, and
+    # its condition is judged by other revisions than it was meant for.
+    Given a store whose answers are of era 1
+    When it comes back in era 2 while an update is on its way
+    Then the update may have been done or not
+
+  Scenario: A watch that waits while the store comes back begins anew
+    # Guards against: what was written between the copy's revision and the
+    # watch's is never shown.
+    Given a store whose answers are of era 1
+    When it comes back in era 2 while a watch waits
+    Then the watch has lost its history
+    And the next one from there is not sent
+
+  Scenario: Pages of two eras make no list
+    # Guards against: objects of before the return are taken for those of after.
+    Given a store whose answers are of era 1
+    When it comes back in era 2 between two pages of a list
+    Then the list tells nothing
+
+  Scenario: A watch whose history is gone again and again pauses
+    # Guards against: lists as fast as the store answers them, for seconds.
+    Given a store that has the history of no watch
+    When a kind is watched for 10 s
+    Then at most 110 lists were asked for
