Take no lease as shown by a store that has come back older

A store back from an older copy shows a lease as it was. One that was given up or taken by another VM since is shown as its former holder's, who renewed it at once and led; one that a VM holds by a lost renewal may be shown as free, and another took it at once. Two VMs lead, for as long as both believe it.

Change: a lease names the era in which it was stored. One of an earlier era is nobody's: a holder whose life has not ended by its own clock stores it anew and goes on, all others wait for a whole duration from when they first saw it so. A fencing number is the version of the taking, so it grows over eras.

Measured: the exploration of leases gains returns from older copies, at any moment and while the holder sleeps.

Not covered: a copy in which there is no lease at all, and a VM that has just started and reads it first: it takes the lease at once.

--- a/bamboospring/lease.py
+++ b/bamboospring/lease.py
@@ -7,6 +7,12 @@
 only after the holder has stopped, whatever their clocks say, as long as they
 run at nearly the same rate; the margin is for that difference.
 
+Where the store comes back from an older copy, renewals are lost that their
+holder counts on, and the lease that is shown may be one that was given up
+since. So each lease names the era in which it was stored. One of an earlier
+era is nobody's: its holder, if that is still so, keeps it for the rest of its
+life and stores it anew, and all others wait for a whole duration.
+
 A holder that was paused may wake after its lease has lapsed. It asks
 `holds(now)` before each order; what was already sent is stopped by the terms
 that targets refuse.
@@ -20,6 +26,7 @@
 from dataclasses import dataclass
 
 from bamboospring.blackboard import Lease
+from bamboospring.store_version import era_of
 
 __all__ = [
     "LeaseAction",
@@ -49,21 +56,37 @@
 class LeaseValue:
     """What the object says; an empty `vm` means that it was given up.
 
-    `address` is where others reach the holder, if they should.
+    `address` is where others reach the holder, if they should, `era` the
+    store's when the holder read what this replaces.
     """
 
     vm: str
     nonce: str
     duration: float
     address: str = ""
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SeenLease:
-    """The object as the platform showed it; version 0: there is none."""
+    """The object as the platform showed it; version 0: there is none.
+
+    `missing_in` is then the era in which there is none.
+    """
 
     version: int
     value: LeaseValue
+    missing_in: int = 0
+
+    @property
+    def era(self) -> int:
+        """Return the era in which this was seen."""
+        return era_of(self.version) if self.version else self.missing_in
+
+    @property
+    def current(self) -> bool:
+        """Tell whether it was stored in the era in which it was seen."""
+        return not self.version or self.value.era == self.era
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -117,6 +140,8 @@
         self._seen_at = NEVER
         self._next_at = NEVER
         self._busy = False
+        # Whether the object was there before and is gone now.
+        self._vanished = False
         self._unsure: dict[str, float] = {}
         self._count = 0
 
@@ -156,7 +181,7 @@
             if rank is None and not self._unsure:
                 return None
             return self._read_now()
-        if self._is_mine():
+        if self._keeps(now):
             return self._step_mine(now, rank)
         return self._step_other(now, rank)
 
@@ -181,9 +206,14 @@
 
     def _free_at(self) -> float:
         """Return when the lease may be taken, if its version stays."""
-        if not self._seen.value.vm:
+        value = self._seen.value
+        if self._vanished or not self._seen.current:
+            # Whoever holds it knows of a later state than the store shows.
+            longest = max(value.duration, self._timing.duration)
+            return self._seen_at + longest
+        if not value.vm:
             return self._seen_at
-        return self._seen_at + self._seen.value.duration
+        return self._seen_at + value.duration
 
     def _read_now(self) -> LeaseAction:
         self._busy = True
@@ -200,6 +230,7 @@
                 nonce=f"{self._nonce}/{self._count}",
                 duration=self._timing.duration,
                 address=self._address,
+                era=self._seen.era,
             ),
         )
 
@@ -253,18 +284,21 @@
 
     def _take(self, now: float, seen: SeenLease) -> None:
         if seen.version != self._seen.version:
+            self._vanished = not seen.version and self._seen.version > 0
             self._seen = seen
             self._seen_at = now
         sent_at = self._unsure.get(seen.value.nonce)
         self._unsure.clear()
-        if seen.value.vm != self._vm or not self._is_mine():
+        if not self._keeps(now):
             self.valid_until = NEVER
             self.fence = 0
             self._next_at = self._next_look(now)
             return
         if not self.fence or now >= self.valid_until:
             self.fence = seen.version
-        if sent_at is not None:
+        if not seen.current:
+            self._next_at = now
+        elif sent_at is not None:
             self.valid_until = sent_at + seen.value.duration
             self._next_at = sent_at + self._timing.renew
 
@@ -275,6 +309,12 @@
         look = now + timing.renew
         return min(look, free_at) if free_at > now else now
 
+    def _keeps(self, now: float) -> bool:
+        """Tell whether the lease is ours to renew."""
+        if not self._is_mine():
+            return False
+        return self._seen.current or now < self.valid_until
+
     def _is_mine(self) -> bool:
         value = self._seen.value
         return value.vm == self._vm and value.nonce.startswith(
--- a/bamboospring/lease_client.py
+++ b/bamboospring/lease_client.py
@@ -134,6 +134,8 @@
     }
     if value.address:
         raw["address"] = value.address
+    if value.era:
+        raw["era"] = value.era
     return raw
 
 
@@ -145,5 +147,6 @@
         nonce=str(raw.get("nonce", "")),
         duration=float(raw.get("duration_ms", 0)) / 1000,
         address=str(raw.get("address", "")),
+        era=int(raw.get("era", 0)),
     )
     return SeenLease(version=version, value=value)
--- a/bamboospring/sessions/duty.py
+++ b/bamboospring/sessions/duty.py
@@ -1,9 +1,9 @@
 """Hold the lease under which one VM leads changes of primary.
 
 The lease is an object beside the groups' records, so that every read of them
-shows it too and no VM has to ask for it. Its fencing number is the store's
-version of the object when the holder took it: the store's versions only grow,
-so a later holder always has a higher one.
+shows it too and no VM has to ask for it. Its fencing number is the version of
+the object when the holder took it: versions only grow, over eras of the store
+as well, so a later holder always has a higher one.
 """
 
 from __future__ import annotations
@@ -31,6 +31,7 @@
 from bamboospring.sessions.model import SessionBoard
 from bamboospring.sessions.record_keeper import RecordKeeper
 from bamboospring.sessions.records import RECORD_KIND
+from bamboospring.store_version import era_of
 
 __all__ = ["Duty", "Holder", "LEASE_NAME"]
 
@@ -139,6 +140,7 @@
             nonce="",
             duration=duration,
             address=self.holder_address(),
+            era=era_of(version),
         )
         seen = SeenLease(version=version, value=value)
         self._take_seen(seen, asked_at)
@@ -198,9 +200,11 @@
             seen = read_lease(found.version, found.value)
             self._take_seen(seen, asked_at)
 
-    def _records_read(self, asked_at: float) -> None:
+    def _records_read(self, asked_at: float, era: int) -> None:
         """Note that the records were read and there was no lease in them."""
         if self._awaiting_read:
             self._awaiting_read = False
-            seen = SeenLease(version=0, value=read_lease(0, None).value)
+            seen = SeenLease(
+                version=0, value=read_lease(0, None).value, missing_in=era
+            )
             self._keeper.read(asked_at, self._reactor.now(), seen)
--- a/bamboospring/sessions/record_keeper.py
+++ b/bamboospring/sessions/record_keeper.py
@@ -35,6 +35,7 @@
 from bamboospring.sessions.records import read_record
 from bamboospring.sessions.records import RECORD_KIND
 from bamboospring.sessions.takeover import Cause
+from bamboospring.store_version import era_of
 
 __all__ = ["RecordKeeper"]
 
@@ -92,7 +93,8 @@
         self._bytes: bytes | None = None
         self.leading: Callable[[], bool] = lambda: False
         self.on_other: OnOther | None = None
-        self.on_read: Callable[[float], None] | None = None
+        # Called with when the store was asked, and its era.
+        self.on_read: Callable[[float, int], None] | None = None
 
     def start(self) -> None:
         """Read now and from then on."""
@@ -258,13 +260,13 @@
         self._busy = False
         asked_at = self._asked_at
         match result:
-            case Changes(objects=objects):
+            case Changes(objects=objects, revision=revision):
                 self._reached(True)
                 self.read_at = asked_at
                 for found in objects:
                     self._take_object(found, asked_at)
                 if self.on_read is not None:
-                    self.on_read(asked_at)
+                    self.on_read(asked_at, era_of(revision))
             case Unavailable(retry_after=retry_after, reason=reason):
                 self._reached(False, reason)
                 now = self._reactor.now()
--- a/features/exploration.feature
+++ b/features/exploration.feature
@@ -48,8 +48,9 @@
 
   Scenario: No order of events gives a lease to two VMs
     # Clocks run at different rates, answers come after the lease has lapsed,
-    # renewals land late, the holder is paused and wakes. Two holders at once
-    # would mean two stewards at work for as long as both believe it.
+    # renewals land late, the holder is paused and wakes, the platform comes
+    # back from an older copy. Two holders at once would mean two stewards at
+    # work for as long as both believe it.
     When leases are explored
     Then the exploration of leases finds nothing
 
@@ -58,8 +59,10 @@
     Then the exploration of leases finds it
 
     Examples:
-      | fault                    |
-      | ignore_lease_margin      |
-      | count_lease_from_answer  |
-      | take_lease_too_early     |
-      | trust_unanswered_renewal |
+      | fault                      |
+      | ignore_lease_margin        |
+      | count_lease_from_answer    |
+      | take_lease_too_early       |
+      | trust_unanswered_renewal   |
+      | renew_lease_of_earlier_era |
+      | take_lease_of_earlier_era  |
--- a/features/steps/lease_machine.py
+++ b/features/steps/lease_machine.py
@@ -1,7 +1,8 @@
 """Deterministic exploration of one lease and three that want it.
 
 The real `LeaseKeeper` runs on clocks of different rates. Calls are lost, land
-late, or their answers come late; a VM is paused, restarted or told to leave.
+late, or their answers come late; a VM is paused, restarted or told to leave;
+the platform comes back from an older copy.
 Checked: at most one VM takes itself for the holder at any instant, and once
 calls go through again somebody gets the lease.
 
@@ -31,6 +32,9 @@
 from bamboospring.lease import ReadLease
 from bamboospring.lease import SeenLease
 from bamboospring.lease import WriteLease
+from bamboospring.store_version import era_of
+from bamboospring.store_version import revision_of
+from bamboospring.store_version import version_of
 
 __all__ = ["MUTATIONS", "explore_leases"]
 
@@ -43,21 +47,32 @@
 
 
 class SimPlatform:
-    """One object with conditional updates."""
+    """One object with conditional updates, and all states that it had."""
 
     def __init__(self) -> None:
-        self.version = 0
-        self.value = EMPTY
+        self.era = 1
+        self.states = [EMPTY]
+
+    @property
+    def revision(self) -> int:
+        return len(self.states) - 1
 
     def put(self, action: WriteLease) -> bool:
-        if self.version != action.if_version:
+        if self.revision != revision_of(action.if_version):
             return False
-        self.version += 1
-        self.value = action.value
+        self.states.append(action.value)
         return True
 
     def seen(self) -> SeenLease:
-        return SeenLease(version=self.version, value=self.value)
+        version = version_of(era=self.era, revision=self.revision)
+        return SeenLease(
+            version=version, value=self.states[-1], missing_in=self.era
+        )
+
+    def come_back(self, writes: int) -> None:
+        """Lose the newest updates, but for the one that made the object."""
+        self.era += 1
+        self.states = self.states[: max(2, len(self.states) - writes)]
 
 
 @dataclass(slots=True, kw_only=True, eq=False)
@@ -69,6 +84,7 @@
     sent_at: float
     effected: bool = False
     answered: bool = False
+    era: int = 0
     done: bool = False
     seen: SeenLease | None = None
 
@@ -118,6 +134,7 @@
         if call.effected:
             return
         call.effected = True
+        call.era = self.platform.era
         if isinstance(call.action, WriteLease):
             call.done = self.platform.put(call.action)
         call.seen = self.platform.seen()
@@ -129,7 +146,7 @@
         call.answered = True
         keeper, now = call.vm.keeper, self.now * call.vm.rate
         seen, action = call.seen, call.action
-        if seen is None:
+        if seen is None or call.done and self._of_another_era(call):
             keeper.unanswered(call.sent_at, now, action)
         elif call.done and isinstance(action, WriteLease):
             keeper.stored(call.sent_at, now, action, seen.version)
@@ -138,6 +155,16 @@
         else:
             keeper.read(call.sent_at, now, seen)
 
+    def _of_another_era(self, call: Call) -> bool:
+        """Tell whether the platform judged a condition of before its return.
+
+        The client of the platform then says that nothing is known.
+        """
+        action = call.action
+        if not isinstance(action, WriteLease) or not action.if_version:
+            return False
+        return era_of(action.if_version) != call.era
+
     def _finish(self, call: Call, *, effect: bool, answer: bool) -> None:
         if effect:
             self._effect(call)
@@ -195,6 +222,24 @@
             vm.paused = False
         self.run_smoothly(10)
 
+    @rule(writes=st.integers(0, 12), rounds=st.integers(0, 20))
+    def come_back_older(self, writes: int, rounds: int) -> None:
+        """Lose the newest updates while VMs hold what they were told."""
+        self.platform.come_back(writes)
+        self.run_smoothly(rounds)
+
+    @rule(pause=st.integers(0, 30), writes=st.integers(1, 30))
+    def come_back_while_holder_sleeps(self, pause: int, writes: int) -> None:
+        """Pass the lease on, and lose that it was passed on."""
+        self.run_smoothly(45)
+        for vm in self.vms:
+            vm.paused = vm.keeper.holds(self.now * vm.rate)
+        self.run_smoothly(40 + pause)
+        self.platform.come_back(writes)
+        for vm in self.vms:
+            vm.paused = False
+        self.run_smoothly(45)
+
     def _advance(self, seconds: float) -> None:
         self.now += seconds
         for vm in self.vms:
@@ -253,6 +298,12 @@
         _UNANSWERED(keeper, sent_at, now, action)
 
 
+def _free_as_shown(keeper: LeaseKeeper) -> float:
+    """Take what the store shows for what was agreed."""
+    value = keeper._seen.value
+    return keeper._seen_at + (value.duration if value.vm else 0.0)
+
+
 _STORED = LeaseKeeper.stored
 _UNANSWERED = LeaseKeeper.unanswered
 
@@ -267,6 +318,11 @@
         lambda keeper: keeper._seen_at + 1.0,
     ),
     "trust_unanswered_renewal": ("unanswered", _forget_unanswered),
+    "renew_lease_of_earlier_era": (
+        "_keeps",
+        lambda keeper, now: keeper._is_mine(),
+    ),
+    "take_lease_of_earlier_era": ("_free_at", _free_as_shown),
 }
 
 
