Wait for VMs that the restored list may lack

A change of primary goes on as soon as every listed VM has let go of its proof. A store that has come back from an older copy may have lost the entry of a VM that joined since: nobody waits for it, and it uses the former primary beside the new one for up to 2 s more.

Change: a VM that hears of the return files its entry again before it takes another proof. One that can't read the store does not hear of it and goes on by the word of the targets for 45 s at most; for so long after a return (or after its own start, in a store that has ever come back) a leader waits until all proofs have lapsed, 2.1 s, and only tells the VMs. The price is up to 2.1 s more of a change of primary in these 45 s.

--- a/bamboospring/platform_client.py
+++ b/bamboospring/platform_client.py
@@ -204,8 +204,10 @@
         self._lanes: dict[str, _Lane] = {}
         self._times = AnswerTimes(least=timing.least_timeout)
         # The store's newest era: it rises when the store has come back from
-        # an older copy.
+        # an older copy. `on_return` is called then.
         self.era = 0
+        self.on_return: list[Callable[[], None]] = []
+        self._answered = False
 
     def get(
         self,
@@ -502,16 +504,20 @@
         self._send_next(lane)
 
     def _note_era(self, answer: HttpAnswer) -> None:
-        era = self._era_of(answer)
+        era, first = self._era_of(answer), not self._answered
+        self._answered = True
         if era <= self.era:
             return
         logs.log_event(
             "store_era",
-            level=logs.Level.WARNING if self.era else logs.Level.INFO,
+            level=logs.Level.INFO if first else logs.Level.WARNING,
             era=era,
             before=self.era,
         )
         self.era = era
+        if not first:
+            for callback in self.on_return:
+                callback()
 
     def _era_of(self, answer: HttpAnswer) -> int:
         """Return the era of an answer; a store without eras stays at 0."""
--- a/bamboospring/sessions/release.py
+++ b/bamboospring/sessions/release.py
@@ -62,7 +62,14 @@
     def ask_all(
         self, record: Leadership, on_released: Callable[[], None]
     ) -> None:
-        """Have every VM let go; calls back only if all of them have."""
+        """Have every VM let go; calls back only if all of them have.
+
+        Where the list may lack a VM they are told as well, but nobody can know
+        that all have let go.
+        """
+        if not self._registry.is_whole(self._reactor.now()):
+            self._registry.refresh(lambda _vms: self.tell_all(record))
+            return
 
         def listed(vms: dict[str, ListedVm] | None) -> None:
             if vms is not None:
--- a/bamboospring/sessions/vm_registry.py
+++ b/bamboospring/sessions/vm_registry.py
@@ -8,6 +8,11 @@
 An entry is removed by the leader once it has not been renewed for a long
 time. A VM that could not renew its own for most of that time stops taking
 proofs, so that none is ever taken by a VM that is on no list.
+
+A store that comes back from an older copy may have lost entries. A VM that
+hears of it files its own again before it takes another proof. One that does
+not hear of it, since it can't read the store, goes on for as long as without
+any renewal, so for that long the list may lack a VM that holds a proof.
 """
 
 from __future__ import annotations
@@ -26,6 +31,8 @@
 from bamboospring.object_store import Unavailable
 from bamboospring.platform_client import PlatformClient
 from bamboospring.reactor import Reactor
+from bamboospring.reactor import Timer
+from bamboospring.store_version import era_of
 
 __all__ = ["VM_KIND", "ListedVm", "VmRegistry", "read_vm"]
 
@@ -77,18 +84,37 @@
         self._version = 0
         self._renewals = 0
         self._filed_at = -1e9
-        self._sent_at = 0.0
+        self._timer: Timer | None = None
+        self._started_at = reactor.now()
+        self._returned_at: float | None = None
         self._unmoved: dict[str, tuple[int, float]] = {}
         self.vms: dict[str, ListedVm] = {}
 
     def start(self, on_filed: Callable[[], None]) -> None:
         """File the entry, call back once it is, and go on renewing it."""
+        self._platform.on_return.append(self._store_returned)
         self._file(on_filed)
 
     def may_take_proofs(self, now: float) -> bool:
         """Tell whether this VM is surely on every list."""
         return now - self._filed_at < ISOLATED_AFTER
 
+    def is_whole(self, now: float) -> bool:
+        """Tell whether every VM that may hold a proof is on the list."""
+        returned_at = self._returned_at
+        if returned_at is None and self._platform.era:
+            # It may have returned right before this process started.
+            returned_at = self._started_at
+        return returned_at is None or now - returned_at >= ISOLATED_AFTER
+
+    def _store_returned(self) -> None:
+        self._returned_at = self._reactor.now()
+        self._filed_at = -1e9
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+            self._file(None)
+
     def refresh(
         self, on_listed: Callable[[dict[str, ListedVm] | None], None]
     ) -> None:
@@ -127,6 +153,10 @@
 
         self._platform.delete(VM_KIND, vm.name, vm.version, "vms", answered)
 
+    def _renew(self) -> None:
+        self._timer = None
+        self._file(None)
+
     def _file(self, on_filed: Callable[[], None] | None) -> None:
         self._renewals += 1
         sent_at = self._reactor.now()
@@ -141,12 +171,17 @@
             result: Stored | Conflict | Rejected | Unavailable,
         ) -> None:
             match result:
+                case Stored(version=version) if self._is_lost(version):
+                    # The store has come back since it took this.
+                    self._version = version
+                    self._reactor.call_later(0, lambda: self._file(on_filed))
+                    return
                 case Stored(version=version):
                     self._version = version
                     self._filed_at = sent_at
                     if on_filed is not None:
                         on_filed()
-                    self._reactor.call_later(RENEW, lambda: self._file(None))
+                    self._timer = self._reactor.call_later(RENEW, self._renew)
                     return
                 case Conflict(version=version):
                     # The entry of an earlier life, or our own renewal whose
@@ -160,3 +195,6 @@
         self._platform.put(
             VM_KIND, self.me.name, self._version, value, "vm", answered
         )
+
+    def _is_lost(self, version: int) -> bool:
+        return era_of(version) < self._platform.era
--- a/bamboospring/testing/session_platform.py
+++ b/bamboospring/testing/session_platform.py
@@ -86,7 +86,7 @@
 
     def __init__(self, *, seed: int = 0) -> None:
         self.faults = StoreFaults()
-        self.era = 1
+        self.era = 0
         self.revision = 1
         self.address = ""
         self.calls = 0
--- a/features/steps/session_decisions_steps.py
+++ b/features/steps/session_decisions_steps.py
@@ -281,6 +281,8 @@
     def __init__(self, results):
         self.results = results
         self.puts = []
+        self.era = 0
+        self.on_return = []
 
     def put(self, kind, name, if_version, value, purpose, on_result):
         self.puts.append(if_version)
--- /dev/null
+++ b/features/steps/store_return_steps.py
@@ -0,0 +1,233 @@
+"""Steps for the list of VMs where the store comes back older."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+
+from bamboospring.object_store import Changes
+from bamboospring.object_store import Found
+from bamboospring.object_store import Stored
+from bamboospring.object_store import Unavailable
+from bamboospring.peers import envelope
+from bamboospring.sessions.model import Change
+from bamboospring.sessions.model import Leadership
+from bamboospring.sessions.model import SessionBoard
+from bamboospring.sessions.release import Releases
+from bamboospring.sessions.vm_registry import ListedVm
+from bamboospring.sessions.vm_registry import VM_KIND
+from bamboospring.sessions.vm_registry import VmRegistry
+from bamboospring.store_version import version_of
+
+ME = ListedVm(name="vm0", address="a", availability_zone="z", nonce="n")
+OTHER = {"address": "b", "availability_zone": "z", "nonce": "m"}
+
+
+class SimTimer:
+    """A callback that runs once, unless it is cancelled."""
+
+    def __init__(self, when: float, callback: Callable[[], None]) -> None:
+        self.when = when
+        self.callback: Callable[[], None] | None = callback
+
+    def cancel(self) -> None:
+        self.callback = None
+
+
+class SimReactor:
+    """Calls what is due as its clock is moved."""
+
+    def __init__(self) -> None:
+        self.time = 0.0
+        self._timers: list[SimTimer] = []
+
+    def now(self) -> float:
+        return self.time
+
+    def call_later(
+        self, delay: float, callback: Callable[[], None]
+    ) -> SimTimer:
+        timer = SimTimer(self.time + delay, callback)
+        self._timers.append(timer)
+        return timer
+
+    def run(self, seconds: float) -> None:
+        end = self.time + seconds
+        while True:
+            due = [t for t in self._timers if t.when <= end]
+            if not due:
+                break
+            timer = min(due, key=lambda each: each.when)
+            self._timers.remove(timer)
+            self.time = max(self.time, timer.when)
+            if timer.callback is not None:
+                timer.callback()
+        self.time = end
+
+
+class SimPlatform:
+    """Takes entries in its present era while it answers."""
+
+    def __init__(self) -> None:
+        self.era = 0
+        self.on_return: list[Callable[[], None]] = []
+        self.answers = True
+        self.puts = 0
+        self.answer_from: int | None = None
+
+    def come_back(self) -> None:
+        self.era += 1
+        for callback in self.on_return:
+            callback()
+
+    def put(
+        self,
+        kind: str,
+        name: str,
+        if_version: int,
+        value: Any,
+        purpose: str,
+        on_result: Callable[[Any], None],
+    ) -> None:
+        self.puts += 1
+        if not self.answers:
+            on_result(Unavailable(maybe_applied=True, retry_after=0.1))
+            return
+        era, self.answer_from = self.answer_from, None
+        version = version_of(
+            era=self.era if era is None else era, revision=self.puts
+        )
+        on_result(Stored(version=version))
+
+    def list(
+        self, kind: str, purpose: str, on_result: Any, timeout: float
+    ) -> None:
+        found = Found(kind=VM_KIND, name="vm1", version=5, value=OTHER)
+        on_result(Changes(objects=(found,), revision=9))
+
+
+@given("a VM that has filed its entry")
+def given_filed(context: Any) -> None:
+    context.reactor, context.platform = SimReactor(), SimPlatform()
+    context.registry = VmRegistry(
+        reactor=context.reactor, platform=context.platform, me=ME
+    )
+    context.registry.start(lambda: None)
+    context.reactor.run(1.0)
+    assert context.registry.may_take_proofs(context.reactor.now())
+
+
+@when("the store comes back and does not answer")
+def when_silent(context: Any) -> None:
+    context.platform.answers = False
+    context.platform.come_back()
+    context.reactor.run(1.0)
+
+
+@then("it may take no proof")
+def then_no_proof(context: Any) -> None:
+    assert not context.registry.may_take_proofs(context.reactor.now())
+
+
+@when("the store takes its entry")
+def when_taken(context: Any) -> None:
+    context.platform.answers = True
+    context.reactor.run(1.0)
+
+
+@then("it may take proofs again")
+def then_proofs(context: Any) -> None:
+    assert context.registry.may_take_proofs(context.reactor.now())
+
+
+@given("a VM whose entry is taken as the store comes back")
+def given_crossed(context: Any) -> None:
+    context.reactor, context.platform = SimReactor(), SimPlatform()
+    context.platform.era = 1
+    context.platform.answer_from = 0
+    context.registry = VmRegistry(
+        reactor=context.reactor, platform=context.platform, me=ME
+    )
+    context.registry.start(lambda: None)
+
+
+@then("it files its entry once more before it takes a proof")
+def then_again(context: Any) -> None:
+    registry, reactor = context.registry, context.reactor
+    assert not registry.may_take_proofs(reactor.now())
+    reactor.run(0.1)
+    assert context.platform.puts == 2
+    assert registry.may_take_proofs(reactor.now())
+
+
+class SimPeers:
+    """Another VM that lets go at once."""
+
+    def __init__(self) -> None:
+        self.told = 0
+
+    def handle(self, kind: str, handler: Any) -> None:
+        pass
+
+    def ask(
+        self, address: str, message: Any, timeout: float, on_answer: Any
+    ) -> None:
+        self.told += 1
+        answer = envelope()
+        answer.init("recordSeen").version = 7
+        on_answer(answer)
+
+
+class SimRecords:
+    """Takes every record."""
+
+    def take(self, record: Leadership) -> None:
+        pass
+
+
+@given("a VM that leads and 1 listed VM that lets go at once")
+def given_leads(context: Any) -> None:
+    given_filed(context)
+    context.peers = SimPeers()
+    board = SessionBoard(vm=ME.name, availability_zone="z")
+    context.releases = Releases(
+        reactor=context.reactor,
+        board=board,
+        peers=context.peers,
+        registry=context.registry,
+        records=SimRecords(),  # type: ignore[arg-type]
+    )
+
+
+@when("it asks all to let go of a primary")
+def when_asked(context: Any) -> None:
+    context.released = []
+    context.peers.told = 0
+    change = Change(term=2, vm="vm0", nonce="n", cause="failed")
+    record = Leadership(
+        group="g", version=7, term=1, primary="m0", change=change
+    )
+    context.releases.ask_all(record, lambda: context.released.append(1))
+    context.reactor.run(0.5)
+
+
+@when("the store has come back {seconds:d} s ago and it asks again")
+def when_returned(context: Any, seconds: int) -> None:
+    context.platform.come_back()
+    context.reactor.run(seconds)
+    when_asked(context)
+
+
+@then("all have let go")
+def then_released(context: Any) -> None:
+    assert context.released, context.peers.told
+
+
+@then("it does not hear that all have let go, but has told the VM")
+def then_told(context: Any) -> None:
+    assert not context.released
+    assert context.peers.told == 1
--- a/features/store_restore.feature
+++ b/features/store_restore.feature
@@ -67,3 +67,29 @@
 
   Scenario: The exploration finds a restored record that is taken as it is
     Then in 3000 explored returns a restored record that proves is found
+
+  Scenario: A VM files its entry anew before it takes another proof
+    # Guards against: a VM whose entry the store has lost proves a primary, and
+    # the change that replaces it waits for all VMs but this one.
+    Given a VM that has filed its entry
+    When the store comes back and does not answer
+    Then it may take no proof
+    When the store takes its entry
+    Then it may take proofs again
+
+  Scenario: An entry that the store has lost on the way is filed again
+    # Guards against: the entry was taken right before the return, and its
+    # answer came after it.
+    Given a VM whose entry is taken as the store comes back
+    Then it files its entry once more before it takes a proof
+
+  Scenario: A change waits for the proofs of VMs that the list may lack
+    # Guards against: a VM that can't read the store does not know that its
+    # entry is lost, and all that are listed have let go.
+    Given a VM that leads and 1 listed VM that lets go at once
+    When it asks all to let go of a primary
+    Then all have let go
+    When the store has come back 40 s ago and it asks again
+    Then it does not hear that all have let go, but has told the VM
+    When the store has come back 46 s ago and it asks again
+    Then all have let go
