Keep in mind that a target leaves, though the store has lost it

A leaving target may get work for 7 s. If the store comes back from a copy of before it said so, its entry says ready; when it says again that it leaves, its time would begin anew, and statements reach it later than they may (DRAIN).

Change: for 2 s after a return, in which what was lost is written again, a target that leaves goes on to leave, by the time that it had. The VM that reads the list decides it for all whom it passes the list on to.

--- a/bamboospring/platform_client.py
+++ b/bamboospring/platform_client.py
@@ -78,6 +78,9 @@
 MAX_WAITING = 32
 
 SERVER_ERRORS = 500
+# Within so many seconds of the store's return from an older copy what it has
+# lost is written there again by whoever had written it.
+WRITTEN_AGAIN = 2.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -431,6 +434,16 @@
         call = Call(method="GET", path=path)
         self._call(call, purpose, timeout, answered)
 
+    def may_lack(self, asked_at: float) -> bool:
+        """Tell whether an answer may lack what the store had acknowledged.
+
+        `asked_at` is when the question was sent.
+        """
+        returned_at = self.returned_at
+        return returned_at is not None and asked_at < (
+            returned_at + WRITTEN_AGAIN
+        )
+
     def close(self) -> None:
         """Close all connections; calls under way end as unavailable."""
         for lane in self._lanes.values():
--- a/bamboospring/sessions/catalog_keeper.py
+++ b/bamboospring/sessions/catalog_keeper.py
@@ -31,9 +31,6 @@
 # gone silent shows only by then; with the margin of the client's watches a
 # change is in force within two seconds also where that happens.
 WATCH_MS = 1200
-# Within so many seconds of the store's return from an older copy what it has
-# lost is written there again by whoever had written it.
-WRITTEN_AGAIN = 2.0
 # Where keys must be confirmed a watch of the leader takes this part of a key's
 # life at most: an answer confirms them from when it was asked for, and grows
 # older on its way to all the others.
@@ -180,12 +177,8 @@
         self._confirm_read(self._watch.confirmed_at)
 
     def _confirm_read(self, instant: float) -> None:
-        """Confirm by an answer of the store to what was asked at an instant.
-
-        After a return it may show less than it had acknowledged.
-        """
-        returned_at = self._platform.returned_at
-        if returned_at is None or instant >= returned_at + WRITTEN_AGAIN:
+        """Confirm by what the store answered to a question of an instant."""
+        if not self._platform.may_lack(instant):
             self._confirm(instant)
 
     def _confirm(self, instant: float) -> None:
--- a/bamboospring/sessions/target_keeper.py
+++ b/bamboospring/sessions/target_keeper.py
@@ -146,11 +146,23 @@
         match result:
             case Changes(objects=objects):
                 read = [self._read(found) for found in objects]
-                self.listed = [news for news in read if news is not None]
+                self.listed = [
+                    self._still_leaving(news)
+                    for news in read
+                    if news is not None
+                ]
                 self._take(self.listed, self._asked_at)
             case Unavailable(retry_after=retry_after):
                 self._later(min(INTERVAL, max(retry_after, 0.1)))
 
+    def _still_leaving(self, news: TargetNews) -> TargetNews:
+        """Keep in mind that a target leaves, though the store has lost it."""
+        if news.leaving or not self._platform.may_lack(self._asked_at):
+            return news
+        old = self._board.group(news.group).targets.get(news.target.name)
+        leaving = old is not None and old.leaving and old.target == news.target
+        return dataclasses.replace(news, leaving=leaving)
+
     def _take(self, all_news: list[TargetNews], asked_at: float) -> None:
         self._board.targets_seen_at = max(
             self._board.targets_seen_at, asked_at
--- a/features/steps/access_steps.py
+++ b/features/steps/access_steps.py
@@ -24,6 +24,7 @@
 from bamboospring.outcomes import Overloaded
 from bamboospring.platform.entries import read_catalog
 from bamboospring.platform.lines import key_digest
+from bamboospring.platform_client import WRITTEN_AGAIN
 from bamboospring.pool import Leased
 from bamboospring.pool import PoolTiming
 from bamboospring.pools import Pools
@@ -262,6 +263,11 @@
         self.era = 0
         self.returned_at: float | None = None
 
+    def may_lack(self, asked_at: float) -> bool:
+        returned_at = self.returned_at
+        lost_until = -1e9 if returned_at is None else returned_at
+        return asked_at < lost_until + WRITTEN_AGAIN
+
     def heard(self, era: int, now: float) -> None:
         """Note the era of an answer, as the client does."""
         if era > self.era:
--- a/features/steps/store_return_steps.py
+++ b/features/steps/store_return_steps.py
@@ -9,6 +9,7 @@
 from behave import then
 from behave import when
 
+from bamboospring.blackboard import Target
 from bamboospring.object_store import Changes
 from bamboospring.object_store import Found
 from bamboospring.object_store import Stored
@@ -17,7 +18,9 @@
 from bamboospring.sessions.model import Change
 from bamboospring.sessions.model import Leadership
 from bamboospring.sessions.model import SessionBoard
+from bamboospring.sessions.model import TargetNews
 from bamboospring.sessions.release import Releases
+from bamboospring.sessions.target_keeper import TargetKeeper
 from bamboospring.sessions.vm_registry import ListedVm
 from bamboospring.sessions.vm_registry import VM_KIND
 from bamboospring.sessions.vm_registry import VmRegistry
@@ -235,3 +238,75 @@
 def then_told(context: Any) -> None:
     assert not context.released
     assert context.peers.told == 1
+
+
+# The list of targets.
+
+
+class ListedTargets:
+    """A store that lists one target."""
+
+    def __init__(self) -> None:
+        self.leaving = True
+        self.lacks = False
+
+    def may_lack(self, asked_at: float) -> bool:
+        return self.lacks
+
+    def list(
+        self, kind: str, purpose: str, on_result: Any, timeout: float
+    ) -> None:
+        found = Found(kind=kind, name="m0", version=5, value=self.leaving)
+        on_result(Changes(objects=(found,), revision=9))
+
+
+def read_listed(found: Found) -> TargetNews:
+    """Read an entry that only says whether its target leaves."""
+    target = Target(name="m0", address="a:1", availability_zone="z", site="z")
+    return TargetNews(target=target, group="g", leaving=found.value)
+
+
+@given("a VM that has seen a target leave")
+def given_leaving(context: Any) -> None:
+    context.reactor, context.platform = SimReactor(), ListedTargets()
+    board = SessionBoard(vm="vm0", availability_zone="z")
+    context.group = board.group("g")
+    unused: Any = None
+    context.keeper = TargetKeeper(
+        reactor=context.reactor,
+        board=board,
+        platform=context.platform,
+        pools=unused,
+        kind="servers",
+        read=read_listed,
+        leaving_limit=7.0,
+        holders=unused,
+    )
+    context.keeper.start()
+    context.reactor.run(0.1)
+    context.usable_until = context.group.targets["m0"].usable_until
+
+
+@when("the store comes back and shows the target as ready")
+def when_ready(context: Any) -> None:
+    context.platform.leaving = False
+    context.platform.lacks = True
+    context.reactor.run(2.0)
+
+
+@then("the target still leaves, by the time it had")
+def then_leaving(context: Any) -> None:
+    news = context.group.targets["m0"]
+    assert news.leaving and news.usable_until == context.usable_until, news
+    assert all(each.leaving for each in context.keeper.listed)
+
+
+@when("the store still shows the target as ready {seconds:d} s later")
+def when_later(context: Any, seconds: int) -> None:
+    context.platform.lacks = False
+    context.reactor.run(seconds)
+
+
+@then("the target leaves no more")
+def then_stays(context: Any) -> None:
+    assert not context.group.targets["m0"].leaving
--- a/features/store_restore.feature
+++ b/features/store_restore.feature
@@ -107,3 +107,12 @@
   Scenario: The exploration finds what a return of the store could do
     Then the exploration finds a restored choice that counts as it is
     And the exploration finds a choice that is stored anew at once by anybody
+
+  Scenario: A leaving target gets no more time because the store forgets it
+    # Guards against: the restored entry says ready, and when the target says
+    # again that it leaves its time begins anew.
+    Given a VM that has seen a target leave
+    When the store comes back and shows the target as ready
+    Then the target still leaves, by the time it had
+    When the store still shows the target as ready 3 s later
+    Then the target leaves no more
