--- a/bamboospring/testing/session_soak.py
+++ b/bamboospring/testing/session_soak.py
@@ -4,8 +4,9 @@
 
 Real VMs as processes; stand-ins for members, store and desk; faults from
 outside: links that are cut, silent, delayed or silent one way, members that
-crash, go dark, lag or leave, a store that is down, slow, forgetful or loses
-answers, VMs that are stopped, paused, killed and restarted. The seed fixes
+crash, go dark, lag or leave, a store that is down, slow, forgetful, loses
+answers or (with --returns) comes back from an older copy, VMs that are
+stopped, paused, killed and restarted. The seed fixes
 the schedule, not how processes interleave.
 """
 
@@ -38,6 +39,11 @@
 # Far above what any fault lasts; callers work until they are told otherwise.
 LONGEST_FAULT = 60.0
 MOST_AT_ONCE = 3
+# How long the store is away before it comes back from an older copy, and
+# within how many seconds the operator has written again what it has lost.
+AWAY_SECONDS = (0.1, 2.5)
+REWRITTEN_WITHIN = 1.5
+MORE_RETURNS = 4
 
 
 @dataclass(slots=True, kw_only=True)
@@ -58,15 +64,23 @@
 class _Faults:
     """The faults, each of which undoes itself."""
 
-    def __init__(self, fleet: SessionFleet, seed: int) -> None:
+    def __init__(
+        self, fleet: SessionFleet, seed: int, *, returns: bool = False
+    ) -> None:
         self.fleet = fleet
+        self._returns = returns
         self.random = random.Random(f"{seed}/faults")
         self.history: list[str] = []
         self.began = time.monotonic()
 
     def all(self) -> list[Fault]:
-        """Return every kind of fault."""
+        """Return every kind of fault.
+
+        Returns of the store are drawn more often than others.
+        """
+        returns: list[Fault] = [self.store_returns] * MORE_RETURNS
         return [
+            *(returns if self._returns else ()),
             self.kill_vm,
             self.pause_vm,
             self.stop_vm,
@@ -249,6 +263,19 @@
         self.note("store forgets")
         self.fleet.store.forget_history()
 
+    async def store_returns(self, seconds: float) -> None:
+        copy = self.fleet.store.copy()
+        await asyncio.sleep(seconds)
+        away = self.random.uniform(*AWAY_SECONDS)
+        rewritten_after = self.random.uniform(0.0, REWRITTEN_WITHIN)
+        self.note(
+            f"store back from a copy of {seconds:.1f} s before, away "
+            f"{away:.1f}, rewritten after {rewritten_after:.1f}"
+        )
+        await self.fleet.lose_newest_writes(
+            copy, away=away, rewritten_after=rewritten_after
+        )
+
     async def vm_cut_from_store(self, seconds: float) -> None:
         name = self._vm()
         mode = self.random.choice(("cut", "freeze", "silent"))
@@ -274,11 +301,16 @@
 
 
 async def run_session_soak(
-    *, seed: int, seconds: float, vms: int = 3, callers: int = CALLERS
+    *,
+    seed: int,
+    seconds: float,
+    vms: int = 3,
+    callers: int = CALLERS,
+    returns: bool = False,
 ) -> SoakResult:
     """Run callers and faults, let all settle, and return what was found."""
     fleet = SessionFleet(vms=vms, seed=seed)
-    faults = _Faults(fleet, seed)
+    faults = _Faults(fleet, seed, returns=returns)
     try:
         await fleet.start()
         workers = [
@@ -342,6 +374,11 @@
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--vms", type=int, default=3)
     parser.add_argument("--callers", type=int, default=CALLERS)
+    parser.add_argument(
+        "--returns",
+        action="store_true",
+        help="have the store come back from older copies as well",
+    )
     parser.add_argument("--logs", default="", help="keep VMs' logs here")
     args = parser.parse_args()
     result = asyncio.run(
@@ -350,6 +387,7 @@
             seconds=args.seconds,
             vms=args.vms,
             callers=args.callers,
+            returns=args.returns,
         )
     )
     print("faults:", "; ".join(result.history))
--- a/features/session_soak.feature
+++ b/features/session_soak.feature
@@ -18,3 +18,8 @@
       # what is served at the end was counted.
       | seed | seconds |
       | 200  | 14      |
+
+  Scenario: A soak in which the store comes back from older copies
+    # Guards against: what the store has lost is taken for never written.
+    When sessions, faults and returns of the store run for 14 s with seed 501
+    Then the session soak finds nothing wrong
--- a/features/steps/session_estate_steps.py
+++ b/features/steps/session_estate_steps.py
@@ -317,6 +317,18 @@
     print("outcomes:", context.result.outcomes)
 
 
+@when(
+    "sessions, faults and returns of the store run for {seconds:d} s with "
+    "seed {seed:d}"
+)
+def when_returns(context, seconds, seed):
+    context.result = asyncio.run(
+        run_session_soak(seed=seed, seconds=seconds, returns=True)
+    )
+    print("faults:", "; ".join(context.result.history))
+    print("outcomes:", context.result.outcomes)
+
+
 @then("the session soak finds nothing wrong")
 def then_sound(context):
     assert not context.result.wrong, "\n".join(context.result.wrong[:20])
