Show versions in logs as era and revision

Fencing numbers stay as they are sent.

store_restore, session_decisions, team_quota, session_texts: 75 passed, 0 failed.

--- a/bamboospring/platform_watch.py
+++ b/bamboospring/platform_watch.py
@@ -23,6 +23,7 @@
 from bamboospring.platform_client import VmsFound
 from bamboospring.reactor import Reactor
 from bamboospring.rendezvous import Placement
+from bamboospring.store_version import version_text
 
 __all__ = ["KindWatch", "PlatformWatch"]
 
@@ -120,7 +121,9 @@
                 # What changed meanwhile will never come by a watch, so all
                 # is read anew.
                 logs.log_event(
-                    "history_lost", kind=self.kind, asked_from=self._revision
+                    "history_lost",
+                    kind=self.kind,
+                    asked_from=version_text(self._revision),
                 )
                 self.listed = False
                 self._losses += 1
--- a/bamboospring/sessions/catalog_keeper.py
+++ b/bamboospring/sessions/catalog_keeper.py
@@ -21,6 +21,7 @@
 from bamboospring.reactor import Reactor
 from bamboospring.sessions.model import Catalog
 from bamboospring.sessions.model import SessionBoard
+from bamboospring.store_version import version_text
 
 __all__ = ["CATALOG_PURPOSE", "CatalogKeeper"]
 
@@ -226,9 +227,9 @@
                 "catalog_ignored",
                 level=logs.Level.WARNING,
                 version=catalog.version,
-                stored_as=found.version,
+                stored_as=version_text(found.version),
                 known_version=self.version,
-                known_as=self.stored_as,
+                known_as=version_text(self.stored_as),
             )
         self._older = max(self._older, found.version)
         return True
@@ -240,7 +241,7 @@
         logs.log_event(
             "catalog",
             version=catalog.version,
-            stored_as=self.stored_as,
+            stored_as=version_text(self.stored_as),
             routes=len(catalog.routes),
             groups=len(catalog.groups),
             teams=len(catalog.teams or {}),
--- a/bamboospring/sessions/changes.py
+++ b/bamboospring/sessions/changes.py
@@ -40,6 +40,7 @@
 from bamboospring.sessions.takeover import StoreRecord
 from bamboospring.sessions.takeover import Takeover
 from bamboospring.sessions.takeover import TellTarget
+from bamboospring.store_version import version_text
 
 __all__ = ["Changes", "TELL_TIMEOUT"]
 
@@ -133,7 +134,7 @@
             cause=cause.value,
             primary=record.primary,
             term=record.term,
-            version=record.version,
+            version=version_text(record.version),
             targets=len(group.targets),
         )
         self._go_on(group, change, change.begin(now))
@@ -294,7 +295,7 @@
             reason=change.end,
             primary=change.record.primary,
             term=change.record.term,
-            version=change.record.version,
+            version=version_text(change.record.version),
         )
         self._on_ended(group)
         if done:
--- a/bamboospring/sessions/duty.py
+++ b/bamboospring/sessions/duty.py
@@ -32,6 +32,7 @@
 from bamboospring.sessions.record_keeper import RecordKeeper
 from bamboospring.sessions.records import RECORD_KIND
 from bamboospring.store_version import era_of
+from bamboospring.store_version import version_text
 
 __all__ = ["Duty", "Holder", "LEASE_NAME"]
 
@@ -172,7 +173,7 @@
         lease = self._keeper.as_lease()
         logs.log_event(
             "lease_taken" if self._led else "lease_lost",
-            version=lease.version,
+            version=version_text(lease.version),
             fence=self._keeper.fence,
             holder=lease.vm,
         )
--- a/bamboospring/sessions/finisher.py
+++ b/bamboospring/sessions/finisher.py
@@ -23,6 +23,7 @@
 from bamboospring.sessions.records import encode_record
 from bamboospring.sessions.records import RECORD_KIND
 from bamboospring.sessions.release import Releases
+from bamboospring.store_version import version_text
 
 __all__ = ["ChangeFinisher"]
 
@@ -120,7 +121,7 @@
                 group=record.group,
                 primary=record.primary,
                 term=record.term,
-                version=record.version,
+                version=version_text(record.version),
                 outcome=type(result).__name__,
             )
             if isinstance(result, Stored):
--- a/bamboospring/sessions/quota_keeper.py
+++ b/bamboospring/sessions/quota_keeper.py
@@ -24,6 +24,7 @@
 from bamboospring.sessions.quota_holders import QuotaVm
 from bamboospring.sessions.quota_holders import settled_holders
 from bamboospring.sessions.records import RECORD_KIND
+from bamboospring.store_version import version_text
 
 __all__ = [
     "HOLDERS_NAME",
@@ -65,7 +66,7 @@
         logs.log_event(
             "quota_holders_unreadable",
             level=logs.Level.ERROR,
-            version=found.version,
+            version=version_text(found.version),
             reason=str(exc.errors()[0]["type"]),
         )
         return None
--- a/bamboospring/sessions/record_keeper.py
+++ b/bamboospring/sessions/record_keeper.py
@@ -40,6 +40,7 @@
 from bamboospring.sessions.takeover import Cause
 from bamboospring.store_version import era_of
 from bamboospring.store_version import Unsettled
+from bamboospring.store_version import version_text
 
 __all__ = ["RecordKeeper"]
 
@@ -224,8 +225,8 @@
                 level=logs.Level.WARNING,
                 group=group.name,
                 era=era,
-                version=version,
-                known_version=known.version if known else 0,
+                version=version_text(version),
+                known_version=version_text(known.version if known else 0),
             )
 
     def _settle(self, group: GroupView, record: Leadership) -> None:
@@ -258,7 +259,7 @@
         logs.log_event(
             "record",
             group=group.name,
-            version=record.version,
+            version=version_text(record.version),
             term=record.term,
             primary=record.primary,
             changing=record.change is not None,
@@ -403,7 +404,7 @@
         self._board.quota_holders = holders
         logs.log_event(
             "quota_holders",
-            version=holders.version,
+            version=version_text(holders.version),
             vms=len(holders.vms),
             handing_over=holders.previous is not None,
         )
--- a/bamboospring/sessions/records.py
+++ b/bamboospring/sessions/records.py
@@ -12,6 +12,7 @@
 from bamboospring.object_store import Found
 from bamboospring.sessions.model import Change
 from bamboospring.sessions.model import Leadership
+from bamboospring.store_version import version_text
 
 __all__ = ["RECORD_KIND", "encode_record", "read_record"]
 
@@ -67,7 +68,7 @@
             "record_unreadable",
             level=logs.Level.ERROR,
             group=found.name,
-            version=found.version,
+            version=version_text(found.version),
             reason=str(exc.errors()[0]["type"]),
         )
         return None
--- a/bamboospring/sessions/release.py
+++ b/bamboospring/sessions/release.py
@@ -29,6 +29,7 @@
 from bamboospring.sessions.records import RECORD_KIND
 from bamboospring.sessions.vm_registry import ListedVm
 from bamboospring.sessions.vm_registry import VmRegistry
+from bamboospring.store_version import version_text
 
 __all__ = ["Releases"]
 
@@ -126,7 +127,7 @@
             logs.log_event(
                 "proofs_released",
                 group=record.group,
-                version=record.version,
+                version=version_text(record.version),
                 vms=len(vms),
                 took_ms=round(took * 1000),
             )
@@ -139,7 +140,7 @@
                         "release_unanswered",
                         level=logs.Level.WARNING,
                         group=record.group,
-                        version=record.version,
+                        version=version_text(record.version),
                         of=vm.name,
                     )
                 elif answer.recordSeen.version >= record.version:
--- a/bamboospring/sessions/vm_registry.py
+++ b/bamboospring/sessions/vm_registry.py
@@ -33,6 +33,7 @@
 from bamboospring.reactor import Reactor
 from bamboospring.reactor import Timer
 from bamboospring.store_version import era_of
+from bamboospring.store_version import version_text
 
 __all__ = ["VM_KIND", "ListedVm", "VmRegistry", "read_vm"]
 
@@ -141,7 +142,7 @@
             logs.log_event(
                 "vm_removed",
                 of=vm.name,
-                version=vm.version,
+                version=version_text(vm.version),
                 outcome=type(result).__name__,
             )
 
--- a/bamboospring/store_version.py
+++ b/bamboospring/store_version.py
@@ -29,6 +29,7 @@
     "in_era",
     "revision_of",
     "version_of",
+    "version_text",
 ]
 
 REVISION_BITS = 40
@@ -84,6 +85,12 @@
     return version & (1 << REVISION_BITS) - 1
 
 
+def version_text(version: int) -> str:
+    """Return a version as logs show it: `2.124`, or `124` in era 0."""
+    era, revision = era_of(version), revision_of(version)
+    return f"{era}.{revision}" if era else str(revision)
+
+
 def in_era(result: Dated, era: int) -> Dated:
     """Return a result whose revisions are versions of an era."""
     match result:
