Reproduce writes that are told as done after the kill

The new scenario has the answers of the member that stays come 900 ms late, freezes the other replica and kills the primary 0.2 s later.

--- a/features/primary_change.feature
+++ b/features/primary_change.feature
@@ -122,3 +122,11 @@
     When the platform is slow and the way to the primary is delayed
     And each VM in turn is paused for 5 seconds
     Then the group is still at term 1
+
+  Scenario: The last word of a member comes late after the kill
+    # Guards against: a write of before the kill, which a majority holds, is
+    # taken for one that was done without a majority when its answer is late.
+    Given a change fleet under writes
+    When the answers of the member that stays come 900 ms late
+    And another member is frozen and 0.2 s later the primary is killed
+    Then for 2 seconds no write is done at all
--- a/features/steps/primary_change_steps.py
+++ b/features/steps/primary_change_steps.py
@@ -120,6 +120,27 @@
     break_primary(context)
 
 
+@when("the answers of the member that stays come {delay:d} ms late")
+def delay_answers(context: Any, delay: int) -> None:
+    context.stays = context.fleet.replicas(GROUP)[1]
+    context.fleet.link(
+        f"target:{context.stays}",
+        "delay",
+        direction="to_client",
+        delay_ms=delay,
+    )
+
+
+@when("another member is frozen and {pause:g} s later the primary is killed")
+def freeze_then_kill(context: Any, pause: float) -> None:
+    context.frozen = context.fleet.replicas(GROUP)[0]
+    context.fleet.freeze(context.frozen)
+    time.sleep(pause)
+    context.killed_at = time.monotonic()
+    context.fleet.kill(context.primary)
+    break_primary(context)
+
+
 @when("the platform will lose its next answer about groups")
 def lose_answer(context: Any) -> None:
     context.fleet.set_platform_faults(lose_answers=1, lose_kind="group")
