Log writes whose majority comes late, and print them in the check

A write that waits for its majority for 0.25 s or longer gets a line: term, index, which targets were known to hold it, and how long it waited. The failed check prints when each write was sent and told, and whether the member that stays holds it. Its verdict is as it was.

--- a/bamboospring/commit.py
+++ b/bamboospring/commit.py
@@ -19,6 +19,7 @@
     "held_by_majority",
     "majorities_meet",
     "majority_of",
+    "targets_holding",
 ]
 
 
@@ -40,7 +41,12 @@
 
 
 def count_holding(group: Group, position: Position) -> int:
-    """Count the targets known to hold a position of its own term.
+    """Count the targets known to hold a position of its own term."""
+    return len(targets_holding(group, position))
+
+
+def targets_holding(group: Group, position: Position) -> list[str]:
+    """Return the targets known to hold a position of its own term, by name.
 
     A target that reports another term does not count, whatever its index:
     its log may differ at that index. Nor does one that has joined the term
@@ -48,13 +54,14 @@
     primary's, and what it has at that index may be about to be dropped.
     """
     roles = (Role.PRIMARY, Role.REPLICA)
-    return sum(
-        state.term == position.term
+    return [
+        name
+        for name, state in group.states.items()
+        if state.term == position.term
         and state.last_term == position.term
         and state.received >= position.index
         and state.role in roles
-        for state in group.states.values()
-    )
+    ]
 
 
 def held_by_majority(group: Group, position: Position) -> bool:
--- a/bamboospring/writes.py
+++ b/bamboospring/writes.py
@@ -14,6 +14,7 @@
 
 from bamboospring.blackboard import Blackboard
 from bamboospring.blackboard import Group
+from bamboospring.commit import targets_holding
 from bamboospring.exchange import done_from
 from bamboospring.exchange import Exchange
 from bamboospring.exchange import failed_from
@@ -23,6 +24,7 @@
 from bamboospring.flights import Flights
 from bamboospring.flights import SilenceWatch
 from bamboospring.http_client import HttpLost
+from bamboospring import logs
 from bamboospring.outcomes import Done
 from bamboospring.outcomes import NotRun
 from bamboospring.outcomes import Outcome
@@ -58,6 +60,8 @@
 # says anything.
 TERM_GRACE = 0.2
 MAX_SLOT_TRIES = 5
+# Seconds after which a write whose majority is still awaited gets a log line.
+LATE_MAJORITY = 0.25
 
 OnOutcome = Callable[[Outcome], None]
 OnBegun = Callable[[Statement, Leased, TargetAnswer], Done]
@@ -346,12 +350,32 @@
     def _hold(self, answer: TargetAnswer) -> None:
         """Pass the answer on once a majority holds the write."""
         self._phase = Phase.HOLDING
-        result = done_from(answer)
+        position = Position(term=answer.term, index=answer.index)
+        since = self._runner.reactor.now()
+
+        def judged(held: bool) -> None:
+            self._log_if_late(position, held, since)
+            self._finish(done_from(answer) if held else _no_majority())
+
         self._runner.watcher.wait_majority(
-            self._stmt.group,
-            Position(term=answer.term, index=answer.index),
-            self._stmt.deadline,
-            lambda held: self._finish(result if held else _no_majority()),
+            self._stmt.group, position, self._stmt.deadline, judged
+        )
+
+    def _log_if_late(
+        self, position: Position, held: bool, since: float
+    ) -> None:
+        waited = self._runner.reactor.now() - since
+        if waited < LATE_MAJORITY:
+            return
+        logs.log_event(
+            "majority_late",
+            trace=self._stmt.trace,
+            group=self._stmt.group,
+            term=position.term,
+            index=position.index,
+            held=held,
+            holding=",".join(sorted(targets_holding(self._group, position))),
+            waited_ms=round(waited * 1000),
         )
 
     def _finish(self, outcome: Outcome) -> None:
--- a/features/steps/primary_change_steps.py
+++ b/features/steps/primary_change_steps.py
@@ -18,6 +18,7 @@
 from fleet_support import in_threads
 from fleet_support import start_fleet
 from primary_change_support import ChangeLoad
+from primary_change_support import WriteRecord
 
 from bamboospring.rendezvous import bucket_of
 from bamboospring.rendezvous import shard_of
@@ -304,12 +305,37 @@
     start = time.monotonic()
     time.sleep(1.5)
     done = context.load.done_since(start)
+    if done:
+        print_late(context, done)
     assert not done, (f"killed at {context.killed_at:.3f}", done[:3])
     # A term won without a majority in reach would only prolong the gap.
     value = context.fleet.object("group", GROUP)["value"]
     assert (value["term"], value["primary"]) == (1, context.primary), value
 
 
+def member_that_stays(context: Any) -> str:
+    """Return the member that is neither killed nor frozen."""
+    away = (context.primary, context.frozen)
+    names = [t.name for t in context.fleet.members(GROUP)]
+    return next(name for name in names if name not in away)
+
+
+def print_late(context: Any, done: list[WriteRecord]) -> None:
+    """Print when each write was sent, who holds it and what was logged."""
+    held = stored_rows(context, member_that_stays(context))
+    for record in done:
+        sent = (record.began - context.killed_at) * 1000
+        told = (record.at - context.killed_at) * 1000
+        print(
+            f"row {record.row}: sent {sent:.0f} ms, told {told:.0f} ms after "
+            f"the kill, term {record.term}, held={record.row in held}"
+        )
+    for vm in context.fleet.vms:
+        for line in context.fleet.process(vm).tail(4000).splitlines():
+            if "event=majority_late" in line:
+                print(line)
+
+
 @when("the platform is slow and the way to the primary is delayed")
 def slow_everything(context: Any) -> None:
     context.fleet.set_platform_faults(slow_ms=200)
