Let a test's HTTP client be made with any arguments

'A large configuration may take longer than small answers do' errored since the client keeps a header of each answer: its stand-in took two arguments by name.

--- a/features/steps/unanswered_steps.py
+++ b/features/steps/unanswered_steps.py
@@ -487,7 +487,7 @@
     with mock.patch.object(
         platform_client,
         "HttpClient",
-        lambda reactor, address: TimedHttp(clock, context.asked),
+        lambda **_made_with: TimedHttp(clock, context.asked),
     ):
         context.client = PlatformClient(
             reactor=clock,
