Add the switch of load control and the page of its parts

Cause: two deployments are short of room at times. None of the parts that answer this may touch other deployments.

Change: `SessionBoard.load_control`, decided once at the start by the settings `load_control`, `platform_terms` and `regions`, shown by a log event and a metric; `resources` tells what the VM has. docs/design/load_control.md states the requirements, measurements, parts, interfaces and failures.

Result: no behaviour depends on it yet. load_control.feature 6 passed, settings.feature 20 passed.

--- a/bamboospring/platform/adapters.py
+++ b/bamboospring/platform/adapters.py
@@ -20,6 +20,8 @@
 __all__ = ["make_adapters"]
 
 READINESS_PATH = "/api/readiness"
+# Routes and teams compete for more than the targets can run.
+LOAD_CONTROL_TERMS = frozenset({"pressure"})
 
 
 def make_adapters() -> PlatformAdapters:
@@ -30,6 +32,7 @@
         catalog_name=CATALOG_NAME,
         target_kind=TARGET_KIND,
         readiness_path=READINESS_PATH,
+        load_control_terms=LOAD_CONTROL_TERMS,
         read_catalog=read_catalog,
         read_target=read_target,
         make_dialer=_make_dialer,
--- a/bamboospring/sessions/model.py
+++ b/bamboospring/sessions/model.py
@@ -306,7 +306,8 @@
 
     `targets_seen_at` is when the current list of targets was requested,
     `change_duration` how long a change of primary usually takes, `vm_count`
-    how many VMs share the targets' connections.
+    how many VMs share the targets' connections. `load_control` enables the
+    decisions of docs/design/load_control.md.
 
     The store had no newer configuration than `catalog` at
     `catalog_confirmed_at`. A key may be used for `key_lifetime` seconds after
@@ -325,6 +326,7 @@
     change_duration: float = INITIAL_CHANGE_DURATION
     vm_count: int = INITIAL_VM_COUNT
     draining: bool = False
+    load_control: bool = False
 
     def is_urgent(self, route: Route) -> bool:
         """Return whether a route has precedence over others of its group."""
--- a/bamboospring/sessions/node.py
+++ b/bamboospring/sessions/node.py
@@ -33,6 +33,7 @@
 from bamboospring.sessions.catalog_keeper import CatalogKeeper
 from bamboospring.sessions.holder_server import HolderServer
 from bamboospring.sessions.leader import Leader
+from bamboospring.sessions.load_control import is_load_control_on
 from bamboospring.sessions.model import SessionBoard
 from bamboospring.sessions.platform_adapters import PlatformAdapters
 from bamboospring.sessions.ports import CallerChannel
@@ -115,6 +116,7 @@
             vm=cfg.vm,
             availability_zone=cfg.availability_zone,
             key_lifetime=_key_lifetime(cfg),
+            load_control=is_load_control_on(cfg, adapters.load_control_terms),
         )
         self.metrics = SessionMetrics(board=self.board)
         self.platform = PlatformClient(
@@ -154,6 +156,7 @@
 
     def start_work(self) -> None:
         """Start the components."""
+        logs.log_event("load_control", on=self.board.load_control)
         self.catalog.start()
         self.targets.start()
         self.registry.start(self._on_registered)
--- a/bamboospring/sessions/platform_adapters.py
+++ b/bamboospring/sessions/platform_adapters.py
@@ -42,6 +42,8 @@
 
     The kinds and names are those that operators and targets use in the
     platform's store; the `make_` functions build the adapters of one process.
+    `load_control_terms` are the words for rules of the platform under which
+    load control is needed.
     """
 
     dialect: ObjectDialect
@@ -49,6 +51,7 @@
     catalog_name: str
     target_kind: str
     readiness_path: str
+    load_control_terms: frozenset[str]
     read_catalog: Callable[[Found], Catalog | None]
     read_target: Callable[[Found], ListedTarget | None]
     make_dialer: Callable[[Reactor, Target, str], Dialer[Any]]
--- a/bamboospring/sessions/session_metrics.py
+++ b/bamboospring/sessions/session_metrics.py
@@ -172,6 +172,11 @@
             lambda: int(lease.is_held),
             description="1 where changes of primary are led.",
         )
+        watch(
+            "bamboospring.load_control",
+            lambda: int(self._board.load_control),
+            description="1 where load control is on.",
+        )
         watch(
             "bamboospring.proof.age",
             lambda: {
--- a/bamboospring/sessions/settings.py
+++ b/bamboospring/sessions/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from pathlib import Path
+from typing import Literal
 
 from pydantic import Field
 
@@ -14,7 +15,27 @@
 from bamboospring.settings_base import percent
 from bamboospring.settings_base import Section
 
-__all__ = ["SessionSettings", "SessionTiming", "load"]
+__all__ = ["SessionSettings", "SessionTiming", "VmResources", "load"]
+
+
+class VmResources(Section):
+    """What this VM has, by which VMs choose who does work for others."""
+
+    processor_share: float | None = Field(
+        default=None,
+        gt=0.0,
+        description="Part of a processor core; null: unknown.",
+    )
+    processor_speed: float = Field(
+        default=1.0,
+        gt=0.0,
+        description="Speed of the core, as a multiple of the usual one.",
+    )
+    link_mbps: float | None = Field(
+        default=None,
+        gt=0.0,
+        description="Bandwidth of the VM's link, Mbit/s; null: unknown.",
+    )
 
 
 class SessionTiming(Section):
@@ -122,6 +143,25 @@
         description="The lease under which changes of primary are led.",
     )
     logs: Logs = Field(default_factory=lambda: Logs(), description="Logs.")
+    resources: VmResources = Field(
+        default_factory=lambda: VmResources(),
+        description="What this VM has.",
+    )
+    load_control: Literal["auto", "on", "off"] = Field(
+        default="auto",
+        description=(
+            "Whether load control is on; `auto`: where the platform's terms "
+            "ask for it or VMs are in more than one region."
+        ),
+    )
+    platform_terms: list[str] = Field(
+        default_factory=list,
+        description="Parts of the platform's rules that are in force.",
+    )
+    regions: dict[str, str] = Field(
+        default_factory=dict,
+        description="Region of each availability zone.",
+    )
 
 
 def load(path: str | Path) -> SessionSettings:
