Store a few VMs of each zone for VMs that have just started

The lease of the lost leader lasts 1.6 s more (taken at 15.8 s), a relay lists its zone 1.5 s after that, and until then every VM uses its own connections, as many as its share in a fleet of nine VMs.

Change: the leader stores the zone directory with the groups' records: up to eight VMs of each zone and the number of VMs. VMs without a recent list of their relay choose holders among them, and open links to these at once.

Without the use of the directory the scenario "A VM that has just started uses holders at once" fails at its first check (vm_count is 9).

--- a/bamboospring/sessions/leader.py
+++ b/bamboospring/sessions/leader.py
@@ -36,6 +36,7 @@
 from bamboospring.sessions.target_control import TargetControl
 from bamboospring.sessions.vm_registry import ListedVm
 from bamboospring.sessions.vm_registry import VmRegistry
+from bamboospring.sessions.zone_directory_keeper import ZoneDirectoryKeeper
 
 __all__ = ["Leader"]
 
@@ -78,6 +79,7 @@
         missing_since: Callable[[str], float | None],
         registry: VmRegistry,
         releases: ProofReleases,
+        zone_directory: ZoneDirectoryKeeper,
         timing: LeaseTiming,
     ) -> None:
         self._reactor = reactor
@@ -88,6 +90,7 @@
         self._missing_since = missing_since
         self._registry = registry
         self._releases = releases
+        self._zone_directory = zone_directory
         self._vms_listed_at = -1e9
         self._vm_list_interval = FIRST_VM_LIST_INTERVAL
         self._health_by_group: dict[str, tuple[str, PrimaryHealth]] = {}
@@ -185,6 +188,7 @@
                 self._board.vm_count = max(1, len(vms))
                 self._registry.remove_expired(now)
                 self._quotas.update(map(_as_quota_vm, vms.values()))
+                self._zone_directory.update(vms.values())
 
         self._registry.refresh(on_listed)
 
--- a/bamboospring/sessions/node.py
+++ b/bamboospring/sessions/node.py
@@ -31,6 +31,7 @@
 from bamboospring.sessions.access import identify
 from bamboospring.sessions.catalog_keeper import CATALOG_PURPOSE
 from bamboospring.sessions.catalog_keeper import CatalogKeeper
+from bamboospring.sessions.holder_links import HolderLinks
 from bamboospring.sessions.holder_server import HolderServer
 from bamboospring.sessions.leader import Leader
 from bamboospring.sessions.load_control import is_load_control_on
@@ -59,6 +60,8 @@
 from bamboospring.sessions.team_quota import QuotaTolerance
 from bamboospring.sessions.vm_registry import ListedVm
 from bamboospring.sessions.vm_registry import VmRegistry
+from bamboospring.sessions.zone_directory_keeper import DIRECTORY_NAME
+from bamboospring.sessions.zone_directory_keeper import ZoneDirectoryKeeper
 from bamboospring.sessions.zone_holders import ZoneHolders
 from bamboospring.target_link import Dialer
 
@@ -171,6 +174,12 @@
         self.records.start()
         self.leader.start()
         self.relay.start()
+        self.holder_links.start()
+
+    def _on_zone_members(self) -> None:
+        """Prepare for the holders that a new list of VMs gives."""
+        self.targets.apply_connection_limits()
+        self.holder_links.open_missing()
 
     def _create_keepers(self) -> None:
         adapters = self.adapters
@@ -225,6 +234,22 @@
             registry=self.registry,
             records=self.records,
         )
+        self.holder_links = HolderLinks(
+            reactor=self.reactor,
+            board=self.board,
+            peers=self.peers,
+            holders=self.holders,
+        )
+        self.zone_directory = ZoneDirectoryKeeper(
+            reactor=self.reactor,
+            board=self.board,
+            platform=self.platform,
+            holders=self.holders,
+            on_members=self._on_zone_members,
+        )
+        self.records.object_handlers[DIRECTORY_NAME] = (
+            self.zone_directory.apply
+        )
         self.leader = Leader(
             reactor=self.reactor,
             board=self.board,
@@ -235,6 +260,7 @@
             missing_since=self.targets.missing_since,
             registry=self.registry,
             releases=self.releases,
+            zone_directory=self.zone_directory,
             timing=LeaseTiming(
                 duration=self.cfg.lease.duration_ms / 1000,
                 renew_interval=self.cfg.lease.renew_ms / 1000,
--- a/bamboospring/sessions/record_keeper.py
+++ b/bamboospring/sessions/record_keeper.py
@@ -107,6 +107,8 @@
         self._relay_bytes: bytes | None = None
         self.is_leader: Callable[[], bool] = lambda: False
         self.on_other_object: OnOtherObject | None = None
+        # Handlers of further objects that are stored with the records.
+        self.object_handlers: dict[str, OnOtherObject] = {}
         # Called with the time at which the read was sent, and the store's era.
         self.on_records_read: Callable[[float, int], None] | None = None
 
@@ -381,7 +383,11 @@
                 self.apply(record, asked_at)
         elif found.name == HOLDERS_NAME:
             self._apply_holders(found, asked_at)
-        elif self.on_other_object is not None and asked_at is not None:
+        elif asked_at is None:
+            return
+        elif (handler := self.object_handlers.get(found.name)) is not None:
+            handler(found, asked_at)
+        elif self.on_other_object is not None:
             self.on_other_object(found, asked_at)
 
     def _apply_holders(self, found: Found, asked_at: float | None) -> None:
