Test the transfer of configurations with real VMs

Twelve VMs, four of them with a silent store, get 1,700 routes from leader and relays; the same while leader and relays lose power. SessionFleet takes load_control, by default auto, as before.

--- a/features/configuration_transfer.feature
+++ b/features/configuration_transfer.feature
@@ -112,6 +112,16 @@
     And 3 s pass in the fleet
     Then every running VM watches the store and got nothing that it had
 
+  Scenario: A version that no VM has is forgotten
+    # Guards against: a leader that was told of a version that the store has
+    # lost announces it, and all VMs ask for it and read the store again and
+    # again.
+    Given 86 VMs in 6 zones and 2 regions, with large relays
+    When the leader is told of a version that the store does not have
+    And 9 s pass in the fleet
+    Then no VM knows of a version other than its own
+    And a configuration of 400 routes that is stored then reaches all VMs
+
   Scenario: Without load control VMs read the store as before
     Given 9 VMs in 3 zones and 1 regions, without load control
     When a configuration of 400 routes is stored
@@ -193,3 +203,25 @@
     And content of a newer version confirms nothing
     And a store that came back from an older copy changes nothing
     And a version that could not be read stays in doubt after older content
+
+  Scenario: Real VMs that can't read the store get 1,700 routes
+    # The store does not answer four of twelve VMs. They get the
+    # configuration from the leader or their relay and serve its routes.
+    Given an estate with 12 VMs and load control
+    When 8 callers work for 12 s
+    And after 3 s the store is silent for vm1, vm5, vm8 and vm10
+    And after 4 s 1700 routes are added
+    Then every promise was kept
+    And all running VMs have the newest configuration
+    And vm1, vm5, vm8 and vm10 have received it from other VMs unless they led
+    And at least 90 percent of the operations were served
+
+  Scenario: Real VMs get 1,700 routes while leader and relays are killed
+    # Guards against: VMs wait for the rest of a configuration from a VM that
+    # is gone, and refuse callers of the new routes.
+    Given an estate with 12 VMs and load control
+    When 8 callers work for 14 s
+    And after 4 s the VMs that pass facts on lose power while 1700 routes come
+    Then every promise was kept
+    And all running VMs have the newest configuration
+    And no VM has activated an older configuration
--- a/features/steps/configuration_transfer_steps.py
+++ b/features/steps/configuration_transfer_steps.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from collections import Counter
 import dataclasses
+import re
+import time
 from typing import Any
 
 from behave import given
@@ -25,6 +28,7 @@
 from bamboospring.sessions.catalog_encoding import DecodeState
 from bamboospring.sessions.catalog_encoding import encode_catalog
 from bamboospring.sessions.catalog_encoding import EncodedCatalog
+from bamboospring.sessions.catalog_relay import CatalogSource
 from bamboospring.sessions.catalog_sending import AskAgain
 from bamboospring.sessions.catalog_sending import CatalogCopy
 from bamboospring.sessions.catalog_sending import HeldRequest
@@ -45,6 +49,8 @@
 from bamboospring.store_version import version_of
 from features.steps.access_steps import config
 from features.steps.access_steps import KeyVm
+from features.steps.session_stage import act
+from features.steps.session_stage import SessionFleetRun
 from features.steps.transfer_fleet import FleetShape
 from features.steps.transfer_fleet import make_config
 from features.steps.transfer_fleet import TransferFleet
@@ -203,6 +209,29 @@
     fleet.leader = ""
 
 
+@when("the leader is told of a version that the store does not have")
+def when_told_lost(context: Any) -> None:
+    fleet = context.transfers
+    leader = fleet.vms[fleet.leader]
+    leader.transfers.set_source(CatalogSource(address="vm1"), 9)
+    leader.keeper.on_newer(9)
+
+
+@then("no VM knows of a version other than its own")
+def then_forgotten(context: Any) -> None:
+    for vm in context.transfers.vms.values():
+        assert vm.transfers.known_version == vm.keeper.version == 1
+
+
+@then(
+    "a configuration of {routes:d} routes that is stored then reaches all VMs"
+)
+def then_next_reaches(context: Any, routes: int) -> None:
+    store(context, routes)
+    context.transfers.run(4.0)
+    then_newest(context)
+
+
 @when("the store is {fault} for a third of the VMs")
 def when_store_fails(context: Any, fault: str) -> None:
     for number, vm in enumerate(context.transfers.vms.values()):
@@ -850,3 +879,114 @@
     confirmed_at = vm.board.catalog_confirmed_at
     vm.keeper.apply_relayed(4, 101.0, 101.0, 102.0)
     assert vm.board.catalog_confirmed_at == confirmed_at
+
+
+# Real VMs.
+
+ADDED_ROUTES_PATIENCE = 20.0
+
+
+@given("an estate with {vms:d} VMs and load control")
+def given_real(context: Any, vms: int) -> None:
+    context.stage = SessionFleetRun(vms, 2, load_control="on")
+    context.add_cleanup(context.stage.close)
+    context.stage.call(context.stage.fleet.start())
+
+
+@when("after {after:d} s the store is silent for {names}")
+def when_link_silent(context: Any, after: int, names: str) -> None:
+    links = context.stage.fleet.links
+
+    async def silence() -> None:
+        for vm in vm_names(names):
+            links[f"{vm}-store"].set_mode(
+                mode="silent", direction="both", delay_ms=0
+            )
+
+    act(context, after, silence)
+
+
+def vm_names(text: str) -> list[str]:
+    return text.replace(" and ", ", ").split(", ")
+
+
+def add_routes(fleet: Any, count: int) -> None:
+    fleet.added_databases.extend(f"added-{n}" for n in range(count))
+    fleet.write_config()
+
+
+@when("after {after:d} s {count:d} routes are added")
+def when_routes_added(context: Any, after: int, count: int) -> None:
+    fleet = context.stage.fleet
+
+    async def add() -> None:
+        add_routes(fleet, count)
+
+    act(context, after, add)
+
+
+@when(
+    "after {after:d} s the VMs that pass facts on lose power while {count:d}"
+    " routes come"
+)
+def when_sources_killed(context: Any, after: int, count: int) -> None:
+    fleet = context.stage.fleet
+    context.stage.killed = []
+
+    async def add_and_kill() -> None:
+        sources = [vm for vm in fleet.vms if passes_facts_on(fleet, vm)]
+        assert len(sources) >= 2, sources
+        add_routes(fleet, count)
+        await asyncio.sleep(0.25)
+        for vm in sources:
+            fleet.vms[vm].process.kill()
+        context.stage.killed = sources
+
+    act(context, after, add_and_kill)
+
+
+def passes_facts_on(fleet: Any, vm: str) -> bool:
+    """Return whether a VM is the leader or a relay, by its log."""
+    text = fleet.read_log(vm)
+    leads = text.rfind("event=lease_taken") > text.rfind("event=lease_lost")
+    serves = re.findall(r"event=facts_source .*?serves_zone=(\w+)", text)
+    return leads or (bool(serves) and serves[-1].lower() == "true")
+
+
+@then("all running VMs have the newest configuration")
+def then_real_newest(context: Any) -> None:
+    context.stage.play()
+    fleet = context.stage.fleet
+    newest = fleet.store.get("config", "main")["version"]
+    until = time.monotonic() + ADDED_ROUTES_PATIENCE
+    behind = {}
+    while time.monotonic() < until:
+        found = {
+            vm: catalog_versions(fleet, vm)
+            for vm, each in fleet.vms.items()
+            if each.process.running
+        }
+        behind = {vm: v for vm, v in found.items() if newest not in v}
+        if not behind:
+            return
+        time.sleep(0.1)
+    raise AssertionError(behind)
+
+
+def catalog_versions(fleet: Any, vm: str) -> list[int]:
+    text = fleet.read_log(vm)
+    return [
+        int(found)
+        for found in re.findall(r"event=catalog .*?version=(\d+)", text)
+    ]
+
+
+@then("{names} have received it from other VMs unless they led")
+def then_received(context: Any, names: str) -> None:
+    fleet = context.stage.fleet
+    newest = fleet.store.get("config", "main")["version"]
+    for vm in vm_names(names):
+        text = fleet.read_log(vm)
+        received = re.findall(r"event=catalog_received .*?version=(\d+)", text)
+        led = "event=lease_taken" in text
+        assert led or str(newest) in received, text[-2000:]
--- a/features/steps/session_stage.py
+++ b/features/steps/session_stage.py
@@ -17,7 +17,7 @@
 class SessionFleetRun:
     """An estate in its own event loop, with actions run meanwhile."""
 
-    def __init__(self, vms, groups, connections=22):
+    def __init__(self, vms, groups, connections=22, load_control="auto"):
         self.loop = asyncio.new_event_loop()
         self.thread = threading.Thread(
             target=self.loop.run_forever, daemon=True
@@ -25,7 +25,11 @@
         self.thread.start()
         settings = MemberSettings(connections=connections)
         self.fleet = SessionFleet(
-            vms=vms, groups=groups, member_settings=settings, seed=3
+            vms=vms,
+            groups=groups,
+            member_settings=settings,
+            seed=3,
+            load_control=load_control,
         )
         self.outcomes = Counter()
         self.acts = []
