--- a/features/configuration_transfer.feature
+++ b/features/configuration_transfer.feature
@@ -48,7 +48,7 @@
     Then the newest configuration is in force at all running VMs
     And no VM went back to an older configuration
     And it was in force 5 s after it was stored
-    And at most 30 VMs have read it from the store
+    And at most 10 VMs have read it from the store
 
   Scenario: The leader is lost when one relay has heard of a configuration
     # The VMs of the other zones know of no newer version. Without a leader,
