Give back what a statement without a response holds

Cause: a statement whose response is lost keeps a slot of its holder's queue and a connection of its target until the route's time limit, also when a hedge was answered long before. A primary that loses a fifth of its responses then serves 30 to 40 statements a second of some 200 that fit.

Change: with load control a sent statement is watched. Once its response is overdue (sessions/overdue.py) its slot is released; a read is abandoned once: its connection is closed and it is sent again within the retry budget. Slow targets are told from losing ones by what was answered meanwhile.

--- a/bamboospring/pool.py
+++ b/bamboospring/pool.py
@@ -92,7 +92,8 @@
     `last_response_at` is when data last arrived on it, `connection_id` its id
     at the target, and `team` the team that it was opened for.
     A user that gets no answer in time sets `unresponsive` before it releases
-    the connection.
+    the connection. `is_overdue` means that the statement has given back its
+    slot while it waits for its response.
     """
 
     target: Target
@@ -103,6 +104,7 @@
     slot_ticket: Ticket | None = None
     write_ticket: Ticket | None = None
     unresponsive: bool = False
+    is_overdue: bool = False
     connection_id: int = 0
     team: str = ""
 
@@ -264,10 +266,7 @@
         self._free_slot(leased, now)
         if healthy:
             self._record_response(now)
-        if leased.write_ticket is not None:
-            seconds = now - leased.leased_at
-            self._write_admission.release(leased.write_ticket, seconds)
-            leased.write_ticket = None
+        self._free_write_ticket(leased, now)
         if healthy and leased.conn.usable:
             leased.last_response_at = leased.last_used_at = now
             keep = self._tracker.give_back(leased)
@@ -304,6 +303,22 @@
         self._record_response(now)
         self._serve_waiting()
 
+    def release_overdue_slot(
+        self, leased: LeasedConnection[LinkT], *, in_transaction: bool
+    ) -> None:
+        """Release the slot of a statement without a response, so others run.
+
+        The target itself refuses what it has no slot for. The connection stays
+        leased, and the estimates of usual durations are unchanged. An open
+        transaction keeps its admission as a writer.
+        """
+        leased.is_overdue = True
+        now = self._reactor.now()
+        self._free_slot(leased, now)
+        if not in_transaction:
+            self._free_write_ticket(leased, now)
+        self._serve_waiting()
+
     def reacquire_slot(
         self,
         leased: LeasedConnection[LinkT],
@@ -489,11 +504,29 @@
 
     def _free_slot(self, leased: LeasedConnection[LinkT], now: float) -> None:
         if leased.slot_ticket is not None:
-            self._slot_admission.release(
-                leased.slot_ticket, now - leased.leased_at
-            )
+            admission = self._slot_admission
+            seconds = self._counted_duration(leased, admission, now)
+            admission.release(leased.slot_ticket, seconds)
             leased.slot_ticket = None
 
+    def _free_write_ticket(
+        self, leased: LeasedConnection[LinkT], now: float
+    ) -> None:
+        if leased.write_ticket is not None:
+            admission = self._write_admission
+            seconds = self._counted_duration(leased, admission, now)
+            admission.release(leased.write_ticket, seconds)
+            leased.write_ticket = None
+
+    @staticmethod
+    def _counted_duration(
+        leased: LeasedConnection[LinkT], admission: Admission, now: float
+    ) -> float:
+        """Return the duration that enters the admission's estimate."""
+        if leased.is_overdue:
+            return admission.estimate
+        return now - leased.leased_at
+
     def _release_write_ticket(self, request: _AcquireRequest[LinkT]) -> None:
         if request.write_ticket is not None:
             self._write_admission.release(
@@ -569,6 +602,7 @@
         if request.write_ticket is not None:
             leased.write_ticket = request.write_ticket
         leased.leased_at = self._reactor.now()
+        leased.is_overdue = False
         self._leased.add(leased)
         self._record_sent(leased.leased_at)
         request.on_ready(leased)
--- a/bamboospring/pools.py
+++ b/bamboospring/pools.py
@@ -90,6 +90,14 @@
         """Release a transaction's slot between its statements."""
         self.pool(leased.target).release_slot(leased)
 
+    def release_overdue_slot(
+        self, leased: LeasedConnection[LinkT], *, in_transaction: bool
+    ) -> None:
+        """Release the slot of a statement whose response is overdue."""
+        self.pool(leased.target).release_overdue_slot(
+            leased, in_transaction=in_transaction
+        )
+
     def reacquire_slot(
         self,
         leased: LeasedConnection[LinkT],
--- a/bamboospring/sessions/direct_attempt.py
+++ b/bamboospring/sessions/direct_attempt.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -13,6 +14,7 @@
 from bamboospring.pool import PendingAcquire
 from bamboospring.sessions.link_setup import link_fit
 from bamboospring.sessions.link_setup import setup_orders
+from bamboospring.sessions.overdue import should_abandon
 from bamboospring.sessions.ports import BeginWork
 from bamboospring.sessions.ports import LinkLost
 from bamboospring.sessions.ports import Refusal
@@ -27,6 +29,7 @@
 from bamboospring.sessions.replies import record_reply
 from bamboospring.sessions.replies import refusal_outcome
 from bamboospring.sessions.replies import served_outcome
+from bamboospring.sessions.response_watch import ResponseWatch
 from bamboospring.sessions.target_choice import SendTo
 
 if TYPE_CHECKING:
@@ -45,6 +48,8 @@
     sent_at: float = 0.0
     leased: LeasedConnection[SessionLink] | None = None
     pending_acquire: PendingAcquire | None = None
+    watch: ResponseWatch | None = None
+    is_abandoned: bool = False
 
     @property
     def target(self) -> str:
@@ -70,9 +75,18 @@
         )
 
     def cancel(self) -> None:
-        """Leave the queue for a connection, if the attempt is still in it."""
+        """Leave the queue for a connection, if the attempt is still in it.
+
+        A read that was sent is abandoned if its response is overdue.
+        """
         if self.pending_acquire is not None and self.leased is None:
             self.pending_acquire.cancel()
+        self.abandon_if_overdue()
+
+    def abandon_if_overdue(self) -> None:
+        """Close the connection of an overdue read that is not needed."""
+        if self.watch is not None:
+            self.watch.on_unneeded()
 
     def _on_leased(
         self, leased: LeasedConnection[SessionLink] | NotRun | Overloaded
@@ -106,13 +120,34 @@
         # The statement is sent only after these replies: if the transaction
         # could not be opened, a statement sent with them would run outside of
         # it.
+        self.watch = self._watch_response(
+            self._on_preparation_overdue, is_read=False
+        )
         leased.conn.send(
             orders, max(0.0, execution.remaining()), self._on_prepared
         )
 
-    def _on_prepared(self, result: list[TargetReply] | LinkLost) -> None:
+    def _watch_response(
+        self, on_overdue: Callable[[], None], *, is_read: bool
+    ) -> ResponseWatch:
         assert self.leased is not None
         execution = self.execution
+        return execution.runner.watcher.watch(
+            self.leased,
+            execution.group.observed_target(self.target),
+            execution.deadline,
+            is_read=is_read,
+            in_transaction=execution.tx is not None,
+            on_overdue=on_overdue,
+        )
+
+    def _on_prepared(self, result: list[TargetReply] | LinkLost) -> None:
+        if self.is_abandoned:
+            return
+        assert self.leased is not None and self.watch is not None
+        execution = self.execution
+        self.watch.stop()
+        self.watch = None
         if isinstance(result, LinkLost):
             self._discard_link()
             refusal = NotRun(reason=Reason.TARGET_UNREACHABLE)
@@ -151,8 +186,16 @@
         if execution.tx is not None:
             execution.tx.has_written = execution.tx.has_written or job.writes
 
+        self.watch = watch = self._watch_response(
+            self._on_overdue,
+            is_read=not (job.writes or execution.is_commit),
+        )
+
         def on_result(result: list[TargetReply] | LinkLost) -> None:
             observed.in_flight -= 1
+            if self.is_abandoned:
+                return
+            watch.record_result(result)
             if isinstance(result, LinkLost):
                 observed.record_failure()
                 self._on_link_lost(result)
@@ -185,6 +228,42 @@
             self, Unknown(reason=reason), retryable=not execution.job.writes
         )
 
+    def _on_overdue(self) -> None:
+        """Abandon a read whose response is overdue, and try it again."""
+        execution = self.execution
+        observed = execution.group.observed_target(self.target)
+        if not should_abandon(
+            is_read=not execution.job.writes,
+            in_transaction=execution.tx is not None,
+            is_needed=execution.is_needed,
+            was_abandoned=execution.was_abandoned,
+            remaining=execution.remaining(),
+            usual=observed.responses.usual,
+        ):
+            return
+        observed.record_failure()
+        self._abandon()
+        execution.on_response_lost(self, Unknown(reason=Reason.ANSWER_LOST))
+
+    def _on_preparation_overdue(self) -> None:
+        """Give up a connection that does not answer the setup orders.
+
+        The statement has not been sent, so any kind of it may be tried again.
+        """
+        execution = self.execution
+        if execution.was_abandoned and execution.is_needed:
+            return
+        self._abandon()
+        execution.on_response_lost(
+            self, NotRun(reason=Reason.TARGET_UNREACHABLE)
+        )
+
+    def _abandon(self) -> None:
+        assert self.watch is not None
+        self.is_abandoned = True
+        self.watch.record_abandoned()
+        self._discard_link()
+
     def _discard_link(self) -> None:
         assert self.leased is not None
         self.execution.runner.pools.release(self.leased, healthy=False)
--- a/bamboospring/sessions/forward_messages.py
+++ b/bamboospring/sessions/forward_messages.py
@@ -38,7 +38,8 @@
     `arguments` instead. `values` are those of the caller's session. The
     target's log must have reached `after`, if it is given. `remaining` is the
     time limit in seconds; within `slot_timeout` seconds the statement must get
-    a slot.
+    a slot. The holder must not abandon a read that is not `abandonable`, see
+    `bamboospring.sessions.overdue`.
     """
 
     id: str
@@ -57,6 +58,7 @@
     shape: Shape | None = None
     arguments: str = ""
     after: Position | None = None
+    abandonable: bool = True
 
 
 # The result: the target's complete reply, a refusal by the holder (the
@@ -72,26 +74,29 @@
 def encode_statement(request: ForwardRequest) -> bytes:
     """Encode a statement for its holder."""
     shape = request.shape
-    return orjson.dumps(
-        (
-            request.id,
-            request.caller,
-            request.team,
-            request.group,
-            request.target,
-            request.address,
-            request.born,
-            request.values,
-            round(request.remaining * 1e6),
-            round(request.slot_timeout * 1e6),
-            request.urgency,
-            request.writes,
-            request.text,
-            shape.text if shape is not None else None,
-            request.arguments,
-            _encode_position(request.after),
-        )
+    fields: tuple = (
+        request.id,
+        request.caller,
+        request.team,
+        request.group,
+        request.target,
+        request.address,
+        request.born,
+        request.values,
+        round(request.remaining * 1e6),
+        round(request.slot_timeout * 1e6),
+        request.urgency,
+        request.writes,
+        request.text,
+        shape.text if shape is not None else None,
+        request.arguments,
+        _encode_position(request.after),
     )
+    # Sent only if it is not the default, so that VMs of an older version can
+    # decode all other statements.
+    if not request.abandonable:
+        fields += (False,)
+    return orjson.dumps(fields)
 
 
 def decode_statement(head: bytes) -> ForwardRequest:
@@ -113,6 +118,7 @@
         shape,
         arguments,
         after,
+        *optional,
     ) = orjson.loads(head)
     return ForwardRequest(
         id=id,
@@ -131,6 +137,7 @@
         shape=None if shape is None else Shape(writes=writes, text=shape),
         arguments=arguments,
         after=_decode_position(after),
+        abandonable=optional[0] if optional else True,
     )
 
 
--- a/bamboospring/sessions/forwarded_attempt.py
+++ b/bamboospring/sessions/forwarded_attempt.py
@@ -130,6 +130,7 @@
             shape=job.shape,
             arguments=job.arguments,
             after=self.choice.after,
+            abandonable=not execution.was_abandoned,
         )
 
     def _on_answer(self, answer: Any) -> None:
@@ -149,10 +150,12 @@
                 reason = (
                     Reason.DEADLINE if unresponsive else Reason.ANSWER_LOST
                 )
+                outcome = Unknown(reason=reason)
                 retryable = not unresponsive and not execution.job.writes
-                execution.on_failed(
-                    self, Unknown(reason=reason), retryable=retryable
-                )
+                if retryable and execution.runner.board.load_control:
+                    execution.on_response_lost(self, outcome)
+                    return
+                execution.on_failed(self, outcome, retryable=retryable)
             case TargetReply():
                 self._on_reply(result)
 
--- a/bamboospring/sessions/holder_server.py
+++ b/bamboospring/sessions/holder_server.py
@@ -24,7 +24,9 @@
 from bamboospring.sessions.link_setup import link_fit
 from bamboospring.sessions.link_setup import setup_orders
 from bamboospring.sessions.model import ListedTarget
+from bamboospring.sessions.model import ObservedTarget
 from bamboospring.sessions.model import SessionBoard
+from bamboospring.sessions.overdue import should_abandon
 from bamboospring.sessions.ports import LinkLost
 from bamboospring.sessions.ports import Refusal
 from bamboospring.sessions.ports import RunShape
@@ -34,6 +36,8 @@
 from bamboospring.sessions.ports import TargetReply
 from bamboospring.sessions.replies import CHANGE_RETRY_MS
 from bamboospring.sessions.replies import record_reply
+from bamboospring.sessions.response_watch import ResponseWatch
+from bamboospring.sessions.response_watch import ResponseWatcher
 
 __all__ = ["HolderServer"]
 
@@ -59,6 +63,9 @@
         self.reactor = reactor
         self.board = board
         self.pools = pools
+        self.watcher = ResponseWatcher(
+            reactor=reactor, board=board, pools=pools
+        )
         self._statements: dict[tuple[str, int], _ForwardedStatement] = {}
         self.received_count = 0
         peers.add_handler("heldAsk", self._on_request)
@@ -155,6 +162,9 @@
     slot_deadline: float = 0.0
     leased: LeasedConnection[SessionLink] | None = None
     pending_acquire: PendingAcquire | None = None
+    watch: ResponseWatch | None = None
+    was_prepared_again: bool = False
+    is_needed: bool = True
     is_finished: bool = False
 
     def start(self) -> None:
@@ -179,10 +189,16 @@
         )
 
     def cancel(self) -> None:
-        """Leave the queue for a connection; a running statement continues."""
+        """Leave the queue for a connection; a running statement continues.
+
+        A running read is abandoned once its response is overdue.
+        """
+        self.is_needed = False
         if self.leased is None and self.pending_acquire is not None:
             self.pending_acquire.cancel()
             self._finish(NotRun(reason=Reason.CALLER_GONE))
+        elif self.watch is not None:
+            self.watch.on_unneeded()
 
     def _on_leased(
         self, leased: LeasedConnection[SessionLink] | NotRun | Overloaded
@@ -201,9 +217,47 @@
             return
         # The statement is sent only after these replies, so that it never runs
         # with the values of another session.
-        leased.conn.send(orders, self._remaining(), self._on_prepared)
+        self.watch = self._watch_response(
+            self._on_preparation_overdue, is_read=False
+        )
+
+        def on_result(result: list[TargetReply] | LinkLost) -> None:
+            if self.leased is leased:
+                self._on_prepared(result)
+
+        leased.conn.send(orders, self._remaining(), on_result)
+
+    def _watch_response(
+        self, on_overdue: Callable[[], None], *, is_read: bool
+    ) -> ResponseWatch:
+        assert self.leased is not None
+        return self.server.watcher.watch(
+            self.leased,
+            self._observed_target(),
+            self.deadline,
+            is_read=is_read,
+            in_transaction=False,
+            on_overdue=on_overdue,
+        )
+
+    def _observed_target(self) -> ObservedTarget:
+        group = self.server.board.group(self.request.group)
+        return group.observed_target(self.request.target)
+
+    def _on_preparation_overdue(self) -> None:
+        """Take another connection for a statement that was not sent."""
+        if self.was_prepared_again and self.is_needed:
+            return
+        self.was_prepared_again = True
+        self._abandon()
+        if self.is_needed:
+            self._acquire()
+        else:
+            self._finish(NotRun(reason=Reason.CALLER_GONE))
 
     def _on_prepared(self, result: list[TargetReply] | LinkLost) -> None:
+        assert self.watch is not None
+        self.watch.stop()
         if isinstance(result, LinkLost):
             self._release(healthy=False)
             self._finish(NotRun(reason=Reason.TARGET_UNREACHABLE))
@@ -227,7 +281,16 @@
             )
             return
 
+        leased = self.leased
+        self.watch = watch = self._watch_response(
+            self._on_overdue, is_read=not self.request.writes
+        )
+
         def on_result(result: list[TargetReply] | LinkLost) -> None:
+            if self.leased is not leased:
+                # The read has been abandoned.
+                return
+            watch.record_result(result)
             if isinstance(result, LinkLost):
                 self._release(healthy=False)
                 self._finish(result)
@@ -241,6 +304,26 @@
             [_order(self.request)], self._remaining(), on_result
         )
 
+    def _on_overdue(self) -> None:
+        """Abandon a read whose response is overdue, and report it lost."""
+        observed = self._observed_target()
+        if not should_abandon(
+            is_read=not self.request.writes,
+            in_transaction=False,
+            is_needed=self.is_needed,
+            was_abandoned=not self.request.abandonable,
+            remaining=self._remaining(),
+            usual=observed.responses.usual,
+        ):
+            return
+        self._abandon()
+        self._finish(LinkLost())
+
+    def _abandon(self) -> None:
+        assert self.watch is not None
+        self.watch.record_abandoned()
+        self._release(healthy=False)
+
     def _can_send(self, now: float) -> bool:
         """Return whether the target may still run this statement.
 
--- a/bamboospring/sessions/model.py
+++ b/bamboospring/sessions/model.py
@@ -11,6 +11,8 @@
 
 from bamboospring.blackboard import Target
 from bamboospring.sessions.freshness import SampleLog
+from bamboospring.sessions.overdue import OverdueStatistics
+from bamboospring.sessions.overdue import ResponseTimes
 from bamboospring.sessions.proofs import Proof
 from bamboospring.sessions.quota_holders import QuotaHolders
 from bamboospring.statements import Position
@@ -182,6 +184,8 @@
     `applied` is the newest position that the target has reported, at
     `applied_at`. Until `behind_until` it is not tried for reads that need a
     later position. `last_response_at` is when it last answered any request.
+    `latency` includes the holders' queues, unlike `responses`, which are the
+    response times of reads on connections of this process.
     """
 
     in_flight: int = 0
@@ -191,6 +195,8 @@
     applied_at: float = -1e9
     behind_until: float = -1e9
     last_response_at: float = -1e9
+    responses: ResponseTimes = field(default_factory=ResponseTimes)
+    overdue: OverdueStatistics = field(default_factory=OverdueStatistics)
 
     def record_answer(self, seconds: float, now: float) -> None:
         """Record a good answer that took `seconds`."""
@@ -204,6 +210,14 @@
             MAX_FAILURE_SCORE, self.failure_score + FAILURE_SCORE_STEP
         )
 
+    def record_overdue(
+        self, *, sent_at: float, now: float, is_read: bool
+    ) -> None:
+        """Record a statement whose response is overdue."""
+        self.overdue.overdue += 1
+        if is_read and self.responses.record_overdue(sent_at=sent_at, now=now):
+            self.latency += LATENCY_SMOOTHING * (now - sent_at - self.latency)
+
     def record_applied(self, position: Position, now: float) -> None:
         """Record a position that the target has reported."""
         if position >= self.applied:
--- a/bamboospring/sessions/runner.py
+++ b/bamboospring/sessions/runner.py
@@ -24,6 +24,7 @@
 from bamboospring.sessions.ports import SessionState
 from bamboospring.sessions.ports import TargetReply
 from bamboospring.sessions.quota_client import QuotaClient
+from bamboospring.sessions.response_watch import ResponseWatcher
 from bamboospring.sessions.session import Job
 from bamboospring.sessions.session import OnOutcome
 from bamboospring.sessions.session import Session
@@ -72,6 +73,9 @@
         self.request_record_read = request_record_read
         self.peers = peers
         self.quotas = quotas
+        self.watcher = ResponseWatcher(
+            reactor=reactor, board=board, pools=pools
+        )
         self._holders = holders
         self.running_count = 0
         self._executions: dict[Session, StatementExecution] = {}
--- a/bamboospring/sessions/session_metrics.py
+++ b/bamboospring/sessions/session_metrics.py
@@ -16,6 +16,7 @@
 from bamboospring.metrics import Series
 from bamboospring.outcomes import Reason
 from bamboospring.sessions.model import SessionBoard
+from bamboospring.sessions.overdue import OverdueStatistics
 from bamboospring.sessions.ports import Served
 from bamboospring.sessions.ports import SessionOutcome
 from bamboospring.sessions.statement_trace import job_kind
@@ -142,6 +143,20 @@
             label="target",
             description="Connections that the target's limit forbade.",
         )
+        watch(
+            "bamboospring.responses.overdue",
+            lambda: self._overdue_counts(lambda counts: counts.overdue),
+            kind=Kind.COUNTER,
+            label="target",
+            description="Statements whose responses were overdue.",
+        )
+        watch(
+            "bamboospring.responses.abandoned",
+            lambda: self._overdue_counts(lambda counts: counts.abandoned),
+            kind=Kind.COUNTER,
+            label="target",
+            description="Overdue statements whose connections were closed.",
+        )
         watch(
             "bamboospring.statements.held",
             lambda: holder_server.received_count,
@@ -194,6 +209,15 @@
             description="Log lines left out to keep within bounds.",
         )
 
+    def _overdue_counts(
+        self, count_of: Callable[[OverdueStatistics], int]
+    ) -> dict[str, int]:
+        return {
+            name: count_of(observed.overdue)
+            for group in self._board.groups.values()
+            for name, observed in group.observed_targets.items()
+        }
+
     def load_exporter(self) -> None:
         """Import the exporter; may run in a thread.
 
--- a/bamboospring/sessions/statement_execution.py
+++ b/bamboospring/sessions/statement_execution.py
@@ -7,6 +7,7 @@
 from bamboospring.outcomes import NotRun
 from bamboospring.outcomes import Overloaded
 from bamboospring.outcomes import Reason
+from bamboospring.outcomes import Unknown
 from bamboospring.reactor import Timer
 from bamboospring.sessions.change_wait import change_wait
 from bamboospring.sessions.direct_attempt import DirectAttempt
@@ -87,6 +88,7 @@
         self._active: set[DirectAttempt | ForwardedAttempt] = set()
         self._caller_disconnected = False
         self._uses_own_connection = False
+        self.was_abandoned = False
         self._refusal: SessionOutcome | None = None
         self._no_target_reason = ""
         self._timer: Timer | None = None
@@ -105,6 +107,11 @@
         """Return whether the caller has its answer or has disconnected."""
         return self._on_complete is None
 
+    @property
+    def is_needed(self) -> bool:
+        """Return whether anyone still waits for a response."""
+        return not (self.is_finished or self._caller_disconnected)
+
     def start(self) -> None:
         """Start the first attempt if the team's limit permits it."""
         team = self.session.identity.team
@@ -125,9 +132,11 @@
         """Cancel all that has not been sent: the caller has disconnected."""
         self._caller_disconnected = True
         if any(each.sent for each in self._active):
-            for each in self._active:
+            for each in list(self._active):
                 if isinstance(each, ForwardedAttempt):
                     each.cancel()
+                else:
+                    each.abandon_if_overdue()
             return
         self.trace.waited_for = self._describe_wait()
         for each in list(self._active):
@@ -322,6 +331,24 @@
         else:
             self._finish(outcome, None)
 
+    def on_response_lost(
+        self,
+        attempt: DirectAttempt | ForwardedAttempt,
+        outcome: NotRun | Unknown,
+    ) -> None:
+        """Handle an attempt whose response was lost or is overdue.
+
+        The next attempt, if the retry budget allows one, is sent to another
+        target, or to the same one if no other can run the statement: a lost
+        response says little about the next one. It is not abandoned again.
+        """
+        self.was_abandoned = True
+        self._excluded.add(attempt.target)
+        now = self.runner.reactor.now()
+        if isinstance(self._choose_target(now), NoTarget):
+            self._excluded.discard(attempt.target)
+        self.on_failed(attempt, outcome, retryable=True, exclude_target=False)
+
     def slot_wait_remaining(self) -> float:
         """Return the seconds within which the statement should get a slot."""
         now = self.runner.reactor.now()
--- a/bamboospring/sessions/transaction_step.py
+++ b/bamboospring/sessions/transaction_step.py
@@ -10,6 +10,7 @@
 from bamboospring.outcomes import Unknown
 from bamboospring.pool import LeasedConnection
 from bamboospring.sessions.link_setup import setup_orders
+from bamboospring.sessions.model import ObservedTarget
 from bamboospring.sessions.ports import LinkLost
 from bamboospring.sessions.ports import Refusal
 from bamboospring.sessions.ports import SessionLink
@@ -20,6 +21,7 @@
 from bamboospring.sessions.replies import record_reply
 from bamboospring.sessions.replies import refusal_outcome
 from bamboospring.sessions.replies import served_outcome
+from bamboospring.sessions.response_watch import ResponseWatch
 from bamboospring.sessions.session import Job
 from bamboospring.sessions.session import OnOutcome
 from bamboospring.sessions.session import Session
@@ -97,7 +99,27 @@
         if self._is_commit or not orders:
             self._send()
             return
-        link.send(orders, max(0.0, self._remaining()), self._on_prepared)
+        watch = self._watch_response(is_read=False)
+
+        def on_result(result: list[TargetReply] | LinkLost) -> None:
+            watch.stop()
+            self._on_prepared(result)
+
+        link.send(orders, max(0.0, self._remaining()), on_result)
+
+    def _watch_response(self, *, is_read: bool) -> ResponseWatch:
+        """Release the slot if the response is overdue, nothing more."""
+        return self._runner.watcher.watch(
+            self._leased,
+            self._observed_target(),
+            self._deadline(),
+            is_read=is_read,
+            in_transaction=True,
+        )
+
+    def _observed_target(self) -> ObservedTarget:
+        group = self._runner.board.group(self._job.route.group)
+        return group.observed_target(self._leased.target.name)
 
     def _on_prepared(self, result: list[TargetReply] | LinkLost) -> None:
         if isinstance(result, LinkLost):
@@ -112,9 +134,7 @@
 
     def _send(self) -> None:
         runner, target = self._runner, self._leased.target.name
-        observed = runner.board.group(self._job.route.group).observed_target(
-            target
-        )
+        observed = self._observed_target()
         observed.in_flight += 1
         self._sent_at = runner.reactor.now()
         self._trace.record_attempt(target, after=None, proof_age=None)
@@ -123,7 +143,12 @@
             # statement may have written.
             self._tx.has_written = True
 
+        watch = self._watch_response(
+            is_read=not (self._job.writes or self._is_commit)
+        )
+
         def on_result(result: list[TargetReply] | LinkLost) -> None:
+            watch.record_result(result)
             observed.in_flight -= 1
             if isinstance(result, LinkLost):
                 observed.record_failure()
--- a/features/steps/zone_holders_steps.py
+++ b/features/steps/zone_holders_steps.py
@@ -7,8 +7,10 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections import deque
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 import itertools
 import random
 from typing import Any
@@ -87,7 +89,11 @@
 class FakeTarget:
     """A primary with limited slots and connections.
 
-    It refuses statements that find no slot.
+    It queues up to `queue_limit` statements that find no slot, and refuses
+    others. Of the responses to statements, the part `lost_share` never
+    arrives, none on `silent_links`, and as many to a statement as `lost_ids`
+    says by its id. `busy_links` are the connections with an exchange under
+    way, `timeouts` the exchanges that have reached their time limit.
     """
 
     def __init__(
@@ -101,19 +107,42 @@
         self.opened = 0
         self.run_time = 0.02
         self.run_counts: Counter[str] = Counter()
+        self.queue_limit = 0
+        self.queue: deque[tuple[float, Any]] = deque()
+        self.lost_share = 0.0
+        self.lost_ids: Counter[str] = Counter()
+        self.links: set[FakeLink] = set()
+        self.silent_links: set[FakeLink] = set()
+        self.rng = random.Random(2)
+        self.busy_links: set[FakeLink] = set()
+        self.max_busy_links = 0
+        self.timeouts = 0
 
     def occupy_slot(self, seconds: float, done: Any, refused: Any) -> None:
-        if self.slots_in_use >= self.slots:
+        if self.slots_in_use < self.slots:
+            self._run(seconds, done)
+        elif len(self.queue) < self.queue_limit:
+            self.queue.append((seconds, done))
+        else:
             self.clock.call_later(HOP_SECONDS, refused)
-            return
+
+    def _run(self, seconds: float, done: Any) -> None:
         self.slots_in_use += 1
 
         def over() -> None:
             self.slots_in_use -= 1
+            if self.queue:
+                self._run(*self.queue.popleft())
             done()
 
         self.clock.call_later(HOP_SECONDS + seconds, over)
 
+    def loses_response(self, link: FakeLink, id: str) -> bool:
+        if self.lost_ids[id] > 0:
+            self.lost_ids[id] -= 1
+            return True
+        return link in self.silent_links or self.rng.random() < self.lost_share
+
 
 @dataclass(eq=False)
 class FakeLink:
@@ -124,31 +153,57 @@
     values: dict[str, str] = field(default_factory=dict)
     shapes: set[Shape] = field(default_factory=set)
     state: SessionState = SessionState.IDLE
-    usable: bool = True
     closed: bool = False
+    pending: Any = None
+
+    @property
+    def usable(self) -> bool:
+        return not self.closed and self.pending is None
 
     def close(self) -> None:
         if not self.closed:
-            self.closed, self.usable = True, False
+            self.closed = True
             self.target.connections -= 1
+            self.target.links.discard(self)
+            self._complete(self.pending, LinkLost())
 
     def send(self, orders: Any, timeout: float, on_complete: Any) -> None:
+        target = self.target
         id = getattr(orders[0], "id", "-")
-
-        def answer(reply: TargetReply) -> None:
-            if self.vm.is_running:
-                on_complete([reply])
+        self.pending = pending = [on_complete]
+        target.busy_links.add(self)
+        target.max_busy_links = max(
+            target.max_busy_links, len(target.busy_links)
+        )
 
         def done() -> None:
-            self.target.run_counts[id] += 1
-            answer(
-                TargetReply(signature="s", position=Position(term=1, index=1))
-            )
+            target.run_counts[id] += 1
+            if not target.loses_response(self, id):
+                reply = TargetReply(
+                    signature="s", position=Position(term=1, index=1)
+                )
+                self._complete(pending, [reply])
 
         def refused() -> None:
-            answer(TargetReply(refusal=Refusal.BUSY))
+            self._complete(pending, [TargetReply(refusal=Refusal.BUSY)])
 
-        self.target.occupy_slot(self.target.run_time, done, refused)
+        def no_answer() -> None:
+            if self.pending is pending:
+                self.target.timeouts += 1
+                self._complete(pending, LinkLost(unresponsive=True))
+                self.close()
+
+        target.occupy_slot(target.run_time, done, refused)
+        target.clock.call_later(timeout, no_answer)
+
+    def _complete(self, pending: Any, result: Any) -> None:
+        """End the exchange under way, unless it has ended before."""
+        if pending is None or self.pending is not pending:
+            return
+        self.pending = None
+        self.target.busy_links.discard(self)
+        if self.vm.is_running:
+            pending[0](result)
 
 
 class FakeDialer:
@@ -169,6 +224,7 @@
             target.connections += 1
             target.opened += 1
             link = FakeLink(target, self.vm)
+            target.links.add(link)
             opened = Opened(link=link)
 
             def again() -> None:
@@ -180,8 +236,10 @@
             again()
 
     def check(self, link: FakeLink, timeout: float, on_complete: Any) -> None:
+        is_silent = link in self.target.silent_links
         self.target.clock.call_later(
-            HOP_SECONDS, lambda: on_complete(Health.ALIVE)
+            timeout if is_silent else HOP_SECONDS,
+            lambda: on_complete(Health.SILENT if is_silent else Health.ALIVE),
         )
 
     def end(self, number: int) -> None:
@@ -274,7 +332,9 @@
         group = self.board.group("g")
         group.record = PrimaryRecord(group="g", version=1, term=1, primary="t")
         group.targets["t"] = ListedTarget(
-            target=TARGET, group="g", is_primary=True
+            target=replace(TARGET, slots=crowd.target.slots),
+            group="g",
+            is_primary=True,
         )
         self.pools: Any = Pools(
             reactor=clock,
@@ -641,6 +701,7 @@
     shape=st.none() | st.builds(Shape, writes=st.just(False), text=TEXT),
     arguments=TEXT,
     after=POSITIONS,
+    abandonable=st.booleans(),
 )
 RESULTS = (
     st.builds(
