--- a/features/overdue_responses.feature
+++ b/features/overdue_responses.feature
@@ -90,6 +90,7 @@
     Then another statement of that VM is served at once
     And it ends as Unknown when its time limit has passed
     And the usual duration of statements is still below 30 ms
+    And no slot is in use
 
   Scenario: A statement of a transaction keeps its connection
     # Guards against: the connection of an open transaction is closed, or its
@@ -191,6 +192,13 @@
     Then the threshold is at least 600 ms
     And 5 s later it is at most 500 ms
 
+  Scenario: The threshold follows the usual response time
+    # Guards against: reads of a busy target are abandoned.
+    Given a target that usually responds within 20 ms
+    When 40 responses take 60 ms
+    Then the threshold is at least 350 ms
+    And the threshold is at most 361 ms
+
   Scenario: Locks do not raise the threshold
     # Guards against: a transaction whose response is lost keeps its locks;
     # the writes that wait for them are answered late and would prevent the
--- a/features/steps/overdue_responses_steps.py
+++ b/features/steps/overdue_responses_steps.py
@@ -254,6 +254,11 @@
         assert admission.estimate < ms / 1000, admission.estimate
 
 
+@then("no slot is in use")
+def then_no_slot(context: Any) -> None:
+    assert context.crowd.vms[0].pools.all()[0].used.slots == 0
+
+
 @then("it ends as {outcome} when its time limit has passed")
 def then_ends(context: Any, outcome: str) -> None:
     lost = context.lost
@@ -406,6 +411,16 @@
     then_at_most(context, ms)
 
 
+@when("{count:d} responses take {ms:g} ms")
+def when_responses(context: Any, count: int, ms: float) -> None:
+    for _ in range(count):
+        sent_at = context.now
+        context.now += ms / 1000
+        context.times.record_response(
+            sent_at=sent_at, now=context.now, is_read=True
+        )
+
+
 @when("a write that has waited {ms:g} ms for a lock is answered")
 def when_lock(context: Any, ms: float) -> None:
     sent_at = context.now
