Keep queues in order under overload

Cause: where a group's reads all go to its primary, entries sent a refused statement to the holder again every 10 ms, up to 16 times, and opened connections of their own when a holder had only queued their statements. Holders kept the slots of a full target from those of other zones.

Change, only with load control: the queue prefers what can still meet its objective within an urgency, estimates waits by the measured rate of each urgency, and refuses the least urgent first; refused callers get successive delays. Entries remember refusals for at most 1 s and pass the target over, wait here if the delay is short, or refuse at once. A heartbeat tells a holder that queues from one that is silent. A holder leaves some turns at a busy target to others. `heldAsk` carries the objective outside of the head, which older VMs can still read.

--- a/bamboospring/admission.py
+++ b/bamboospring/admission.py
@@ -10,16 +10,24 @@
 at its deadline. Its caller can retry elsewhere or later, and the queue holds
 only statements that can finish in time. Every refusal carries a delay for the
 next try. This module does no I/O and does not read the clock.
+
+Under load control tickets have an objective. The queue then prefers, within an
+urgency, those that can still meet it, and estimates waits and delays for each
+urgency by itself, from the rate at which it is served. See
+docs/design/overload_queues.md.
 """
 
 from __future__ import annotations
 
 from bisect import insort
+from collections import Counter
 from dataclasses import dataclass
 from dataclasses import field
 import itertools
 from typing import Any
 
+from bamboospring.drain_rate import DrainRates
+from bamboospring.drain_rate import RetryReservations
 from bamboospring.outcomes import Overloaded
 from bamboospring.outcomes import Reason
 
@@ -52,12 +60,16 @@
     """A request for a slot. `item` is opaque and belongs to the pool.
 
     Tickets with a lower `urgency` are served before those with a higher one.
+    `objective_at` is set only under load control: a ticket that can't be
+    answered by then `is_late` and follows the others of its urgency.
     """
 
     caller: str
     deadline: float
     item: Any
     urgency: int = 0
+    objective_at: float | None = None
+    is_late: bool = False
     round: int = 0
     number: int = 0
 
@@ -65,9 +77,15 @@
         return self.key < other.key
 
     @property
-    def key(self) -> tuple[int, int, float, int]:
+    def key(self) -> tuple[int, bool, int, float, int]:
         """Return the sort key of the queue."""
-        return self.urgency, self.round, self.deadline, self.number
+        return (
+            self.urgency,
+            self.is_late,
+            self.round,
+            self.deadline,
+            self.number,
+        )
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -116,6 +134,9 @@
     _usages: dict[str, _CallerUsage] = field(default_factory=dict)
     _numbers: Any = field(default_factory=itertools.count)
     _current_round: int = 0
+    _waiting_by_urgency: Counter[int] = field(default_factory=Counter)
+    _rates: DrainRates = field(default_factory=DrainRates)
+    _retries: RetryReservations = field(default_factory=RetryReservations)
 
     @property
     def waiting(self) -> int:
@@ -133,6 +154,9 @@
         decisions: list[SlotDecision] = []
         if len(self._queue) >= self.queue_limit:
             decisions.append(self._evict(now))
+        if not self._waiting_by_urgency[ticket.urgency]:
+            usual = self.estimate / max(1, self.slots)
+            self._rates.record_first_queued(ticket.urgency, now, usual=usual)
         self._enqueue(ticket)
         decisions.append(SlotQueued(ticket=ticket))
         decisions.extend(self._refuse_hopeless(now))
@@ -150,7 +174,12 @@
         decisions: list[SlotDecision] = []
         while self._queue and self.running < self.slots:
             ticket = self._queue.pop(0)
+            if self._has_become_late(ticket, now):
+                ticket.is_late = True
+                insort(self._queue, ticket)
+                continue
             self._record_dequeued(ticket)
+            self._rates.record_granted(ticket.urgency, now)
             if ticket.deadline < now + self.estimate * MIN_REMAINING_FACTOR:
                 decisions.append(self._refuse(ticket, Reason.DEADLINE, now))
             else:
@@ -167,6 +196,10 @@
             self._refuse(ticket, Reason.DEADLINE, now) for ticket in expired
         ]
 
+    def is_more_urgent_waiting(self, urgency: int) -> bool:
+        """Return whether a ticket of higher precedence is queued."""
+        return bool(self._queue) and self._queue[0].urgency < urgency
+
     def is_queued(self, ticket: Ticket) -> bool:
         """Return whether a ticket is in the queue."""
         return ticket in self._queue
@@ -183,6 +216,9 @@
         return (ahead + 1) * self.estimate / self.slots
 
     def _refusal(self, ticket: Ticket, now: float) -> SlotRefused | None:
+        if ticket.objective_at is not None:
+            self._move_late(now)
+            return self._overload_refusal(ticket, now)
         allowed = self._max_queued(ticket, now)
         if self._usage_of(ticket.caller).waiting >= allowed:
             refused = self._refuse(ticket, Reason.CALLER_LIMIT, now)
@@ -223,8 +259,14 @@
     def _refuse_hopeless(self, now: float) -> list[SlotDecision]:
         """Refuse queued tickets that newer tickets have delayed too much."""
         decisions: list[SlotDecision] = []
+        for ticket in self._find_hopeless(now):
+            self.cancel(ticket)
+            reason = self._full_reason(ticket)
+            decisions.append(self._refuse(ticket, reason, now))
         while self._queue:
             last = self._queue[-1]
+            if last.objective_at is not None:
+                break
             ahead = len(self._queue) - 1
             if not self._is_too_late(last, ahead, now, 1.0):
                 break
@@ -244,6 +286,8 @@
 
     def _evict(self, now: float) -> SlotRefused:
         """Evict the last ticket of the caller with the longest queue."""
+        if self._queue[-1].objective_at is not None:
+            return self._evict_least_urgent(now)
         max_waiting = max(
             self._usages.values(), key=lambda usage: usage.waiting
         ).waiting
@@ -262,9 +306,11 @@
         usage = self._usage_of(ticket.caller)
         usage.waiting += 1
         usage.round = ticket.round
+        self._waiting_by_urgency[ticket.urgency] += 1
         insort(self._queue, ticket)
 
     def _record_dequeued(self, ticket: Ticket) -> None:
+        self._waiting_by_urgency[ticket.urgency] -= 1
         self._usage_of(ticket.caller).waiting -= 1
         self._forget_if_unused(ticket.caller)
 
@@ -279,7 +325,10 @@
     def _refuse(
         self, ticket: Ticket, reason: Reason, now: float
     ) -> SlotRefused:
-        wait = self.wait_estimate(len(self._queue))
+        if ticket.objective_at is not None:
+            wait = self._reserve_retry(ticket, reason, now)
+        else:
+            wait = self.wait_estimate(len(self._queue))
         retry_ms = min(MAX_RETRY_AFTER_MS, wait * 1000)
         return SlotRefused(
             ticket=ticket,
@@ -289,6 +338,133 @@
             ),
         )
 
+    # Load control.
+
+    def _has_become_late(self, ticket: Ticket, now: float) -> bool:
+        """Return whether a ticket can no longer meet its objective.
+
+        Until then it keeps its place: the queue may get shorter.
+        """
+        if ticket.objective_at is None or ticket.is_late:
+            return False
+        needed = self.estimate * MIN_REMAINING_FACTOR
+        return ticket.objective_at < now + needed
+
+    def _move_late(self, now: float) -> None:
+        """Move tickets that have become late behind those that have not."""
+        late = [
+            each for each in self._queue if self._has_become_late(each, now)
+        ]
+        for ticket in late:
+            self._queue.remove(ticket)
+            ticket.is_late = True
+            insort(self._queue, ticket)
+
+    def _overload_refusal(
+        self, ticket: Ticket, now: float
+    ) -> SlotRefused | None:
+        """Return a refusal if a ticket would not run in time.
+
+        Only tickets of the same urgency that run before it count: a caller's
+        statement is not refused because its less urgent ones wait, or because
+        another caller has many. Late tickets run after it.
+        """
+        ahead = sum(
+            each < ticket
+            for each in self._queue
+            if self._is_alike(each, ticket)
+        )
+        is_full = len(self._queue) >= self.queue_limit
+        is_least_urgent = is_full and ticket.urgency > self._queue[-1].urgency
+        if not is_least_urgent and not self._is_hopeless(
+            ticket, ahead, now, MAX_WAIT_FRACTION
+        ):
+            return None
+        refused = self._refuse(ticket, self._full_reason(ticket), now)
+        self._forget_if_unused(ticket.caller)
+        return refused
+
+    def _full_reason(self, ticket: Ticket) -> Reason:
+        """Return whether the queue is full for a caller or for all.
+
+        The first queued ticket of a caller gets its turn in the current round.
+        If even that is too late, others get none sooner.
+        """
+        has_others = any(
+            each.caller == ticket.caller and self._is_alike(each, ticket)
+            for each in self._queue
+        )
+        return Reason.CALLER_LIMIT if has_others else Reason.QUEUE_FULL
+
+    def _reserve_retry(
+        self, ticket: Ticket, reason: Reason, now: float
+    ) -> float:
+        """Return after how many seconds a refused caller may retry."""
+        interval = self._interval(ticket.urgency, now)
+        if reason is not Reason.CALLER_LIMIT:
+            return self._retries.reserve(ticket.urgency, interval, now)
+        # A caller gets one of the slots that go to all callers in a round.
+        callers = {
+            each.caller for each in self._queue if self._is_alike(each, ticket)
+        }
+        return self._retries.reserve(
+            ticket.urgency,
+            interval * max(1, len(callers)),
+            now,
+            caller=ticket.caller,
+        )
+
+    def _is_hopeless(
+        self, ticket: Ticket, ahead: int, now: float, fraction: float
+    ) -> bool:
+        """Return whether a ticket can't run before its deadline.
+
+        `ahead` counts only tickets of the same urgency, see `DrainRates`.
+        """
+        remaining = ticket.deadline - now
+        wait = (ahead + 1) * self._interval(ticket.urgency, now)
+        return wait > remaining * fraction or wait + self.estimate > remaining
+
+    def _find_hopeless(self, now: float) -> list[Ticket]:
+        """Return the queued tickets that can't run before their deadlines."""
+        hopeless = []
+        kept: Counter[int] = Counter()
+        for ticket in self._queue:
+            if ticket.objective_at is None:
+                continue
+            if self._is_hopeless(ticket, kept[ticket.urgency], now, 1.0):
+                hopeless.append(ticket)
+            else:
+                kept[ticket.urgency] += 1
+        return hopeless
+
+    def _evict_least_urgent(self, now: float) -> SlotRefused:
+        """Evict from the least urgent tickets.
+
+        It is the last one of the caller that has most of them.
+        """
+        last = self._queue[-1]
+        alike = [each for each in self._queue if self._is_alike(each, last)]
+        counts = Counter(each.caller for each in alike)
+        most = max(counts.values())
+        evicted = next(
+            each for each in reversed(alike) if counts[each.caller] == most
+        )
+        self.cancel(evicted)
+        return self._refuse(evicted, self._full_reason(evicted), now)
+
+    def _is_alike(self, ticket: Ticket, other: Ticket) -> bool:
+        return ticket.urgency == other.urgency
+
+    def _interval(self, urgency: int, now: float) -> float:
+        """Return the seconds between two grants of tickets of an urgency."""
+        return self._rates.interval(
+            urgency,
+            now,
+            usual=self.estimate / max(1, self.slots),
+            is_waiting=self._waiting_by_urgency[urgency] > 0,
+        )
+
     def _usage_of(self, caller: str) -> _CallerUsage:
         found = self._usages.get(caller)
         if found is None:
--- a/bamboospring/pool.py
+++ b/bamboospring/pool.py
@@ -131,6 +131,7 @@
     on_ready: OnReady[LinkT]
     team: str = ""
     urgency: int = 0
+    objective_at: float | None = None
     score: LinkScore[LinkT] | None = None
     write_ticket: Ticket | None = None
     slot_ticket: Ticket | None = None
@@ -204,6 +205,10 @@
         """Return the number of statements that wait for a slot."""
         return self._slot_admission.waiting + self._write_admission.waiting
 
+    def is_more_urgent_waiting(self, urgency: int) -> bool:
+        """Return whether a more urgent statement waits for a slot."""
+        return self._slot_admission.is_more_urgent_waiting(urgency)
+
     def set_share(self, share: TargetCapacity) -> None:
         """Apply a new share; close idle connections beyond it at once."""
         self._share = share
@@ -231,6 +236,7 @@
         is_write: bool,
         team: str = "",
         urgency: int = 0,
+        objective_at: float | None = None,
         score: LinkScore[LinkT] | None = None,
     ) -> PendingAcquire:
         """Call back with a connection or with the reason for a refusal."""
@@ -240,6 +246,7 @@
             on_ready=on_ready,
             team=team,
             urgency=urgency,
+            objective_at=objective_at,
             score=score,
         )
         refusal = self._refusal()
@@ -310,10 +317,16 @@
         caller: str,
         deadline: float,
         on_ready: OnReady[LinkT],
+        *,
+        objective_at: float | None = None,
     ) -> None:
         """Acquire a slot for the next statement of a transaction."""
         request = _AcquireRequest[LinkT](
-            caller=caller, deadline=deadline, on_ready=on_ready, leased=leased
+            caller=caller,
+            deadline=deadline,
+            on_ready=on_ready,
+            objective_at=objective_at,
+            leased=leased,
         )
         self._submit(self._slot_admission, request)
 
@@ -401,6 +414,7 @@
             caller=request.caller,
             deadline=request.deadline,
             urgency=request.urgency,
+            objective_at=request.objective_at,
             item=request,
         )
         request.queued_ticket = ticket
--- a/bamboospring/pools.py
+++ b/bamboospring/pools.py
@@ -61,13 +61,15 @@
         is_write: bool = False,
         team: str = "",
         urgency: int = 0,
+        objective_at: float | None = None,
         score: LinkScore[LinkT] | None = None,
     ) -> PendingAcquire:
         """Ask for a connection to a target on behalf of a caller.
 
         `is_write` is true for a statement that may wait for a lock at the
         target. The connection belongs to the caller's `team`. Requests with
-        the lowest `urgency` are served first. Of the idle connections, the one
+        the lowest `urgency` are served first, and of these, the ones that can
+        be answered by `objective_at`, if given. Of the idle connections, the one
         with the highest `score` is used.
         """
         return self.pool(target).acquire(
@@ -77,6 +79,7 @@
             is_write=is_write,
             team=team,
             urgency=urgency,
+            objective_at=objective_at,
             score=score,
         )
 
@@ -96,10 +99,14 @@
         deadline: float,
         caller: str,
         on_ready: OnReady,
+        *,
+        objective_at: float | None = None,
     ) -> None:
         """Acquire a slot for a transaction's next statement."""
         pool = self.pool(leased.target)
-        pool.reacquire_slot(leased, caller, deadline, on_ready)
+        pool.reacquire_slot(
+            leased, caller, deadline, on_ready, objective_at=objective_at
+        )
 
     def pool(self, target: Target) -> Pool[LinkT]:
         """Return the pool of a target.
--- a/bamboospring/sessions/direct_attempt.py
+++ b/bamboospring/sessions/direct_attempt.py
@@ -19,6 +19,7 @@
 from bamboospring.sessions.ports import SessionLink
 from bamboospring.sessions.ports import SessionOutcome
 from bamboospring.sessions.ports import TargetReply
+from bamboospring.sessions.refusals import busy_retry_delay
 from bamboospring.sessions.refusals import can_retry
 from bamboospring.sessions.refusals import is_free_retry
 from bamboospring.sessions.refusals import record_refusal
@@ -66,6 +67,7 @@
             is_write=job.writes or transaction_writes,
             team=execution.session.identity.team,
             urgency=job.route.urgency,
+            objective_at=execution.objective_at,
             score=lambda link: link_fit(link, values, job.shape),
         )
 
@@ -79,6 +81,9 @@
     ) -> None:
         execution = self.execution
         if not isinstance(leased, LeasedConnection):
+            if execution.is_refusal_final(leased):
+                execution.on_queue_full(self, leased)
+                return
             is_full = leased.reason is Reason.TARGET_CONNECTIONS
             execution.on_failed(
                 self,
@@ -131,7 +136,8 @@
         execution = self.execution
         runner, job = execution.runner, execution.job
         observed = execution.group.observed_target(self.target)
-        now = self.sent_at = runner.reactor.now()
+        now = runner.reactor.now()
+        is_first, self.sent_at = not self.sent_at, now
         if self._needs_proof() and not execution.group.proof.covers(now):
             # The proof expired while the statement waited for a connection.
             execution.runner.release_connection(self.leased)
@@ -143,11 +149,12 @@
         self.sent = True
         observed.in_flight += 1
         after = self.choice.after if execution.tx is None else None
-        execution.trace.record_attempt(
-            self.target,
-            after=self.choice.after,
-            proof_age=now - execution.group.proof.asked_at,
-        )
+        if is_first:
+            execution.trace.record_attempt(
+                self.target,
+                after=self.choice.after,
+                proof_age=now - execution.group.proof.asked_at,
+            )
         if execution.tx is not None:
             execution.tx.has_written = execution.tx.has_written or job.writes
 
@@ -219,11 +226,45 @@
         execution.tx.at_replica = self.choice.at_replica
         execution.runner.pools.release_slot(self.leased)
 
+    def _wait_for_slot(self) -> bool:
+        """Send a statement again for which the target had no slot.
+
+        As at a holder, see `busy_retry_delay`. Return whether it is sent: only
+        under load control, and not if it opens a transaction, whose setup
+        would have to be repeated as well.
+        """
+        execution = self.execution
+        delay = busy_retry_delay(execution.job.route.urgency)
+        if (
+            execution.objective_at is None
+            or execution.tx is not None
+            or not self.sent
+            or execution.is_finished
+            or execution.remaining() <= 2 * delay
+        ):
+            return False
+        self.sent = False
+        execution.runner.reactor.call_later(delay, self._resend)
+        return True
+
+    def _resend(self) -> None:
+        assert self.leased is not None
+        if self.execution.is_finished:
+            self.execution.runner.release_connection(self.leased)
+        elif not self.leased.conn.usable:
+            self._discard_link()
+            refusal = NotRun(reason=Reason.TARGET_UNREACHABLE)
+            self.execution.on_failed(self, refusal, retryable=True)
+        else:
+            self._send()
+
     def _on_refusal(self, reply: TargetReply) -> None:
         """Handle a refusal of the statement or of a setup order before it."""
         assert self.leased is not None and reply.refusal is not None
         execution = self.execution
         refusal = reply.refusal
+        if refusal is Refusal.BUSY and self._wait_for_slot():
+            return
         now = execution.runner.reactor.now()
         record_refusal(
             execution.group,
--- a/bamboospring/sessions/forward_messages.py
+++ b/bamboospring/sessions/forward_messages.py
@@ -22,8 +22,10 @@
 __all__ = [
     "ForwardRequest",
     "ForwardResult",
+    "decode_objective",
     "decode_result",
     "decode_statement",
+    "encode_objective",
     "encode_result",
     "encode_statement",
 ]
@@ -38,7 +40,9 @@
     `arguments` instead. `values` are those of the caller's session. The
     target's log must have reached `after`, if it is given. `remaining` is the
     time limit in seconds; within `slot_timeout` seconds the statement must get
-    a slot.
+    a slot. `objective` is in how many seconds it should be answered, negative
+    if it is late; None without load control and from older VMs. It is not part
+    of the head, whose members older VMs count, see `encode_objective`.
     """
 
     id: str
@@ -57,6 +61,7 @@
     shape: Shape | None = None
     arguments: str = ""
     after: Position | None = None
+    objective: float | None = None
 
 
 # The result: the target's complete reply, a refusal by the holder (the
@@ -94,8 +99,18 @@
     )
 
 
-def decode_statement(head: bytes) -> ForwardRequest:
-    """Decode the output of `encode_statement`."""
+def encode_objective(seconds: float | None) -> int:
+    """Encode the time left to an objective; 0 means that there is none."""
+    return 0 if seconds is None else round(seconds * 1e6) or 1
+
+
+def decode_objective(microseconds: int) -> float | None:
+    """Decode the output of `encode_objective`."""
+    return microseconds / 1e6 if microseconds else None
+
+
+def decode_statement(head: bytes, objective_us: int = 0) -> ForwardRequest:
+    """Decode the output of `encode_statement` and `encode_objective`."""
     (
         id,
         caller,
@@ -131,6 +146,7 @@
         shape=None if shape is None else Shape(writes=writes, text=shape),
         arguments=arguments,
         after=_decode_position(after),
+        objective=decode_objective(objective_us),
     )
 
 
--- a/bamboospring/sessions/forwarded_attempt.py
+++ b/bamboospring/sessions/forwarded_attempt.py
@@ -21,7 +21,9 @@
 from bamboospring.outcomes import Unknown
 from bamboospring.peers import new_envelope
 from bamboospring.peers import PeerLost
+from bamboospring.sessions.backpressure import CAPACITY_REASONS
 from bamboospring.sessions.forward_messages import decode_result
+from bamboospring.sessions.forward_messages import encode_objective
 from bamboospring.sessions.forward_messages import encode_statement
 from bamboospring.sessions.forward_messages import ForwardRequest
 from bamboospring.sessions.ports import LinkLost
@@ -46,6 +48,9 @@
 # so that its report of a timeout arrives. Without that report, the proxy could
 # not tell whether the statement has run.
 ANSWER_RESERVE = 0.02
+# Seconds of a statement's objective that are left for the messages to and from
+# the holder. 5 Mbit/s links carry both in less than this when they are busy.
+OBJECTIVE_RESERVE = 0.01
 
 _numbers = itertools.count(1)
 # Reasons for which a holder refuses because it lacks something itself: the
@@ -91,13 +96,17 @@
         ask = message.init("heldAsk")
         ask.vm = runner.board.vm
         ask.number = self.number
-        ask.head = encode_statement(self._request())
+        request = self._request()
+        ask.head = encode_statement(request)
+        ask.objectiveUs = encode_objective(request.objective)
         runner.peers.ask(
             self.holder.address,
             message,
             max(0.0, execution.remaining()),
             self._on_answer,
         )
+        if runner.board.load_control:
+            runner.probes.watch(self.holder.address)
         execution.schedule_hedge(observed)
 
     def cancel(self) -> None:
@@ -130,8 +139,16 @@
             shape=job.shape,
             arguments=job.arguments,
             after=self.choice.after,
+            objective=self._objective(),
         )
 
+    def _objective(self) -> float | None:
+        """Return the time left to the objective, None without load control."""
+        objective_at = self.execution.objective_at
+        if objective_at is None:
+            return None
+        return objective_at - OBJECTIVE_RESERVE - self.sent_at
+
     def _on_answer(self, answer: Any) -> None:
         self.is_answered = True
         execution = self.execution
@@ -175,6 +192,12 @@
 
     def _on_not_run(self, refusal: NotRun | Overloaded) -> None:
         execution = self.execution
+        if (
+            execution.runner.board.load_control
+            and refusal.reason in CAPACITY_REASONS
+        ):
+            execution.on_holder_full(self, refusal)
+            return
         if refusal.reason in HOLDER_REASONS:
             self._skip_holder(self.target)
         is_full = refusal.reason is Reason.TARGET_CONNECTIONS
@@ -218,6 +241,12 @@
             now,
             needed=self.choice.after,
         )
+        if refusal is Refusal.BUSY and execution.runner.board.load_control:
+            # From an older VM; others report `Reason.TARGET_SLOTS`.
+            outcome = refusal_outcome(reply)
+            assert isinstance(outcome, Overloaded)
+            execution.on_holder_full(self, outcome)
+            return
         if refusal is Refusal.NOT_PRIMARY:
             execution.runner.request_record_read(execution.group.name)
         execution.on_failed(
--- a/bamboospring/sessions/holder_server.py
+++ b/bamboospring/sessions/holder_server.py
@@ -17,6 +17,7 @@
 from bamboospring.pool import PendingAcquire
 from bamboospring.pools import Pools
 from bamboospring.reactor import Reactor
+from bamboospring.reactor import Timer
 from bamboospring.sessions.forward_messages import decode_statement
 from bamboospring.sessions.forward_messages import encode_result
 from bamboospring.sessions.forward_messages import ForwardRequest
@@ -32,8 +33,11 @@
 from bamboospring.sessions.ports import SessionLink
 from bamboospring.sessions.ports import TargetOrder
 from bamboospring.sessions.ports import TargetReply
+from bamboospring.sessions.refusals import busy_retry_delay
+from bamboospring.sessions.replies import BUSY_RETRY_MS
 from bamboospring.sessions.replies import CHANGE_RETRY_MS
 from bamboospring.sessions.replies import record_reply
+from bamboospring.slot_turns import SlotTurns
 
 __all__ = ["HolderServer"]
 
@@ -60,14 +64,19 @@
         self.board = board
         self.pools = pools
         self._statements: dict[tuple[str, int], _ForwardedStatement] = {}
+        self._turns: dict[str, SlotTurns] = {}
         self.received_count = 0
         peers.add_handler("heldAsk", self._on_request)
         peers.add_handler("heldCancel", self._on_cancel)
 
+    def turns(self, target: str) -> SlotTurns:
+        """Return the turns that this VM leaves to others at a target."""
+        return self._turns.setdefault(target, SlotTurns())
+
     def _on_request(self, message: Any, reply: Reply) -> None:
         ask = message.heldAsk
         key = (ask.vm, ask.number)
-        request = decode_statement(ask.head)
+        request = decode_statement(ask.head, ask.objectiveUs)
 
         def on_complete(result: ForwardResult) -> None:
             self._statements.pop(key, None)
@@ -153,7 +162,10 @@
     on_complete: Callable[[ForwardResult], None]
     deadline: float = 0.0
     slot_deadline: float = 0.0
+    objective_at: float | None = None
     leased: LeasedConnection[SessionLink] | None = None
+    resend_timer: Timer | None = None
+    had_turn: bool = False
     pending_acquire: PendingAcquire | None = None
     is_finished: bool = False
 
@@ -161,6 +173,9 @@
         now = self.server.reactor.now()
         self.deadline = now + self.request.remaining
         self.slot_deadline = now + self.request.slot_timeout
+        objective = self.request.objective
+        if objective is not None and self.server.board.load_control:
+            self.objective_at = now + objective
         self._acquire()
 
     def _acquire(self) -> None:
@@ -175,6 +190,7 @@
             is_write=request.writes,
             team=request.team,
             urgency=request.urgency,
+            objective_at=self.objective_at,
             score=lambda link: link_fit(link, request.values, request.shape),
         )
 
@@ -183,6 +199,10 @@
         if self.leased is None and self.pending_acquire is not None:
             self.pending_acquire.cancel()
             self._finish(NotRun(reason=Reason.CALLER_GONE))
+        elif self.resend_timer is not None:
+            self.resend_timer.cancel()
+            self._release(healthy=True)
+            self._finish(NotRun(reason=Reason.CALLER_GONE))
 
     def _on_leased(
         self, leased: LeasedConnection[SessionLink] | NotRun | Overloaded
@@ -191,13 +211,17 @@
             self._finish(leased)
             return
         self.leased = leased
+        self.had_turn = False
         if self.is_finished:
             self._release(healthy=True)
-            return
+        else:
+            self._prepare(leased)
+
+    def _prepare(self, leased: LeasedConnection[SessionLink]) -> None:
         request = self.request
         orders = setup_orders(leased.conn, request.values, request.shape, None)
         if not orders:
-            self._send()
+            self._send_in_turn()
             return
         # The statement is sent only after these replies, so that it never runs
         # with the values of another session.
@@ -211,6 +235,20 @@
         refused = [reply for reply in result if reply.refusal is not None]
         if refused:
             self._on_reply(refused[0])
+        else:
+            self._send_in_turn()
+
+    def _send_in_turn(self) -> None:
+        """Send now, or after VMs of other zones have had a turn."""
+        if self.objective_at is None or self.had_turn:
+            self._send()
+            return
+        self.had_turn = True
+        turns = self.server.turns(self.request.target)
+        now = self.server.reactor.now()
+        delay = turns.delay(self.request.urgency, now)
+        if delay > 0:
+            self._resend_after(delay)
         else:
             self._send()
 
@@ -232,15 +270,23 @@
                 self._release(healthy=False)
                 self._finish(result)
                 return
-            now = self.server.reactor.now()
-            group = self.server.board.group(self.request.group)
-            record_reply(group, self.request.target, result[0], sent_at, now)
+            self._record_reply(result[0], sent_at)
             self._on_reply(result[0])
 
         self.leased.conn.send(
             [_order(self.request)], self._remaining(), on_result
         )
 
+    def _record_reply(self, reply: TargetReply, sent_at: float) -> None:
+        now = self.server.reactor.now()
+        group = self.server.board.group(self.request.group)
+        if self.objective_at is not None and reply.refusal is Refusal.BUSY:
+            # A refusal takes a fraction of a statement's time. Counted, many
+            # of them would make usual responses look overdue.
+            group.observed_target(self.request.target).last_response_at = now
+            return
+        record_reply(group, self.request.target, reply, sent_at, now)
+
     def _can_send(self, now: float) -> bool:
         """Return whether the target may still run this statement.
 
@@ -263,6 +309,11 @@
         is_busy = reply.refusal is Refusal.BUSY
         pool = self.server.pools.pool(self.listed_target.target)
         pool.record_slot_result(found=not is_busy)
+        if is_busy and self.objective_at is not None:
+            turns = self.server.turns(self.request.target)
+            turns.record_refusal(self.server.reactor.now())
+            self._resend_or_refuse()
+            return
         self._release(healthy=True)
         now = self.server.reactor.now()
         if is_busy and now + BUSY_RETRY_DELAY < self.slot_deadline:
@@ -270,6 +321,41 @@
         else:
             self._finish(reply)
 
+    def _resend_or_refuse(self) -> None:
+        """Send a statement again for which the target had no slot.
+
+        Under load control it keeps its slot of this VM meanwhile. Otherwise
+        the next statement would take that slot at once and find the target
+        just as full, and this one would wait behind it.
+        """
+        delay = busy_retry_delay(self.request.urgency)
+        if self._remaining() > 2 * delay:
+            self._resend_after(delay)
+            return
+        self._release(healthy=True)
+        self._finish(
+            Overloaded(
+                reason=Reason.TARGET_SLOTS, retry_after_ms=BUSY_RETRY_MS
+            )
+        )
+
+    def _resend_after(self, delay: float) -> None:
+        self.resend_timer = self.server.reactor.call_later(delay, self._resend)
+
+    def _resend(self) -> None:
+        """Send again, after the more urgent statements that have arrived."""
+        assert self.leased is not None
+        self.resend_timer = None
+        pool = self.server.pools.pool(self.listed_target.target)
+        if not self.leased.conn.usable or pool.is_more_urgent_waiting(
+            self.request.urgency
+        ):
+            self._release(healthy=True)
+            self._acquire()
+        else:
+            # The target may have refused an order of the preparation.
+            self._prepare(self.leased)
+
     def _release(self, *, healthy: bool) -> None:
         assert self.leased is not None
         leased, self.leased = self.leased, None
--- a/bamboospring/sessions/node.py
+++ b/bamboospring/sessions/node.py
@@ -151,6 +151,7 @@
             lease=self.leader.lease,
             listener=self.callers,
             holder_server=self.holder_server,
+            runner=self.runner,
             now=self.reactor.now,
         )
 
--- a/bamboospring/sessions/refusals.py
+++ b/bamboospring/sessions/refusals.py
@@ -10,7 +10,13 @@
 from bamboospring.sessions.ports import Refusal
 from bamboospring.statements import Position
 
-__all__ = ["can_retry", "catch_up_delay", "is_free_retry", "record_refusal"]
+__all__ = [
+    "busy_retry_delay",
+    "can_retry",
+    "catch_up_delay",
+    "is_free_retry",
+    "record_refusal",
+]
 
 # Bounds, in seconds, on how long a replica that lacked a position is not asked
 # for more than it has shown. The minimum is about the usual lag of replicas;
@@ -18,6 +24,9 @@
 # once may go unused.
 MIN_CATCH_UP_DELAY = 0.1
 MAX_CATCH_UP_DELAY = 1.0
+# Seconds before a statement that found no slot at its target is sent there
+# again; shorter than a typical statement runs.
+BUSY_RETRY_DELAY = 0.003
 
 
 def catch_up_delay(
@@ -58,6 +67,16 @@
         observed.record_failure()
 
 
+def busy_retry_delay(urgency: int) -> float:
+    """Return after how many seconds to ask a busy target again.
+
+    Load: several VMs with queues of their own wait for the slots of one
+    target. Who asks most often gets most of the slots that become free, so
+    statements of lower precedence ask less often.
+    """
+    return BUSY_RETRY_DELAY * (1 + max(0, urgency))
+
+
 def can_retry(refusal: Refusal, *, writes: bool) -> bool:
     """Return whether the statement may be sent again."""
     if refusal.guarantees_not_run:
--- a/bamboospring/sessions/runner.py
+++ b/bamboospring/sessions/runner.py
@@ -16,6 +16,8 @@
 from bamboospring.pools import Pools
 from bamboospring.reactor import Reactor
 from bamboospring.retry_budget import RetryBudget
+from bamboospring.sessions.backpressure import Backpressure
+from bamboospring.sessions.holder_probes import HolderProbes
 from bamboospring.sessions.model import SessionBoard
 from bamboospring.sessions.ports import LinkLost
 from bamboospring.sessions.ports import RollbackWork
@@ -74,6 +76,10 @@
         self.quotas = quotas
         self._holders = holders
         self.running_count = 0
+        self.backpressure = Backpressure()
+        self.waited_for_holder_count = 0
+        self.backpressure_refusal_count = 0
+        self.probes = HolderProbes(reactor=reactor, peers=peers, vm=board.vm)
         self._executions: dict[Session, StatementExecution] = {}
 
     def run(
@@ -158,13 +164,16 @@
             return None
         # A read forwarded over a link that never opens, or to an unresponsive
         # holder, would waste most of its time limit waiting.
+        return holder if self.is_responsive(holder) else None
+
+    def is_responsive(self, holder: ZoneVm) -> bool:
+        """Return whether a holder's link is open and it responds."""
         unresponsive_for = self.peers.unresponsive_for(holder.address)
-        if (
-            unresponsive_for is None
-            or unresponsive_for > HOLDER_RESPONSE_TIMEOUT
-        ):
-            return None
-        return holder
+        if unresponsive_for is None:
+            return False
+        if self.board.load_control:
+            return not self.probes.is_silent(holder.address)
+        return unresponsive_for <= HOLDER_RESPONSE_TIMEOUT
 
     def skip_holder(self, holder: str, target: str) -> None:
         """Use another VM instead of this holder for a while.
--- a/bamboospring/sessions/session_metrics.py
+++ b/bamboospring/sessions/session_metrics.py
@@ -31,6 +31,7 @@
     from bamboospring.sessions.leader_lease import LeaderLease
     from bamboospring.sessions.platform_adapters import CallerListener
     from bamboospring.sessions.ports import SessionLink
+    from bamboospring.sessions.runner import StatementRunner
 
 __all__ = ["SessionMetrics", "largest_teams"]
 
@@ -101,6 +102,7 @@
         lease: LeaderLease,
         listener: CallerListener,
         holder_server: HolderServer,
+        runner: StatementRunner,
         now: Callable[[], float],
     ) -> None:
         """Add metrics of the node's components."""
@@ -148,6 +150,16 @@
             kind=Kind.COUNTER,
             description="Reads that other VMs have passed on to this one.",
         )
+        watch(
+            "bamboospring.statements.kept_back",
+            lambda: {
+                "waited": runner.waited_for_holder_count,
+                "refused": runner.backpressure_refusal_count,
+            },
+            kind=Kind.COUNTER,
+            label="outcome",
+            description="Statements not sent to a holder that was full.",
+        )
         watch(
             "bamboospring.platform.calls",
             lambda: {k: c.calls for k, c in platform.counts.items()},
--- a/bamboospring/sessions/statement_execution.py
+++ b/bamboospring/sessions/statement_execution.py
@@ -2,19 +2,26 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
+from bamboospring import logs
 from bamboospring.outcomes import NotRun
 from bamboospring.outcomes import Overloaded
 from bamboospring.outcomes import Reason
 from bamboospring.reactor import Timer
+from bamboospring.sessions.backpressure import CAPACITY_REASONS
+from bamboospring.sessions.backpressure import limit_retry_delay
+from bamboospring.sessions.backpressure import MAX_SENDS_PER_HOLDER
 from bamboospring.sessions.change_wait import change_wait
 from bamboospring.sessions.direct_attempt import DirectAttempt
 from bamboospring.sessions.forwarded_attempt import ForwardedAttempt
+from bamboospring.sessions.holder_probes import PROBE_INTERVAL
 from bamboospring.sessions.model import ObservedTarget
 from bamboospring.sessions.model import SessionGroup
 from bamboospring.sessions.ports import SessionOutcome
 from bamboospring.sessions.quota_client import Permit
+from bamboospring.sessions.replies import BUSY_RETRY_MS
 from bamboospring.sessions.replies import CHANGE_RETRY_MS
 from bamboospring.sessions.replies import is_certainly_not_run
 from bamboospring.sessions.session import Job
@@ -53,6 +60,12 @@
 # its answer is more likely lost than late.
 HEDGE_LATENCY_FACTOR = 6.0
 MIN_HEDGE_DELAY = 0.08
+# Reasons why there is no target that a change of primary explains.
+CHANGE_REASONS = (Reason.NO_PRIMARY, Reason.PRIMARY_CHANGED)
+# Fraction of its time limit for which a holder may keep a statement queued,
+# see MAX_WAIT_FRACTION in admission.py. After that, its answer is more likely
+# lost than late.
+MAX_QUEUED_FRACTION = 0.6
 
 
 class StatementExecution:
@@ -99,6 +112,14 @@
         )
         slot_wait = job.route.objective * fraction
         self._slot_deadline = min(job.received_at + slot_wait, self.deadline)
+        # Load control: by when the statement should be answered, how often it
+        # was sent to each target's holder, and until when it may not be sent
+        # there again.
+        self.objective_at: float | None = None
+        if runner.board.load_control:
+            self.objective_at = job.received_at + job.route.objective
+        self._holder_sends: Counter[str] = Counter()
+        self._held_back_until: dict[str, float] = {}
 
     @property
     def is_finished(self) -> bool:
@@ -152,13 +173,20 @@
         now = self.runner.reactor.now()
         match self._choose_target(now):
             case SendTo() as choice:
-                self._attempts += 1
                 attempt = self._make_attempt(choice, now)
+                if self._is_held_back(attempt, now):
+                    self._excluded.add(attempt.target)
+                    self.try_next()
+                    return
+                self._attempts += 1
                 self._active.add(attempt)
                 attempt.start()
             case NoTarget(reason=reason):
                 self._no_target_reason = reason.value
-                self._wait_or_refuse(reason, now)
+                if self._held_back_until and reason not in CHANGE_REASONS:
+                    self._wait_for_holder(now)
+                else:
+                    self._wait_or_refuse(reason, now)
 
     def _choose_target(self, now: float) -> TargetChoice:
         return choose_target(
@@ -198,7 +226,7 @@
     def _wait_or_refuse(self, reason: Reason, now: float) -> None:
         if self._active:
             return
-        if reason in (Reason.NO_PRIMARY, Reason.PRIMARY_CHANGED):
+        if reason in CHANGE_REASONS:
             self.runner.request_record_read(self.group.name)
         wait_until, retry_after = self._wait_limits(reason, now)
         if now + RECHECK_INTERVAL >= wait_until:
@@ -236,6 +264,138 @@
             usual=self._slot_deadline,
         )
 
+    # Load control: holders without capacity.
+
+    def _may_be_queued(self) -> bool:
+        """Return whether a holder may still have the statement in its queue.
+
+        A second attempt would then take capacity from other statements and
+        win nothing.
+        """
+        limit = self.job.route.time_limit
+        elapsed = limit - self.remaining()
+        return (
+            self.runner.board.load_control
+            and elapsed < MAX_QUEUED_FRACTION * limit
+            and any(
+                isinstance(each, ForwardedAttempt)
+                and self.runner.is_responsive(each.holder)
+                for each in self._active
+            )
+        )
+
+    def _is_held_back(
+        self, attempt: DirectAttempt | ForwardedAttempt, now: float
+    ) -> bool:
+        """Return whether a queue accepts no such statement at present."""
+        if not self.runner.board.load_control:
+            return False
+        target = attempt.target
+        until = self._held_back_until.get(target, now)
+        if isinstance(attempt, ForwardedAttempt):
+            if self._holder_sends[target] >= MAX_SENDS_PER_HOLDER:
+                until = float("inf")
+            remaining = self.runner.backpressure.remaining(
+                target, self.session.queue_key, self.job.route.urgency, now
+            )
+            until = max(until, now + remaining)
+        if until > now:
+            self._held_back_until[target] = until
+            return True
+        self._held_back_until.pop(target, None)
+        if isinstance(attempt, ForwardedAttempt):
+            self._holder_sends[target] += 1
+        return False
+
+    def is_refusal_final(self, refusal: NotRun | Overloaded) -> bool:
+        """Return whether a queue's refusal is final until its delay is over.
+
+        Without connections at the target, this VM tries again sooner: its own
+        pool limits how often it asks for one.
+        """
+        return (
+            self.runner.board.load_control
+            and refusal.reason in CAPACITY_REASONS
+            and refusal.reason is not Reason.TARGET_CONNECTIONS
+        )
+
+    def on_holder_full(
+        self, attempt: ForwardedAttempt, refusal: NotRun | Overloaded
+    ) -> None:
+        """Handle the refusal of a holder that has insufficient capacity."""
+        now, urgency = self.runner.reactor.now(), self.job.route.urgency
+        is_first = self.runner.backpressure.record(
+            attempt.target, self.session.queue_key, urgency, refusal, now
+        )
+        if is_first:
+            logs.log_event(
+                "holder_full",
+                holder=attempt.holder.name,
+                target=attempt.target,
+                urgency=urgency,
+                reason=refusal.reason,
+                retry_ms=refusal.retry_after_ms,
+            )
+        self.on_queue_full(attempt, refusal)
+
+    def on_queue_full(
+        self,
+        attempt: DirectAttempt | ForwardedAttempt,
+        refusal: NotRun | Overloaded,
+    ) -> None:
+        """Handle the refusal of a queue, at a holder or at this VM.
+
+        The statement isn't sent there again before the delay that the refusal
+        names; another target may serve it at once.
+        """
+        now = self.runner.reactor.now()
+        self._held_back_until[attempt.target] = (
+            now + refusal.retry_after_ms / 1000
+        )
+        self._active.discard(attempt)
+        if self.is_finished or self._active:
+            return
+        self._refusal = refusal
+        if self._caller_disconnected or self.remaining() <= 0:
+            self._finish(refusal, None)
+        else:
+            self.try_next()
+
+    def _wait_for_holder(self, now: float) -> None:
+        """Wait until a holder may accept the statement, or refuse it."""
+        if self._active:
+            return
+        due = min(self._held_back_until.values())
+        if due >= self._slot_deadline:
+            outcome = self._refusal or self._backpressure_refusal(now)
+            self._finish(outcome, None)
+            return
+        self.runner.waited_for_holder_count += 1
+        self._excluded.clear()
+        # A delay that is over when it is passed on to the caller is useless.
+        self._refusal = None
+        self._timer = self.runner.reactor.call_later(
+            max(0.0, due - now), self.try_next
+        )
+
+    def _backpressure_refusal(self, now: float) -> SessionOutcome:
+        """Return the refusal of a statement that may be sent to no holder."""
+        self.runner.backpressure_refusal_count += 1
+        refusals = [
+            self.runner.backpressure.refuse(
+                target, self.session.queue_key, self.job.route.urgency, now
+            )
+            for target in self._held_back_until
+        ]
+        return min(
+            (each for each in refusals if each is not None),
+            key=lambda each: each.retry_after_ms,
+            # The time of the last remembered refusal has just passed.
+            default=Overloaded(
+                reason=Reason.QUEUE_FULL, retry_after_ms=BUSY_RETRY_MS
+            ),
+        )
+
     # Results of attempts.
 
     def schedule_hedge(self, observed: ObservedTarget) -> None:
@@ -254,6 +414,11 @@
         self._hedge_timer = None
         if self.is_finished or self._attempts >= MAX_ATTEMPTS:
             return
+        if self._may_be_queued():
+            self._hedge_timer = self.runner.reactor.call_later(
+                PROBE_INTERVAL, self._send_hedge
+            )
+            return
         if not self.runner.budget.spend_retry():
             return
         self.trace.hedged = True
@@ -337,6 +502,8 @@
         on_complete, self._on_complete = self._on_complete, None
         if on_complete is None:
             return
+        if self.runner.board.load_control:
+            outcome = self._limit_delay(outcome)
         for timer in (self._timer, self._hedge_timer):
             if timer is not None:
                 timer.cancel()
@@ -347,6 +514,13 @@
         self.runner.statement_logger.log_outcome(self.trace, outcome)
         on_complete(outcome, position)
 
+    def _limit_delay(self, outcome: SessionOutcome) -> SessionOutcome:
+        match outcome:
+            case NotRun(reason=reason) | Overloaded(reason=reason):
+                if reason in CAPACITY_REASONS:
+                    return limit_retry_delay(outcome, self.job.route.objective)
+        return outcome
+
     def _return_permit(self, outcome: SessionOutcome) -> None:
         """Return the permit of an operation that has not run to its team."""
         permit, self._permit = self._permit, None
--- a/bamboospring/sessions/transaction_step.py
+++ b/bamboospring/sessions/transaction_step.py
@@ -72,8 +72,14 @@
             self._deadline(),
             self._session.queue_key,
             self._on_leased,
+            objective_at=self._objective_at(),
         )
 
+    def _objective_at(self) -> float | None:
+        if not self._runner.board.load_control:
+            return None
+        return self._job.received_at + self._job.route.objective
+
     def _deadline(self) -> float:
         return self._job.received_at + self._job.route.time_limit
 
--- a/bamboospring/wire.capnp
+++ b/bamboospring/wire.capnp
@@ -91,6 +91,7 @@
   vm @0 :Text;
   number @1 :UInt64;          # assigned by the sender, to cancel the read
   head @2 :Data;              # JSON; for its members see held_messages.py
+  objectiveUs @3 :Int64;      # time left to the objective; 0: none was given
 }
 
 struct HeldAnswer {
--- a/features/steps/zone_holders_steps.py
+++ b/features/steps/zone_holders_steps.py
@@ -350,13 +350,15 @@
 class Crowd:
     """Many VMs that use one target."""
 
+    target_type: type[FakeTarget] = FakeTarget
+
     def __init__(
         self, count: int, zones: int, slots: int, connection_limit: int
     ) -> None:
         self.clock = FakeClock()
         self.rng = random.Random(1)
         self.count = count
-        self.target = FakeTarget(self.clock, slots, connection_limit)
+        self.target = self.target_type(self.clock, slots, connection_limit)
         self.vms = [
             CrowdVm(self, number, f"z-{number % zones}")
             for number in range(count)
