Test the remaining rules of overloaded queues

Cause: trials with single rules taken out had shown that no scenario noticed when urgencies were counted together, a holder that had queued a statement was taken for a silent one, or every urgency asked a busy target equally often.

Change: scenarios for these, for statements that wait at a busy target (prepared again, dropped on request) and for six zones before a target that queues nothing.

--- a/features/overload_queues.feature
+++ b/features/overload_queues.feature
@@ -43,6 +43,14 @@
     Then at least 0.95 of urgency 0 are answered in time
     And at least 0.85 of urgency 1 are answered in time
 
+  Scenario: Six zones share a target that queues nothing
+    # Guards against: the least urgent statements of some zones ask for the
+    # slots as often as the most urgent ones of others.
+    Given 80 VMs in 6 zones with load control on, a target of 4 slots, 56 connections and a queue of 0
+    When statements of 18 ms in the mix of A arrive at 260 a second for 8 s
+    Then at least 0.93 of urgency 0 are answered in time
+    And at least 0.85 of urgency 1 are answered in time
+
   Scenario: One team sends forty times what each other one sends
     # Twice what the target can run. Guards against: the refusals of one
     # team's statements are remembered for others, or delay them.
@@ -148,6 +156,42 @@
     And d is refused 1 times because of queue_full
     And f is refused 1 times because of queue_full
 
+  Scenario: An urgent caller keeps its places in a full queue
+    # Guards against: the caller with most places loses one, although only
+    # the other caller's statement is less urgent.
+    Given a queue under load control for 4 statements
+    When statement run of zero with urgency 1 and an objective of 900 ms arrives
+    And 3 statements of busy with urgency 1 arrive
+    And statement idle of two with urgency 2 and an objective of 900 ms arrives
+    And statement new of three with urgency 0 and an objective of 900 ms arrives
+    Then idle is refused 1 times because of queue_full
+    And nothing of busy is refused
+
+  Scenario: A holder that has queued a statement is not silent
+    # Guards against: an entry opens connections of its own because a holder
+    # owes an answer, or waits for a holder that is lost.
+    Given a holder that owes an answer and answers heartbeats
+    Then it is not silent within 3 s and gets at most 30 heartbeats
+    When it stops answering
+    Then it is silent after 0.25 s
+    When it answers again
+    Then it is not silent within 1 s and gets at most 10 heartbeats
+
+  Scenario: A statement is prepared again after a busy target
+    # Guards against: the target has no slot for the values of the session,
+    # and the statement is then sent without them.
+    Given 80 VMs in 3 zones with load control on, a target of 4 slots, 56 connections and a queue of 0
+    And links that check the values of sessions
+    And sessions with values of their own
+    When a read with other values waits at its holder for a slot
+    Then it ran with the values of its session, which were refused before
+
+  Scenario: A statement that waits at a busy target is dropped on request
+    # Guards against: a statement whose caller has left runs after its wait.
+    Given 80 VMs in 3 zones with load control on, a target of 4 slots, 56 connections and a queue of 0
+    When a read waits at its holder for a slot and its caller leaves
+    Then it never runs and its caller is gone
+
   Scenario: A flooding caller has its own part and its own delays
     Given a queue under load control for 64 statements
     When 300 statements of flood with urgency 1 arrive
--- a/features/steps/overload_queues_steps.py
+++ b/features/steps/overload_queues_steps.py
@@ -35,11 +35,15 @@
 from bamboospring.sessions.forward_messages import encode_objective
 from bamboospring.sessions.forward_messages import encode_statement
 from bamboospring.sessions.forward_messages import ForwardRequest
+from bamboospring.sessions.holder_probes import HolderProbes
 from bamboospring.sessions.model import Catalog
 from bamboospring.sessions.model import Freshness
 from bamboospring.sessions.model import GroupLimits
 from bamboospring.sessions.model import ListedTarget
 from bamboospring.sessions.model import Route
+from bamboospring.sessions.ports import Assign
+from bamboospring.sessions.ports import ResetConnection
+from bamboospring.sessions.ports import RunText
 from bamboospring.sessions.ports import Served
 from bamboospring.sessions.session import Job
 from bamboospring.sessions.session import Session
@@ -47,7 +51,9 @@
 from features.steps.unanswered_steps import FakeClock
 from features.steps.zone_holders_steps import Crowd
 from features.steps.zone_holders_steps import CrowdVm
+from features.steps.zone_holders_steps import FakeLink
 from features.steps.zone_holders_steps import FakeTarget
+from features.steps.zone_holders_steps import HOP_SECONDS
 from features.steps.zone_holders_steps import TARGET
 
 SAMPLE_INTERVAL = 0.001
@@ -163,6 +169,7 @@
         self, clock: FakeClock, slots: int, connection_limit: int
     ) -> None:
         super().__init__(clock, slots, connection_limit)
+        self.refused = 0
         self.queue: deque[tuple[float, Any, Any]] = deque()
 
     def occupy_slot(self, seconds: float, done: Any, refused: Any) -> None:
@@ -171,6 +178,7 @@
         elif len(self.queue) < self.queue_limit:
             self.queue.append((seconds, done, refused))
         else:
+            self.refused += 1
             super().occupy_slot(seconds, done, refused)
 
     def _then_next(self, done: Any) -> Any:
@@ -193,6 +201,8 @@
     ) -> None:
         super().__init__(count, zones, slots, connection_limit)
         self.retries = 0
+        self.has_values = False
+        self.last_session: Session | None = None
         self.routes = dict(ROUTES)
         self.entry: CrowdVm | None = None
         self.last_outcome: tuple[Any, float] = (None, 0.0)
@@ -289,13 +299,18 @@
             executor=vm.runner,
             channel=None,  # type: ignore[arg-type]
         )
+        self.last_session = session
+        text = "READ a"
+        if self.has_values:
+            session.values["lang"] = str(operation.number % 3)
+            text = f"READ {session.values['lang']}"
         route = self.routes[operation.urgency]
         job = Job(
             id=f"{operation.number}.{operation.retries_left}",
             writes=False,
             route=route,
             received_at=self.clock.now(),
-            text="READ a",
+            text=text,
         )
 
         def ended(outcome: Any, position: Any) -> None:
@@ -735,3 +750,161 @@
     ask.head = encode_statement(make_request(0.5))
     received = decode_statement(ask.head, ask.objectiveUs)
     assert received == make_request(None), received
+
+
+class ProbedPeers:
+    """One link to a holder that owes an answer, as `Peers` reports it."""
+
+    def __init__(self, clock: FakeClock) -> None:
+        self.clock = clock
+        self.is_answering = True
+        self.heartbeats = 0
+        self.received_at = 0.0
+
+    def unresponsive_for(self, address: str) -> float:
+        return self.clock.now() - self.received_at
+
+    def ask(
+        self, address: str, message: Any, timeout: float, on_answer: Any
+    ) -> None:
+        self.heartbeats += 1
+        if not self.is_answering:
+            lost = PeerLost(sent=True)
+            self.clock.call_later(timeout, lambda: on_answer(lost))
+            return
+
+        def answer() -> None:
+            self.received_at = self.clock.now()
+            on_answer(message)
+
+        self.clock.call_later(HOP_SECONDS, answer)
+
+
+@given("a holder that owes an answer and answers heartbeats")
+def given_probed(context: Any) -> None:
+    clock: Any = FakeClock()
+    peers: Any = ProbedPeers(clock)
+    context.clock, context.peers = clock, peers
+    context.probes = HolderProbes(reactor=clock, peers=peers, vm="v")
+    context.probes.watch("h:1")
+
+
+@when("it stops answering")
+def when_stops(context: Any) -> None:
+    context.peers.is_answering = False
+
+
+@when("it answers again")
+def when_answers(context: Any) -> None:
+    context.peers.is_answering = True
+    context.clock.run_until(context.clock.now() + 0.5)
+
+
+@then(
+    "it is not silent within {seconds:d} s and gets at most {most:d}"
+    " heartbeats"
+)
+def then_not_silent(context: Any, seconds: int, most: int) -> None:
+    clock, before = context.clock, context.peers.heartbeats
+    end = clock.now() + seconds
+    while clock.now() < end:
+        clock.run_until(clock.now() + 0.01)
+        assert not context.probes.is_silent("h:1"), clock.now()
+    assert 0 < context.peers.heartbeats - before <= most
+
+
+@then("it is silent after {seconds:g} s")
+def then_silent(context: Any, seconds: float) -> None:
+    context.clock.run_until(context.clock.now() + seconds)
+    assert context.probes.is_silent("h:1")
+
+
+@given("links that check the values of sessions")
+def given_checked_links(context: Any) -> None:
+    crowd, send = context.overload, FakeLink.send
+    crowd.wrong_values, crowd.refused_setups = [], 0
+
+    def checked(
+        link: FakeLink, orders: Any, timeout: float, on_complete: Any
+    ) -> None:
+        def on_result(result: Any) -> None:
+            is_refused = any(reply.refusal is not None for reply in result)
+            if isinstance(orders[0], RunText):
+                expected = {"lang": orders[0].text.removeprefix("READ ")}
+                if link.values != expected and not is_refused:
+                    crowd.wrong_values.append((link.values, expected))
+            elif is_refused:
+                crowd.refused_setups += 1
+            else:
+                apply_setup(link, orders)
+            on_complete(result)
+
+        send(link, orders, timeout, on_result)
+
+    FakeLink.send = checked  # type: ignore[method-assign]
+    context.add_cleanup(setattr, FakeLink, "send", send)
+
+
+def apply_setup(link: FakeLink, orders: Any) -> None:
+    for order in orders:
+        match order:
+            case ResetConnection():
+                link.values.clear()
+            case Assign(name=name, value=value):
+                link.values[name] = value
+
+
+@given("sessions with values of their own")
+def given_values(context: Any) -> None:
+    context.overload.has_values = True
+
+
+def send_to_full_target(crowd: OverloadCrowd, seconds: float) -> None:
+    """Send a read over an open connection while all slots are in use."""
+    now = crowd.clock.now()
+    crowd.entry = next(
+        vm
+        for vm in crowd.vms
+        if vm.holders.holder(
+            "t", max_connections=1, vm_count=crowd.count, now=now
+        )
+    )
+    crowd.start_load()
+    crowd.start_operation()
+    crowd.clock.run_until(now + 0.5)
+    assert crowd.target.run_counts["0.0"] == 1
+    for _ in range(crowd.target.slots):
+        crowd.target.occupy_slot(seconds, lambda: None, lambda: None)
+    crowd.start_operation()
+
+
+@when("a read with other values waits at its holder for a slot")
+def when_waits(context: Any) -> None:
+    crowd = context.overload
+    send_to_full_target(crowd, 0.1)
+    crowd.clock.run_until(crowd.clock.now() + 2.0)
+
+
+@then("it ran with the values of its session, which were refused before")
+def then_values(context: Any) -> None:
+    crowd = context.overload
+    assert crowd.target.run_counts["1.0"] == 1
+    assert crowd.refused_setups > 0
+    assert not crowd.wrong_values, crowd.wrong_values
+
+
+@when("a read waits at its holder for a slot and its caller leaves")
+def when_leaves(context: Any) -> None:
+    crowd = context.overload
+    send_to_full_target(crowd, 0.3)
+    crowd.clock.run_until(crowd.clock.now() + 0.1)
+    assert crowd.target.refused > 0
+    crowd.entry.runner.cancel(crowd.last_session)
+    crowd.clock.run_until(crowd.clock.now() + 2.0)
+
+
+@then("it never runs and its caller is gone")
+def then_gone(context: Any) -> None:
+    crowd = context.overload
+    assert crowd.target.run_counts["1.0"] == 0
+    assert crowd.last_outcome[0].reason is Reason.CALLER_GONE
