--- a/bamboospring/sessions/forward_messages.py
+++ b/bamboospring/sessions/forward_messages.py
@@ -22,8 +22,10 @@
 __all__ = [
     "ForwardRequest",
     "ForwardResult",
+    "decode_objective",
     "decode_result",
     "decode_statement",
+    "encode_objective",
     "encode_result",
     "encode_statement",
 ]
@@ -40,6 +42,10 @@
     time limit in seconds; within `slot_timeout` seconds the statement must get
     a slot. The holder must not abandon a read that is not `abandonable`, see
     `bamboospring.sessions.overdue`.
+
+    `objective` is in how many seconds it should be answered, negative if it is
+    late; None without load control and from older VMs. It is not part of the
+    head, whose members older VMs count, see `encode_objective`.
     """
 
     id: str
@@ -59,6 +65,7 @@
     arguments: str = ""
     after: Position | None = None
     abandonable: bool = True
+    objective: float | None = None
 
 
 # The result: the target's complete reply, a refusal by the holder (the
@@ -99,8 +106,18 @@
     return orjson.dumps(fields)
 
 
-def decode_statement(head: bytes) -> ForwardRequest:
-    """Decode the output of `encode_statement`."""
+def encode_objective(seconds: float | None) -> int:
+    """Encode the time left to an objective; 0 means that there is none."""
+    return 0 if seconds is None else round(seconds * 1e6) or 1
+
+
+def decode_objective(microseconds: int) -> float | None:
+    """Decode the output of `encode_objective`."""
+    return microseconds / 1e6 if microseconds else None
+
+
+def decode_statement(head: bytes, objective_us: int = 0) -> ForwardRequest:
+    """Decode the output of `encode_statement` and `encode_objective`."""
     (
         id,
         caller,
@@ -138,6 +155,7 @@
         arguments=arguments,
         after=_decode_position(after),
         abandonable=optional[0] if optional else True,
+        objective=decode_objective(objective_us),
     )
 
 
