Let the crowd of the replays answer heartbeats and queue once

Two parts had given the replay's target a queue and its peers an answer to heartbeats, each in its own steps. Both now stand in the crowd itself; checks and bounds are unchanged.

--- a/features/steps/overload_queues_steps.py
+++ b/features/steps/overload_queues_steps.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections import deque
 from dataclasses import dataclass
 from dataclasses import field
 from dataclasses import replace
@@ -122,7 +121,7 @@
 
 
 def watch_peers(crowd: OverloadCrowd, peers: Any) -> None:
-    """Count requests, answer heartbeats, and tell silence as `Peers` does.
+    """Count requests, and tell silence as `Peers` does.
 
     A holder that answers anything is responsive, whatever else it owes.
     """
@@ -150,44 +149,25 @@
             return 0.0
         return crowd.clock.now() - received_at[address]
 
-    def answer_heartbeat(message: Any, reply: Any) -> None:
-        answer = new_envelope()
-        answer.init("heartbeatAck")
-        reply(answer)
-
     peers.ask = counted
     peers.unresponsive_for = unresponsive_for
-    peers.add_handler("heartbeat", answer_heartbeat)
 
 
 class QueueingTarget(FakeTarget):
-    """A target that queues statements for its slots, in order of arrival."""
-
-    queue_limit = 0
+    """A target that counts the statements that it refuses."""
 
     def __init__(
         self, clock: FakeClock, slots: int, connection_limit: int
     ) -> None:
         super().__init__(clock, slots, connection_limit)
         self.refused = 0
-        self.queue: deque[tuple[float, Any, Any]] = deque()
 
     def occupy_slot(self, seconds: float, done: Any, refused: Any) -> None:
-        if self.slots_in_use < self.slots:
-            super().occupy_slot(seconds, self._then_next(done), refused)
-        elif len(self.queue) < self.queue_limit:
-            self.queue.append((seconds, done, refused))
-        else:
+        def count_refusal() -> None:
             self.refused += 1
-            super().occupy_slot(seconds, done, refused)
-
-    def _then_next(self, done: Any) -> Any:
-        def over() -> None:
-            if self.queue:
-                self.occupy_slot(*self.queue.popleft())
-            done()
+            refused()
 
-        return over
+        super().occupy_slot(seconds, done, count_refusal)
 
 
 class OverloadCrowd(Crowd):
--- a/features/steps/zone_holders_steps.py
+++ b/features/steps/zone_holders_steps.py
@@ -27,6 +27,7 @@
 from bamboospring.outcomes import NotRun
 from bamboospring.outcomes import Overloaded
 from bamboospring.outcomes import Reason
+from bamboospring.peers import new_envelope
 from bamboospring.peers import PeerLost
 from bamboospring.pool import PoolTiming
 from bamboospring.pools import Pools
@@ -246,13 +247,19 @@
         pass
 
 
+def answer_heartbeat(_message: Any, reply: Any) -> None:
+    answer = new_envelope()
+    answer.init("heartbeatAck")
+    reply(answer)
+
+
 class FakePeers:
     """The network between the VMs of a crowd."""
 
     def __init__(self, crowd: Crowd, vm: CrowdVm) -> None:
         self.crowd = crowd
         self.vm = vm
-        self.handlers: dict[str, Any] = {}
+        self.handlers: dict[str, Any] = {"heartbeat": answer_heartbeat}
         self.unanswered: dict[str, list[float]] = {}
 
     def unresponsive_for(self, address: str) -> float | None:
