Run transactions through the holders of their targets

Cause: with far more VMs than connections, each transaction opens a connection of its own, which takes a slot for 12 ms, and keeps it while its caller pauses; most VMs find no place.

Change: with load control on, the first statement of a transaction opens it at the VM that holds its target for the zone, and all later ones go there (heldTxAsk, heldTxAnswer, heldTxEnd). The holder keeps one connection pinned, runs only the next step, and rolls back on the end of its entry's link, on idleness and on its shutdown. Only a commit commits, so what is lost before is reported as not run. A holder gives transactions 0.6 of its connections at most and tells refused ones when there is room. The holders of all zones together use 0.85 of a target's limit, each by the VMs of its zone. The hello's protocol is 2 where the new messages are understood, since an older VM drops the link on an unknown one. Without load control nothing changes.

--- a/bamboospring/admission.py
+++ b/bamboospring/admission.py
@@ -138,6 +138,10 @@
         decisions.extend(self._refuse_hopeless(now))
         return decisions
 
+    def start_at_once(self, ticket: Ticket) -> list[SlotDecision]:
+        """Grant a slot beyond the limit, see `Pool.reacquire_slot`."""
+        return [self._start(ticket)]
+
     def release(self, ticket: Ticket, seconds: float) -> None:
         """Give back a slot that was held for `seconds`."""
         self.running -= 1
--- a/bamboospring/peers.py
+++ b/bamboospring/peers.py
@@ -23,12 +23,23 @@
 from bamboospring.reactor import Stream
 from bamboospring.reactor import Timer
 
-__all__ = ["PeerLost", "Peers", "Reply", "new_envelope", "schema"]
+__all__ = [
+    "HELD_TRANSACTIONS_PROTOCOL",
+    "PeerLost",
+    "Peers",
+    "Reply",
+    "new_envelope",
+    "schema",
+]
 
 capnp.remove_import_hook()
 schema = capnp.load(str(Path(__file__).with_name("wire.capnp")))
 
-PROTOCOL = 1
+# The accepting side names its protocol in its hello. A VM that does not know a
+# kind of message drops the link, and with it all other exchanges on it, so
+# messages of a newer protocol are sent only where it is spoken.
+HELD_TRANSACTIONS_PROTOCOL = 2
+PROTOCOL = HELD_TRANSACTIONS_PROTOCOL
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 CONNECT_TIMEOUT = 1.0
 # A link can stop working permanently while new ones work. If an exchange is
@@ -53,7 +64,20 @@
     sent: bool
 
 
-Reply = Callable[[Any], None]
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Reply:
+    """Sends the answer to one message; `sender` is the link it came over."""
+
+    sender: _Link
+    number: int
+
+    def __call__(self, answer: Any) -> None:
+        """Send the answer unless the link has closed."""
+        answer.id = self.number
+        if not self.sender.is_closed:
+            self.sender.write(0, answer.to_bytes())
+
+
 OnMessage = Callable[[Any, Reply], None]
 OnAnswer = Callable[[Any], None]
 
@@ -77,6 +101,7 @@
         self._links: dict[str, _Link] = {}
         self._accepted: set[_Link] = set()
         self._ids = itertools.count(1)
+        self._close_listeners: list[Callable[[object], None]] = []
         self.listener: Listener = reactor.listen(listen, self._accept)
         self.sent_bytes = 0
         self.received_bytes = 0
@@ -89,6 +114,15 @@
         """
         self._handlers[kind] = callback
 
+    def add_close_listener(self, listener: Callable[[object], None]) -> None:
+        """Call back with each link that has closed, see `Reply.sender`."""
+        self._close_listeners.append(listener)
+
+    def protocol_of(self, address: str) -> int:
+        """Return the protocol of a peer, 0 if no link to it is ready."""
+        link = self._links.get(address)
+        return link.protocol if link is not None else 0
+
     def send(self, address: str, message: Any) -> None:
         """Send without an answer; the message is lost if the peer is away."""
         message.id = 0
@@ -153,6 +187,8 @@
         self._accepted.discard(link)
         if self._links.get(link.address) is link:
             del self._links[link.address]
+        for listener in self._close_listeners:
+            listener(link)
 
     def _link(self, address: str) -> _Link:
         link = self._links.get(address)
@@ -190,11 +226,12 @@
     last_received_at: float = 0.0
     heartbeat_at: float = -1e9
     heartbeat_timer: Timer | None = None
+    protocol: int = 0
     is_ready: bool = False
     is_closed: bool = False
 
     def send(self, data: bytes) -> None:
-        self._write(0, data)
+        self.write(0, data)
 
     def ask(self, message: Any, timeout: float, on_answer: OnAnswer) -> None:
         number = message.id
@@ -202,7 +239,7 @@
             timeout, lambda: self._expire_exchange(number)
         )
         self.exchanges[number] = _Exchange(on_answer=on_answer, timer=timer)
-        self._write(number, message.to_bytes())
+        self.write(number, message.to_bytes())
         if self.heartbeat_timer is None and self.is_ready:
             # Only time after the request counts as unresponsive.
             self.last_received_at = self.peers.reactor.now()
@@ -243,7 +280,7 @@
             # An exchange that timed out meanwhile was reported as not sent, so
             # its message must not be sent any more.
             if number == 0 or number in self.exchanges:
-                self._write(number, data)
+                self.write(number, data)
         if self.exchanges:
             self._start_heartbeat_timer()
 
@@ -253,7 +290,7 @@
         else:
             self._on_close()
 
-    def _write(self, number: int, data: bytes) -> None:
+    def write(self, number: int, data: bytes) -> None:
         if self.stream is None or not self.is_ready:
             self.unsent.append((number, data))
             return
@@ -314,12 +351,9 @@
             exchange.on_answer(message)
             return
 
-        def reply(answer: Any) -> None:
-            answer.id = number
-            if not self.is_closed:
-                self._write(0, answer.to_bytes())
-
-        self.peers.dispatch(message, reply)
+        if message.which() == "hello":
+            self.protocol = message.hello.protocol
+        self.peers.dispatch(message, Reply(sender=self, number=number))
 
     def _start_heartbeat_timer(self) -> None:
         self.heartbeat_timer = self.peers.reactor.call_later(
--- a/bamboospring/pool.py
+++ b/bamboospring/pool.py
@@ -199,6 +199,11 @@
         """Return the share of the target's limits."""
         return self._share
 
+    @property
+    def connection_limit(self) -> int:
+        """Return the number of connections that may be open at present."""
+        return self._tracker.limit
+
     @property
     def waiting(self) -> int:
         """Return the number of statements that wait for a slot."""
@@ -310,12 +315,24 @@
         caller: str,
         deadline: float,
         on_ready: OnReady[LinkT],
+        *,
+        at_once: bool = False,
     ) -> None:
-        """Acquire a slot for the next statement of a transaction."""
+        """Acquire a slot for the next statement of a transaction.
+
+        With `at_once` it gets one beyond the limit instead of waiting. Others
+        may wait for locks of this transaction and occupy all slots meanwhile.
+        """
         request = _AcquireRequest[LinkT](
             caller=caller, deadline=deadline, on_ready=on_ready, leased=leased
         )
-        self._submit(self._slot_admission, request)
+        if not at_once:
+            self._submit(self._slot_admission, request)
+            return
+        ticket = Ticket(caller=caller, deadline=deadline, item=request)
+        self._apply_decisions(
+            self._slot_admission.start_at_once(ticket), self._slot_admission
+        )
 
     def tick(self) -> None:
         """Check idle connections and refuse expired requests.
--- a/bamboospring/pools.py
+++ b/bamboospring/pools.py
@@ -96,10 +96,14 @@
         deadline: float,
         caller: str,
         on_ready: OnReady,
+        *,
+        at_once: bool = False,
     ) -> None:
         """Acquire a slot for a transaction's next statement."""
         pool = self.pool(leased.target)
-        pool.reacquire_slot(leased, caller, deadline, on_ready)
+        pool.reacquire_slot(
+            leased, caller, deadline, on_ready, at_once=at_once
+        )
 
     def pool(self, target: Target) -> Pool[LinkT]:
         """Return the pool of a target.
--- a/bamboospring/sessions/forward_messages.py
+++ b/bamboospring/sessions/forward_messages.py
@@ -10,6 +10,7 @@
 
 import orjson
 
+from bamboospring.errors import MessageError
 from bamboospring.outcomes import NotRun
 from bamboospring.outcomes import Overloaded
 from bamboospring.outcomes import Reason
@@ -22,10 +23,14 @@
 __all__ = [
     "ForwardRequest",
     "ForwardResult",
+    "HeldOpening",
+    "HeldStep",
     "decode_result",
     "decode_statement",
+    "decode_step",
     "encode_result",
     "encode_statement",
+    "encode_step",
 ]
 
 
@@ -59,6 +64,48 @@
     after: Position | None = None
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HeldOpening:
+    """What a holder needs to open a transaction.
+
+    The members are as in `ForwardRequest`.
+    """
+
+    caller: str
+    team: str
+    group: str
+    target: str
+    address: str
+    born: int
+    slot_timeout: float
+    urgency: int = 0
+    read_only: bool = False
+    after: Position | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HeldStep:
+    """One statement of a transaction at a holder, or its commit.
+
+    Step 0 has an `opening`. `text` and `shape` are None for a commit. The
+    members are as in `ForwardRequest`.
+    """
+
+    id: str
+    values: dict[str, str]
+    remaining: float
+    writes: bool = False
+    text: str | None = None
+    shape: Shape | None = None
+    arguments: str = ""
+    opening: HeldOpening | None = None
+
+    @property
+    def is_commit(self) -> bool:
+        """Return whether this is the commit."""
+        return self.text is None and self.shape is None
+
+
 # The result: the target's complete reply, a refusal by the holder (the
 # statement has not run), or a lost connection to the target.
 ForwardResult = TargetReply | NotRun | Overloaded | LinkLost
@@ -177,6 +224,85 @@
     )
 
 
+def encode_step(step: HeldStep) -> bytes:
+    """Encode a step of a transaction for its holder."""
+    shape, opening = step.shape, step.opening
+    return orjson.dumps(
+        (
+            step.id,
+            step.values,
+            round(step.remaining * 1e6),
+            step.writes,
+            step.text,
+            shape.text if shape is not None else None,
+            step.arguments,
+            None if opening is None else _encode_opening(opening),
+        )
+    )
+
+
+def decode_step(head: bytes) -> HeldStep:
+    """Decode the output of `encode_step`; raise `MessageError` otherwise."""
+    try:
+        id, values, left_us, writes, text, shape, arguments, opening = (
+            orjson.loads(head)
+        )
+        return HeldStep(
+            id=id,
+            values=values,
+            remaining=left_us / 1e6,
+            writes=writes,
+            text=text,
+            shape=None if shape is None else Shape(writes=writes, text=shape),
+            arguments=arguments,
+            opening=None if opening is None else _decode_opening(opening),
+        )
+    except (ValueError, TypeError) as exc:
+        raise MessageError(f"malformed step: {exc}") from exc
+
+
+def _encode_opening(opening: HeldOpening) -> tuple:
+    return (
+        opening.caller,
+        opening.team,
+        opening.group,
+        opening.target,
+        opening.address,
+        opening.born,
+        round(opening.slot_timeout * 1e6),
+        opening.urgency,
+        opening.read_only,
+        _encode_position(opening.after),
+    )
+
+
+def _decode_opening(fields: list) -> HeldOpening:
+    (
+        caller,
+        team,
+        group,
+        target,
+        address,
+        born,
+        slot_timeout_us,
+        urgency,
+        read_only,
+        after,
+    ) = fields
+    return HeldOpening(
+        caller=caller,
+        team=team,
+        group=group,
+        target=target,
+        address=address,
+        born=born,
+        slot_timeout=slot_timeout_us / 1e6,
+        urgency=urgency,
+        read_only=read_only,
+        after=_decode_position(after),
+    )
+
+
 def _encode_position(position: Position | None) -> tuple[int, int] | None:
     return None if position is None else (position.term, position.index)
 
--- a/bamboospring/sessions/node.py
+++ b/bamboospring/sessions/node.py
@@ -31,6 +31,7 @@
 from bamboospring.sessions.access import identify
 from bamboospring.sessions.catalog_keeper import CATALOG_PURPOSE
 from bamboospring.sessions.catalog_keeper import CatalogKeeper
+from bamboospring.sessions.held_transactions import HeldTransactions
 from bamboospring.sessions.holder_server import HolderServer
 from bamboospring.sessions.leader import Leader
 from bamboospring.sessions.load_control import is_load_control_on
@@ -151,6 +152,7 @@
             lease=self.leader.lease,
             listener=self.callers,
             holder_server=self.holder_server,
+            held_transactions=self.held_transactions,
             now=self.reactor.now,
         )
 
@@ -277,6 +279,12 @@
             peers=self.peers,
             pools=self.pools,
         )
+        self.held_transactions = HeldTransactions(
+            reactor=self.reactor,
+            board=self.board,
+            peers=self.peers,
+            pools=self.pools,
+        )
 
     def _create_service(self) -> None:
         cfg = self.cfg
@@ -317,9 +325,17 @@
             board=self.board,
             callers=self.callers,
             grace=cfg.timing.grace_ms / 1000,
-            blocking_count=self.leader.lease.blocks_others,
+            blocking_count=self._count_blocking_exit,
+            end_held_transactions=self.held_transactions.end_all,
         ).register(self)
 
+    def _count_blocking_exit(self) -> int:
+        """Return how much of this VM's work others depend on."""
+        return (
+            self.leader.lease.blocks_others()
+            + self.held_transactions.open_count
+        )
+
     def _on_primary_failed(self, group: str, primary: str) -> None:
         """Close all connections to a failed primary.
 
--- a/bamboospring/sessions/runner.py
+++ b/bamboospring/sessions/runner.py
@@ -16,13 +16,12 @@
 from bamboospring.pools import Pools
 from bamboospring.reactor import Reactor
 from bamboospring.retry_budget import RetryBudget
+from bamboospring.sessions.forwarded_transaction import end_held_transaction
+from bamboospring.sessions.forwarded_transaction import ForwardedStep
+from bamboospring.sessions.link_release import release_connection
 from bamboospring.sessions.model import SessionBoard
-from bamboospring.sessions.ports import LinkLost
-from bamboospring.sessions.ports import RollbackWork
 from bamboospring.sessions.ports import SessionLink
 from bamboospring.sessions.ports import SessionOutcome
-from bamboospring.sessions.ports import SessionState
-from bamboospring.sessions.ports import TargetReply
 from bamboospring.sessions.quota_client import QuotaClient
 from bamboospring.sessions.session import Job
 from bamboospring.sessions.session import OnOutcome
@@ -43,9 +42,6 @@
 # more reads. A responsive holder refuses what it can't run, and runs the rest,
 # in less time.
 HOLDER_RESPONSE_TIMEOUT = 0.2
-# Seconds allowed for the rollback of a transaction that a caller has
-# abandoned; without a reply by then, the connection is closed.
-ROLLBACK_TIMEOUT = 1.0
 
 
 class StatementRunner(StatementExecutor):
@@ -84,25 +80,7 @@
         on_complete: OnOutcome,
     ) -> None:
         """Run a statement, in a transaction if one is given."""
-        on_complete = self._count_running(on_complete)
-        if tx is not None and tx.leased is not None:
-            TransactionStep(
-                runner=self,
-                session=session,
-                job=job,
-                tx=tx,
-                on_complete=on_complete,
-            ).start()
-            return
-        execution = StatementExecution(
-            runner=self,
-            session=session,
-            job=job,
-            tx=tx,
-            on_complete=on_complete,
-        )
-        self._executions[session] = execution
-        execution.start()
+        self._start(session, job, tx, self._count_running(on_complete))
 
     def commit(
         self,
@@ -114,31 +92,18 @@
     ) -> None:
         """Commit a transaction, opening it first if it had no statement."""
         job = Job(id=id, writes=False, route=tx.route, received_at=received_at)
-        on_complete = self._count_running(on_complete)
-        if tx.leased is not None:
-            TransactionStep(
-                runner=self,
-                session=session,
-                job=job,
-                tx=tx,
-                on_complete=on_complete,
-            ).start()
-            return
-        execution = StatementExecution(
-            runner=self,
-            session=session,
-            job=job,
-            tx=tx,
-            on_complete=on_complete,
-        )
-        self._executions[session] = execution
-        execution.start()
+        self._start(session, job, tx, self._count_running(on_complete))
 
     def roll_back(self, tx: SessionTransaction) -> None:
         """Roll back a transaction and release its connection."""
         leased, tx.leased = tx.leased, None
         if leased is not None:
             self.release_connection(leased)
+        held, tx.held = tx.held, None
+        if held is not None:
+            end_held_transaction(
+                self.peers, self.board.vm, held.holder, held.number
+            )
 
     def find_holder(
         self, group: str, choice: SendTo, now: float
@@ -187,20 +152,39 @@
         self, leased: LeasedConnection[SessionLink]
     ) -> None:
         """Return a connection to its pool, rolling back any transaction."""
-        link = leased.conn
-        if not link.usable:
-            self.pools.release(leased, healthy=False)
-            return
-        if link.state is SessionState.IDLE:
-            self.pools.release(leased, healthy=True)
-            return
-
-        def on_result(result: list[TargetReply] | LinkLost) -> None:
-            has_reply = not isinstance(result, LinkLost)
-            is_reusable = has_reply and link.state is SessionState.IDLE
-            self.pools.release(leased, healthy=is_reusable)
+        release_connection(self.pools, leased)
 
-        link.send([RollbackWork()], ROLLBACK_TIMEOUT, on_result)
+    def _start(
+        self,
+        session: Session,
+        job: Job,
+        tx: SessionTransaction | None,
+        on_complete: OnOutcome,
+    ) -> None:
+        """Run a statement where its transaction is open, if it has one."""
+        step: type[TransactionStep | ForwardedStep] | None = None
+        if tx is not None and tx.leased is not None:
+            step = TransactionStep
+        elif tx is not None and tx.held is not None:
+            step = ForwardedStep
+        if tx is not None and step is not None:
+            step(
+                runner=self,
+                session=session,
+                job=job,
+                tx=tx,
+                on_complete=on_complete,
+            ).start()
+            return
+        execution = StatementExecution(
+            runner=self,
+            session=session,
+            job=job,
+            tx=tx,
+            on_complete=on_complete,
+        )
+        self._executions[session] = execution
+        execution.start()
 
     def _count_running(self, on_complete: OnOutcome) -> OnOutcome:
         self.running_count += 1
--- a/bamboospring/sessions/session.py
+++ b/bamboospring/sessions/session.py
@@ -42,9 +42,11 @@
 from bamboospring.sessions.ports import SetValue
 from bamboospring.sessions.ports import Shape
 from bamboospring.sessions.ports import TextStatement
+from bamboospring.sessions.zone_holders import ZoneVm
 from bamboospring.statements import Position
 
 __all__ = [
+    "HeldTransaction",
     "Job",
     "MAX_PENDING_STATEMENTS",
     "Session",
@@ -62,11 +64,25 @@
 MAX_PREPARED_STATEMENTS = 1024
 
 
+@dataclass(slots=True, kw_only=True, eq=False)
+class HeldTransaction:
+    """A transaction that is open at the holder of its target.
+
+    `number` identifies it there; `next_step` is the number of its next step.
+    """
+
+    holder: ZoneVm
+    target: str
+    number: int
+    next_step: int = 1
+
+
 @dataclass(slots=True, kw_only=True, eq=False)
 class SessionTransaction:
     """An open transaction.
 
-    `leased` is its connection once it has one; `lost_reason` is why it can't
+    Once it is open at a target, it has either its connection, `leased`, or
+    its place at the target's holder, `held`. `lost_reason` is why it can't
     continue, for the answer to the next statement.
     """
 
@@ -74,10 +90,16 @@
     read_only: bool
     started_at: float
     leased: LeasedConnection | None = None
+    held: HeldTransaction | None = None
     at_replica: bool = False
     has_written: bool = False
     lost_reason: Reason | None = None
 
+    @property
+    def is_at_target(self) -> bool:
+        """Return whether it is open at a target."""
+        return self.leased is not None or self.held is not None
+
 
 @dataclass(slots=True, kw_only=True)
 class Job:
@@ -493,7 +515,7 @@
 
     def _release_connection(self) -> None:
         tx = self.transaction
-        if tx is not None and tx.leased is not None:
+        if tx is not None and tx.is_at_target:
             self.executor.roll_back(tx)
 
     def _start_timer(self) -> None:
--- a/bamboospring/sessions/session_metrics.py
+++ b/bamboospring/sessions/session_metrics.py
@@ -27,6 +27,7 @@
     from bamboospring.metrics_export import Exporter
     from bamboospring.platform_client import PlatformClient
     from bamboospring.pools import Pools
+    from bamboospring.sessions.held_transactions import HeldTransactions
     from bamboospring.sessions.holder_server import HolderServer
     from bamboospring.sessions.leader_lease import LeaderLease
     from bamboospring.sessions.platform_adapters import CallerListener
@@ -61,6 +62,7 @@
         self._replica_reads = 0
         self._hedged = 0
         self._forwarded = 0
+        self._forwarded_steps = 0
         self._unready_reason = ""
 
     def record_statement(
@@ -83,7 +85,10 @@
             counts = self._teams.setdefault(team, Counter())
             counts[_team_outcome(outcome)] += 1
         self._hedged += trace.hedged
-        self._forwarded += bool(trace.through)
+        if trace.through and trace.transaction:
+            self._forwarded_steps += 1
+        elif trace.through:
+            self._forwarded += 1
         if isinstance(outcome, Served) and outcome.at_replica:
             self._replica_reads += 1
 
@@ -101,6 +106,7 @@
         lease: LeaderLease,
         listener: CallerListener,
         holder_server: HolderServer,
+        held_transactions: HeldTransactions,
         now: Callable[[], float],
     ) -> None:
         """Add metrics of the node's components."""
@@ -148,6 +154,23 @@
             kind=Kind.COUNTER,
             description="Reads that other VMs have passed on to this one.",
         )
+        watch(
+            "bamboospring.transactions.held",
+            lambda: held_transactions.open_count,
+            description="Transactions of other VMs that are open here.",
+        )
+        watch(
+            "bamboospring.transactions.held.opened",
+            lambda: held_transactions.opened_count,
+            kind=Kind.COUNTER,
+            description="Transactions that other VMs have sent to this one.",
+        )
+        watch(
+            "bamboospring.transactions.held.refused",
+            lambda: held_transactions.refused_count,
+            kind=Kind.COUNTER,
+            description="Those of them that were refused.",
+        )
         watch(
             "bamboospring.platform.calls",
             lambda: {k: c.calls for k, c in platform.counts.items()},
@@ -261,6 +284,11 @@
             ("reads.replica", self._replica_reads, "Reads at replicas."),
             ("reads.hedged", self._hedged, "Reads also sent elsewhere."),
             ("reads.passed_on", self._forwarded, "Reads at holders."),
+            (
+                "transactions.passed_on",
+                self._forwarded_steps,
+                "Statements of transactions at holders.",
+            ),
         ):
             yield Series(
                 name=f"bamboospring.{name}",
--- a/bamboospring/sessions/session_shutdown.py
+++ b/bamboospring/sessions/session_shutdown.py
@@ -105,6 +105,7 @@
         callers: CallerListener,
         grace: float,
         blocking_count: Callable[[], int],
+        end_held_transactions: Callable[[], None],
     ) -> None:
         super().__init__()
         self._reactor = reactor
@@ -112,6 +113,7 @@
         self._callers = callers
         self._grace = grace
         self._blocking_count = blocking_count
+        self._end_held_transactions = end_held_transactions
         self._plan: DrainPlan | None = None
         self._transactions_ended = False
 
@@ -171,6 +173,7 @@
         self._transactions_ended = True
         for session in self._callers.sessions():
             session.abandon_transaction(Reason.DRAINING)
+        self._end_held_transactions()
 
     def _finish(self, elapsed: float) -> None:
         unfinished = [s for s in self._callers.sessions() if not s.is_idle]
--- a/bamboospring/sessions/statement_execution.py
+++ b/bamboospring/sessions/statement_execution.py
@@ -11,6 +11,8 @@
 from bamboospring.sessions.change_wait import change_wait
 from bamboospring.sessions.direct_attempt import DirectAttempt
 from bamboospring.sessions.forwarded_attempt import ForwardedAttempt
+from bamboospring.sessions.forwarded_transaction import can_hold_transactions
+from bamboospring.sessions.forwarded_transaction import ForwardedOpening
 from bamboospring.sessions.model import ObservedTarget
 from bamboospring.sessions.model import SessionGroup
 from bamboospring.sessions.ports import SessionOutcome
@@ -55,6 +57,9 @@
 MIN_HEDGE_DELAY = 0.08
 
 
+Attempt = DirectAttempt | ForwardedAttempt | ForwardedOpening
+
+
 class StatementExecution:
     """Runs a single statement, or the first statement of a transaction.
 
@@ -84,7 +89,7 @@
         self._on_complete: OnOutcome | None = on_complete
         self._excluded: set[str] = set()
         self._attempts = 0
-        self._active: set[DirectAttempt | ForwardedAttempt] = set()
+        self._active: set[Attempt] = set()
         self._caller_disconnected = False
         self._uses_own_connection = False
         self._refusal: SessionOutcome | None = None
@@ -126,7 +131,7 @@
         self._caller_disconnected = True
         if any(each.sent for each in self._active):
             for each in self._active:
-                if isinstance(each, ForwardedAttempt):
+                if not isinstance(each, DirectAttempt):
                     each.cancel()
             return
         self.trace.waited_for = self._describe_wait()
@@ -169,21 +174,29 @@
             now=now,
         )
 
-    def _make_attempt(
-        self, choice: SendTo, now: float
-    ) -> DirectAttempt | ForwardedAttempt:
+    def _make_attempt(self, choice: SendTo, now: float) -> Attempt:
         """Return an attempt through the target's holder or an own connection.
 
-        Transactions use connections of this VM only. A single write may be
-        forwarded: it is sent once, and if its answer is lost, its outcome is
-        unknown, as with an own connection.
+        A single write may be forwarded: it is sent once, and if its answer is
+        lost, its outcome is unknown, as with an own connection. Without load
+        control, transactions use connections of this VM only.
         """
+        runner, tx = self.runner, self.tx
         holder = None
-        if self.tx is None and not self._uses_own_connection:
-            holder = self.runner.find_holder(self.group.name, choice, now)
+        may_forward = tx is None or runner.board.load_control
+        if may_forward and not self._uses_own_connection:
+            holder = runner.find_holder(self.group.name, choice, now)
         if holder is None:
             return DirectAttempt(execution=self, choice=choice)
-        return ForwardedAttempt(execution=self, choice=choice, holder=holder)
+        if tx is None:
+            return ForwardedAttempt(
+                execution=self, choice=choice, holder=holder
+            )
+        if not can_hold_transactions(runner.board, runner.peers, holder):
+            return DirectAttempt(execution=self, choice=choice)
+        return ForwardedOpening(
+            execution=self, tx=tx, choice=choice, holder=holder
+        )
 
     def _requirements(self) -> TargetRequirements:
         tx = self.tx
@@ -273,7 +286,7 @@
 
     def on_served(
         self,
-        attempt: DirectAttempt | ForwardedAttempt,
+        attempt: Attempt,
         outcome: SessionOutcome,
         position: Position | None,
     ) -> None:
@@ -283,7 +296,7 @@
 
     def on_failed(
         self,
-        attempt: DirectAttempt | ForwardedAttempt,
+        attempt: Attempt,
         outcome: SessionOutcome,
         *,
         retryable: bool,
--- a/bamboospring/sessions/target_keeper.py
+++ b/bamboospring/sessions/target_keeper.py
@@ -13,6 +13,7 @@
 from bamboospring.pools import Pools
 from bamboospring.reactor import Reactor
 from bamboospring.reactor import Timer
+from bamboospring.sessions.held_transaction_rules import holder_connections
 from bamboospring.sessions.model import ListedTarget
 from bamboospring.sessions.model import SessionBoard
 from bamboospring.sessions.model import SessionGroup
@@ -257,16 +258,29 @@
         idle_limit, max_kept_idle = idle_timeout(fair_share), max(
             1, int(fair_share * KEPT_IDLE_FRACTION)
         )
-        if self._zone_holders.holds(listed.target.name, self._reactor.now()):
+        now = self._reactor.now()
+        is_holder = self._zone_holders.holds(listed.target.name, now)
+        slots = max_connections
+        if is_holder and self._board.load_control:
+            held = holder_connections(
+                max_connections=limits.max_connections,
+                target_slots=listed.target.slots,
+                zone_vms=len(self._zone_holders.members),
+                all_vms=self._board.vm_count,
+                minimum=MIN_CONNECTIONS,
+            )
+            slots, connections = held.slots, held.connections
+            idle_limit, max_kept_idle = HOLDER_IDLE_TIMEOUT, connections
+        elif is_holder:
             # All reads of the zone come here. They may fill all slots of the
             # target, and connections are kept for the next reads of each team.
-            max_connections = max(max_connections, listed.target.slots)
+            slots = max(max_connections, listed.target.slots)
             connections = max(
-                max_connections,
+                slots,
                 int(limits.max_connections * HOLDER_CONNECTION_FRACTION),
             )
             idle_limit, max_kept_idle = HOLDER_IDLE_TIMEOUT, connections
-        share = TargetCapacity(slots=max_connections, connections=connections)
+        share = TargetCapacity(slots=slots, connections=connections)
         pool = self._pools.pool(listed.target)
         if pool.share != share:
             pool.set_share(share)
--- a/bamboospring/wire.capnp
+++ b/bamboospring/wire.capnp
@@ -33,6 +33,9 @@
     quotaAsk @25 :QuotaAsk;
     quotaAnswer @26 :QuotaAnswer;
     quotaReturn @27 :QuotaReturn;
+    heldTxAsk @28 :HeldTxAsk;
+    heldTxAnswer @29 :HeldTxAnswer;
+    heldTxEnd @30 :HeldTxEnd;
   }
 }
 
@@ -102,6 +105,22 @@
   number @1 :UInt64;
 }
 
+struct HeldTxAsk {            # one step of a transaction at the target's holder
+  vm @0 :Text;
+  number @1 :UInt64;          # assigned by the sender, identifies the transaction
+  step @2 :UInt32;            # 0 opens the transaction
+  head @3 :Data;              # JSON; for its members see forward_messages.py
+}
+
+struct HeldTxAnswer {
+  head @0 :Data;              # JSON; for its members see forward_messages.py
+}
+
+struct HeldTxEnd {            # roll back and discard
+  vm @0 :Text;
+  number @1 :UInt64;
+}
+
 struct Leading {              # the sender has acquired the lease
   vm @0 :Text;
   address @1 :Text;
--- a/features/steps/zone_holders_steps.py
+++ b/features/steps/zone_holders_steps.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections import Counter
+import dataclasses
 from dataclasses import dataclass
 from dataclasses import field
 import itertools
@@ -25,6 +26,7 @@
 from bamboospring.outcomes import NotRun
 from bamboospring.outcomes import Overloaded
 from bamboospring.outcomes import Reason
+from bamboospring.peers import HELD_TRANSACTIONS_PROTOCOL
 from bamboospring.peers import PeerLost
 from bamboospring.pool import PoolTiming
 from bamboospring.pools import Pools
@@ -35,6 +37,7 @@
 from bamboospring.sessions.forward_messages import encode_result
 from bamboospring.sessions.forward_messages import encode_statement
 from bamboospring.sessions.forward_messages import ForwardRequest
+from bamboospring.sessions.held_transactions import HeldTransactions
 from bamboospring.sessions.holder_server import HolderServer
 from bamboospring.sessions.model import Catalog
 from bamboospring.sessions.model import Freshness
@@ -45,8 +48,16 @@
 from bamboospring.sessions.model import SessionBoard
 from bamboospring.sessions.node import LINK_BREAKER
 from bamboospring.sessions.node import LINK_TIMING
+from bamboospring.sessions.ports import Assign
+from bamboospring.sessions.ports import BeginWork
+from bamboospring.sessions.ports import CommitWork
 from bamboospring.sessions.ports import LinkLost
+from bamboospring.sessions.ports import PrepareShape
 from bamboospring.sessions.ports import Refusal
+from bamboospring.sessions.ports import ResetConnection
+from bamboospring.sessions.ports import RollbackWork
+from bamboospring.sessions.ports import RunShape
+from bamboospring.sessions.ports import RunText
 from bamboospring.sessions.ports import Served
 from bamboospring.sessions.ports import SessionState
 from bamboospring.sessions.ports import Shape
@@ -101,6 +112,11 @@
         self.opened = 0
         self.run_time = 0.02
         self.run_counts: Counter[str] = Counter()
+        # Ids of statements by the commit that made them permanent.
+        self.committed: Counter[str] = Counter()
+        self.violations: list[str] = []
+        self.links: list[FakeLink] = []
+        self.on_run: Any = lambda id, link: None
 
     def occupy_slot(self, seconds: float, done: Any, refused: Any) -> None:
         if self.slots_in_use >= self.slots:
@@ -124,31 +140,111 @@
     values: dict[str, str] = field(default_factory=dict)
     shapes: set[Shape] = field(default_factory=set)
     state: SessionState = SessionState.IDLE
-    usable: bool = True
     closed: bool = False
+    uncommitted: list[str] = field(default_factory=list)
+    pending: Any = None
+    timer: Any = None
+
+    @property
+    def usable(self) -> bool:
+        return not self.closed and self.pending is None
 
     def close(self) -> None:
         if not self.closed:
-            self.closed, self.usable = True, False
+            self.closed = True
             self.target.connections -= 1
+            self.target.links.remove(self)
+            if self.pending is not None:
+                self._complete(LinkLost())
 
     def send(self, orders: Any, timeout: float, on_complete: Any) -> None:
-        id = getattr(orders[0], "id", "-")
-
-        def answer(reply: TargetReply) -> None:
-            if self.vm.is_running:
-                on_complete([reply])
+        assert self.pending is None, "an exchange is running"
+        self.pending = on_complete
+        clock = self.target.clock
+        self.timer = clock.call_later(timeout, self._on_timeout)
+        self._run(list(orders), [])
+
+    def _on_timeout(self) -> None:
+        self._complete(LinkLost(unresponsive=True))
+        self.close()
+
+    def _complete(self, result: Any) -> None:
+        on_complete, self.pending = self.pending, None
+        self.timer.cancel()
+        if on_complete is not None and self.vm.is_running:
+            on_complete(result)
+
+    def _run(self, orders: Any, replies: list[TargetReply]) -> None:
+        """Run the orders one after the other, statements in a slot."""
+        if self.closed or self.pending is None:
+            return
+        if not orders:
+            self._complete(replies)
+            return
+        order, later = orders[0], orders[1:]
 
-        def done() -> None:
-            self.target.run_counts[id] += 1
-            answer(
-                TargetReply(signature="s", position=Position(term=1, index=1))
+        def next_after(refusal: Refusal | None) -> None:
+            # What the target has begun takes effect without a connection.
+            if refusal is None:
+                self._apply(order)
+            if self.closed:
+                return
+            position = Position(term=1, index=1)
+            reply = TargetReply(
+                signature="s",
+                refusal=refusal,
+                state=self.state,
+                position=position,
             )
-
-        def refused() -> None:
-            answer(TargetReply(refusal=Refusal.BUSY))
-
-        self.target.occupy_slot(self.target.run_time, done, refused)
+            self._run(later, [*replies, reply])
+
+        if isinstance(order, (RunText, RunShape, CommitWork)):
+            self.target.on_run(order.id, self)
+            self.target.occupy_slot(
+                self.target.run_time,
+                lambda: next_after(None),
+                lambda: next_after(Refusal.BUSY),
+            )
+            return
+        self.target.clock.call_later(HOP_SECONDS, lambda: next_after(None))
+
+    def _apply(self, order: Any) -> None:
+        match order:
+            case BeginWork():
+                self.state, self.uncommitted = SessionState.OPEN, []
+            case RollbackWork():
+                self.state, self.uncommitted = SessionState.IDLE, []
+            case CommitWork():
+                self.target.committed.update(self.uncommitted)
+                self.state, self.uncommitted = SessionState.IDLE, []
+            case Assign(name=name, value=value):
+                self.values = {**self.values, name: value}
+            case ResetConnection():
+                self.values, self.shapes = {}, set()
+            case PrepareShape(shape=shape):
+                self.shapes.add(shape)
+            case RunText() | RunShape():
+                self.target.run_counts[order.id] += 1
+                self._check(order.id)
+
+    def _check(self, id: str) -> None:
+        """Check that a statement runs in its transaction, with its values.
+
+        Ids of statements in transactions are `transaction/number`.
+        """
+        transaction, in_transaction, _number = id.partition("/")
+        is_open = self.state is SessionState.OPEN
+        if is_open != bool(in_transaction):
+            self.target.violations.append(f"{id} ran in {self.state}")
+        if not is_open:
+            return
+        self.uncommitted.append(id)
+        if {each.partition("/")[0] for each in self.uncommitted} != {
+            transaction
+        }:
+            self.target.violations.append(f"{self.uncommitted} ran together")
+        if self.values != {"tx": transaction}:
+            self.target.violations.append(f"{id} ran with {self.values}")
 
 
 class FakeDialer:
@@ -169,6 +265,7 @@
             target.connections += 1
             target.opened += 1
             link = FakeLink(target, self.vm)
+            target.links.append(link)
             opened = Opened(link=link)
 
             def again() -> None:
@@ -196,6 +293,13 @@
         self.vm = vm
         self.handlers: dict[str, Any] = {}
         self.unanswered: dict[str, list[float]] = {}
+        self.close_listeners: list[Any] = []
+
+    def add_close_listener(self, listener: Any) -> None:
+        self.close_listeners.append(listener)
+
+    def protocol_of(self, address: str) -> int:
+        return self.crowd.by_address[address].protocol
 
     def unresponsive_for(self, address: str) -> float | None:
         now = self.crowd.clock.now()
@@ -244,7 +348,11 @@
             if other.is_running:
                 clock.call_later(HOP_SECONDS, lambda: on_answer(answer))
 
+        reply.sender = self.vm  # type: ignore[attr-defined]
+
         def arrive() -> None:
+            if other.is_running and self.vm.is_running:
+                self.crowd.on_message(message.which(), self.vm, other)
             if other.is_running:
                 other.peers.handlers[message.which()](message, reply)
 
@@ -255,7 +363,9 @@
     """One VM of the crowd."""
 
     def __init__(self, crowd: Crowd, number: int, zone: str) -> None:
+        self.crowd = crowd
         self.is_running = True
+        self.protocol = HELD_TRANSACTIONS_PROTOCOL
         self.can_reach_target = True
         self.pending_answers: list[Any] = []
         self.zone_vm = ZoneVm(name=f"vm-{number}", address=f"vm-{number}:1")
@@ -273,8 +383,9 @@
         )
         group = self.board.group("g")
         group.record = PrimaryRecord(group="g", version=1, term=1, primary="t")
+        target = dataclasses.replace(TARGET, slots=crowd.target.slots)
         group.targets["t"] = ListedTarget(
-            target=TARGET, group="g", is_primary=True
+            target=target, group="g", is_primary=True
         )
         self.pools: Any = Pools(
             reactor=clock,
@@ -295,6 +406,12 @@
             peers=self.peers,
             pools=self.pools,
         )
+        self.held = HeldTransactions(
+            reactor=clock,
+            board=self.board,
+            peers=self.peers,
+            pools=self.pools,
+        )
         self.keeper = TargetKeeper(
             reactor=clock,
             board=self.board,
@@ -345,6 +462,14 @@
         waiting, self.pending_answers = self.pending_answers, []
         for lost in waiting:
             lost()
+        for link in list(self.crowd.target.links):
+            if link.vm is self:
+                # The target does not notice and counts it further.
+                link.closed = True
+        for other in self.crowd.vms:
+            for listener in other.peers.close_listeners:
+                if other.is_running:
+                    listener(self)
 
 
 class Crowd:
@@ -364,6 +489,7 @@
         self.by_address = {vm.zone_vm.address: vm for vm in self.vms}
         self.outcomes: Counter[str] = Counter()
         self.sent_count = 0
+        self.on_message: Any = lambda kind, sender, receiver: None
         self.numbers = itertools.count()
         self.reported_outcome: dict[str, str] = {}
         self.writes, self.teams = 0.0, 1
@@ -405,8 +531,9 @@
             self.ask()
         self.clock.run_until(end + ROUTE.time_limit + 0.1)
 
-    def ask(self) -> None:
-        vm = self.rng.choice([vm for vm in self.vms if vm.is_running])
+    def ask(self, vm: CrowdVm | None = None) -> None:
+        if vm is None:
+            vm = self.rng.choice([vm for vm in self.vms if vm.is_running])
         clock: Any = self.clock
         number = next(self.numbers)
         self.sent_count += 1
