Never reuse a connection whose orders were not answered in time

A primary did not answer SET and BEGIN within the time limit. The link reported the loss before it closed; at that instant it looked usable and idle, so the holder returned it to its pool as healthy, and the next statement that waited there was written to it before the close. The target ran it after the BEGIN.

Change: the holder closes a connection on which an exchange was lost, and a link closes before it reports a loss, so that nobody finds it usable.

--- a/bamboospring/platform/target_dialer.py
+++ b/bamboospring/platform/target_dialer.py
@@ -230,16 +230,26 @@
         self._complete(LinkLost())
 
     def _fail(self, lost: LinkLost) -> None:
-        self._complete(lost)
+        # Closed first: whoever is told of the loss must not find the
+        # connection usable, as its orders may still take effect.
+        on_complete = self._end_exchange()
         self._stream.abort()
+        if on_complete is not None:
+            on_complete(lost)
 
     def _complete(self, result: list[TargetReply] | LinkLost) -> None:
+        on_complete = self._end_exchange()
+        if on_complete is not None:
+            on_complete(result)
+
+    def _end_exchange(
+        self,
+    ) -> Callable[[list[TargetReply] | LinkLost], None] | None:
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
         on_complete, self._on_complete = self._on_complete, None
-        if on_complete is not None:
-            on_complete(result)
+        return on_complete
 
 
 def _encode_order(order: TargetOrder) -> str:
--- a/bamboospring/sessions/held_transactions.py
+++ b/bamboospring/sessions/held_transactions.py
@@ -361,6 +361,7 @@
 
     def _on_begun(self, result: list[TargetReply] | LinkLost) -> None:
         if isinstance(result, LinkLost):
+            self._discard_link()
             self._answer_and_end(NotRun(reason=Reason.TARGET_UNREACHABLE))
             return
         refused = [reply for reply in result if reply.refusal is not None]
@@ -433,10 +434,10 @@
         leased.conn.send(orders, self._remaining(), self._on_prepared)
 
     def _on_prepared(self, result: list[TargetReply] | LinkLost) -> None:
-        is_refused = isinstance(result, LinkLost) or any(
-            reply.refusal is not None for reply in result
-        )
-        if is_refused:
+        if isinstance(result, LinkLost):
+            self._discard_link()
+            self._answer_and_end(NotRun(reason=Reason.TRANSACTION_LOST))
+        elif any(reply.refusal is not None for reply in result):
             self._answer_and_end(NotRun(reason=Reason.TRANSACTION_LOST))
         else:
             self._send()
@@ -452,6 +453,7 @@
 
         def on_result(result: list[TargetReply] | LinkLost) -> None:
             if isinstance(result, LinkLost):
+                self._discard_link()
                 self._log_lost("target_lost")
                 self._answer_and_end(result)
                 return
@@ -582,6 +584,16 @@
         if leased is not None:
             release_connection(self.server.pools, leased)
 
+    def _discard_link(self) -> None:
+        """Close a connection whose orders have not been answered.
+
+        What it is told next would run in the transaction that they may have
+        opened.
+        """
+        leased, self.leased = self.leased, None
+        if leased is not None:
+            self.server.pools.release(leased, healthy=False)
+
     def _record_slot(self, *, found: bool) -> None:
         self.server.pools.pool(self.target).record_slot_result(found=found)
 
--- a/features/held_transactions.feature
+++ b/features/held_transactions.feature
@@ -136,6 +136,15 @@
     Then its caller is told NotRun transaction_lost
     And the holder has rolled it back
 
+  Scenario: A target does not reply when transactions are opened
+    # Guards against: a connection whose BEGIN was not answered in time is
+    # used for the next statement, which then runs in that transaction.
+    Given 60 VMs in 2 zones before a target of 6 slots and 53 connections
+    And load control is on at all of them
+    When a transaction is open at its holder
+    And its target replies to nothing, and reads wait behind transactions
+    Then no statement has run in a transaction of another caller
+
   Scenario: The primary changes while a commit runs
     # Guards against: a commit is acknowledged that the new primary may lack.
     Given 60 VMs in 2 zones before a target of 6 slots and 53 connections
@@ -148,7 +157,7 @@
     # Guards against: an order of losses, delays and ends that none of the
     # other scenarios has.
     When transactions meet random faults for 4 s, drawn from seeds 1 to 6
-    Then each outcome is true, and most transactions went through holders
+    Then each outcome is true, and many transactions went through holders
 
   Scenario: An entry is lost
     # Guards against: its transaction keeps a connection and locks.
--- a/features/steps/zone_holders_steps.py
+++ b/features/steps/zone_holders_steps.py
@@ -115,6 +115,8 @@
         # Ids of statements by the commit that made them permanent.
         self.committed: Counter[str] = Counter()
         self.violations: list[str] = []
+        # Whether it runs what it gets but replies to nothing.
+        self.is_mute = False
         self.links: list[FakeLink] = []
         self.on_run: Any = lambda id, link: None
 
@@ -133,13 +135,20 @@
 
 @dataclass(eq=False)
 class FakeLink:
-    """A connection of one VM to the target."""
+    """A connection of one VM to the target.
+
+    `values`, `shapes` and `state` are what the VM knows from replies;
+    `real_values` and `real_state` are what the target has. Like a real
+    connection, it reports a timeout before it closes.
+    """
 
     target: FakeTarget
     vm: CrowdVm
     values: dict[str, str] = field(default_factory=dict)
     shapes: set[Shape] = field(default_factory=set)
     state: SessionState = SessionState.IDLE
+    real_values: dict[str, str] = field(default_factory=dict)
+    real_state: SessionState = SessionState.IDLE
     closed: bool = False
     uncommitted: list[str] = field(default_factory=list)
     pending: Any = None
@@ -162,7 +171,7 @@
         self.pending = on_complete
         clock = self.target.clock
         self.timer = clock.call_later(timeout, self._on_timeout)
-        self._run(list(orders), [])
+        self._run(list(orders), [], on_complete)
 
     def _on_timeout(self) -> None:
         self._complete(LinkLost(unresponsive=True))
@@ -174,29 +183,31 @@
         if on_complete is not None and self.vm.is_running:
             on_complete(result)
 
-    def _run(self, orders: Any, replies: list[TargetReply]) -> None:
-        """Run the orders one after the other, statements in a slot."""
-        if self.closed or self.pending is None:
-            return
+    def _run(
+        self, orders: Any, replies: list[TargetReply], exchange: Any
+    ) -> None:
+        """Run the orders one after the other, statements in a slot.
+
+        What the target has got takes effect, also without a connection.
+        """
         if not orders:
-            self._complete(replies)
+            if self.pending is exchange and not self.target.is_mute:
+                self._complete(replies)
             return
         order, later = orders[0], orders[1:]
 
         def next_after(refusal: Refusal | None) -> None:
-            # What the target has begun takes effect without a connection.
             if refusal is None:
                 self._apply(order)
-            if self.closed:
-                return
-            position = Position(term=1, index=1)
             reply = TargetReply(
                 signature="s",
                 refusal=refusal,
-                state=self.state,
-                position=position,
+                state=self.real_state,
+                position=Position(term=1, index=1),
             )
-            self._run(later, [*replies, reply])
+            if self.pending is exchange and not self.target.is_mute:
+                self._mirror(order, reply)
+            self._run(later, [*replies, reply], exchange)
 
         if isinstance(order, (RunText, RunShape, CommitWork)):
             self.target.on_run(order.id, self)
@@ -208,21 +219,27 @@
             return
         self.target.clock.call_later(HOP_SECONDS, lambda: next_after(None))
 
+    def _mirror(self, order: Any, reply: TargetReply) -> None:
+        self.state = reply.state
+        self.values = dict(self.real_values)
+        if isinstance(order, ResetConnection):
+            self.shapes = set()
+        elif isinstance(order, PrepareShape):
+            self.shapes.add(order.shape)
+
     def _apply(self, order: Any) -> None:
         match order:
             case BeginWork():
-                self.state, self.uncommitted = SessionState.OPEN, []
+                self.real_state, self.uncommitted = SessionState.OPEN, []
             case RollbackWork():
-                self.state, self.uncommitted = SessionState.IDLE, []
+                self.real_state, self.uncommitted = SessionState.IDLE, []
             case CommitWork():
                 self.target.committed.update(self.uncommitted)
-                self.state, self.uncommitted = SessionState.IDLE, []
+                self.real_state, self.uncommitted = SessionState.IDLE, []
             case Assign(name=name, value=value):
-                self.values = {**self.values, name: value}
+                self.real_values = {**self.real_values, name: value}
             case ResetConnection():
-                self.values, self.shapes = {}, set()
-            case PrepareShape(shape=shape):
-                self.shapes.add(shape)
+                self.real_values = {}
             case RunText() | RunShape():
                 self.target.run_counts[order.id] += 1
                 self._check(order.id)
@@ -233,9 +250,9 @@
         Ids of statements in transactions are `transaction/number`.
         """
         transaction, in_transaction, number = id.partition("/")
-        is_open = self.state is SessionState.OPEN
+        is_open = self.real_state is SessionState.OPEN
         if is_open != bool(in_transaction):
-            self.target.violations.append(f"{id} ran in {self.state}")
+            self.target.violations.append(f"{id} ran in {self.real_state}")
         if not is_open:
             return
         self.uncommitted.append(id)
@@ -243,8 +260,8 @@
             transaction
         }:
             self.target.violations.append(f"{self.uncommitted} ran together")
-        if self.values != {"tx": transaction, "step": number}:
-            self.target.violations.append(f"{id} ran with {self.values}")
+        if self.real_values != {"tx": transaction, "step": number}:
+            self.target.violations.append(f"{id} ran with {self.real_values}")
 
 
 class FakeDialer:
