--- a/features/held_transactions.feature
+++ b/features/held_transactions.feature
@@ -145,6 +145,11 @@
     And its target replies to nothing, and reads wait behind transactions
     Then no statement has run in a transaction of another caller
 
+  Scenario: A connection is closed before its loss is reported
+    # Guards against: whoever is told of the loss finds the connection usable,
+    # and the next statement runs in a transaction whose BEGIN is under way.
+    Then a connection to a target that does not reply is lost when it is closed
+
   Scenario: The primary changes while a commit runs
     # Guards against: a commit is acknowledged that the new primary may lack.
     Given 60 VMs in 2 zones before a target of 6 slots and 53 connections
--- a/features/session_soak.feature
+++ b/features/session_soak.feature
@@ -27,10 +27,20 @@
     When sessions, faults and returns of the store run for 14 s with seed 501
     Then the session soak finds nothing wrong
 
-  Scenario: A soak in which transactions run through holders
+  Scenario Outline: A soak with seed <seed> in which transactions run through holders
     # Guards against a transaction that is committed although its caller was
     # told that it has not run, that takes in a statement of another one, or
     # that runs with the values of another session, when a holder, an entry or
     # a member is lost.
-    When sessions and faults run with load control for 12 s with seed 601
+    When sessions and faults run with load control for 12 s with seed <seed>
     Then the session soak finds nothing wrong
+
+    Examples:
+      | seed |
+      | 601  |
+
+    Examples: Seeds that once failed
+      # Guards against a statement that runs in the transaction of another
+      # caller, since a connection whose BEGIN had timed out was used again.
+      | seed |
+      | 745  |
--- a/features/steps/held_transactions_steps.py
+++ b/features/steps/held_transactions_steps.py
@@ -24,6 +24,7 @@
 from bamboospring.outcomes import Reason
 from bamboospring.outcomes import Unknown
 from bamboospring.peers import new_envelope
+from bamboospring.platform.target_dialer import LineLink
 from bamboospring.sessions.access import Identity
 from bamboospring.sessions.forward_messages import decode_result
 from bamboospring.sessions.forward_messages import decode_step
@@ -39,7 +40,9 @@
 from bamboospring.sessions.held_transaction_rules import TransactionRoom
 from bamboospring.sessions.ports import AcknowledgedLocally
 from bamboospring.sessions.ports import Begin
+from bamboospring.sessions.ports import BeginWork
 from bamboospring.sessions.ports import Commit
+from bamboospring.sessions.ports import LinkLost
 from bamboospring.sessions.ports import Served
 from bamboospring.sessions.ports import SessionAnswer
 from bamboospring.sessions.ports import SessionState
@@ -47,6 +50,7 @@
 from bamboospring.sessions.ports import Shape
 from bamboospring.sessions.ports import TextStatement
 from bamboospring.sessions.session import Session
+from features.steps.unanswered_steps import FakeClock
 from features.steps.zone_holders_steps import Crowd
 from features.steps.zone_holders_steps import CrowdVm
 from features.steps.zone_holders_steps import HOP_SECONDS
@@ -843,3 +847,34 @@
     total = sum(found.values()) - found["held"]
     assert found["Served"] > total / 4 and found["NotRun"], found
     assert found["Unknown"] and found["held"] > total / 4, found
+
+
+class FakeStream:
+    """A byte stream to a target that never replies."""
+
+    closed = False
+    on_data: Any = None
+    on_close: Any = None
+
+    def send(self, data: bytes) -> None:
+        pass
+
+    def abort(self) -> None:
+        if not self.closed:
+            self.closed = True
+            self.on_close()
+
+
+@then("a connection to a target that does not reply is lost when it is closed")
+def then_closed_first(context: Any) -> None:
+    clock: Any = FakeClock()
+    stream: Any = FakeStream()
+    link = LineLink(reactor=clock, stream=stream)
+    seen: list[tuple[Any, bool]] = []
+    link.send(
+        [BeginWork(read_only=False)],
+        0.1,
+        lambda result: seen.append((result, link.usable)),
+    )
+    clock.run_until(0.2)
+    assert seen == [(LinkLost(unresponsive=True), False)], seen
