--- a/bamboospring/pools.py
+++ b/bamboospring/pools.py
@@ -109,11 +109,17 @@
         on_ready: OnReady,
         *,
         objective_at: float | None = None,
+        at_once: bool = False,
     ) -> None:
         """Acquire a slot for a transaction's next statement."""
         pool = self.pool(leased.target)
         pool.reacquire_slot(
-            leased, caller, deadline, on_ready, objective_at=objective_at
+            leased,
+            caller,
+            deadline,
+            on_ready,
+            objective_at=objective_at,
+            at_once=at_once,
         )
 
     def pool(self, target: Target) -> Pool[LinkT]:
--- a/bamboospring/sessions/node.py
+++ b/bamboospring/sessions/node.py
@@ -32,6 +32,7 @@
 from bamboospring.sessions.catalog_keeper import CATALOG_PURPOSE
 from bamboospring.sessions.catalog_keeper import CatalogKeeper
 from bamboospring.sessions.catalog_relay import CatalogRelay
+from bamboospring.sessions.held_transactions import HeldTransactions
 from bamboospring.sessions.holder_links import HolderLinks
 from bamboospring.sessions.holder_server import HolderServer
 from bamboospring.sessions.leader import Leader
@@ -156,6 +157,7 @@
             listener=self.callers,
             holder_server=self.holder_server,
             runner=self.runner,
+            held_transactions=self.held_transactions,
             now=self.reactor.now,
         )
         self.metrics.watch_transfers(self.catalog_relay.counts)
@@ -315,6 +317,12 @@
             peers=self.peers,
             pools=self.pools,
         )
+        self.held_transactions = HeldTransactions(
+            reactor=self.reactor,
+            board=self.board,
+            peers=self.peers,
+            pools=self.pools,
+        )
 
     def _create_service(self) -> None:
         cfg = self.cfg
@@ -355,9 +363,17 @@
             board=self.board,
             callers=self.callers,
             grace=cfg.timing.grace_ms / 1000,
-            blocking_count=self.leader.lease.blocks_others,
+            blocking_count=self._count_blocking_exit,
+            end_held_transactions=self.held_transactions.end_all,
         ).register(self)
 
+    def _count_blocking_exit(self) -> int:
+        """Return how much of this VM's work others depend on."""
+        return (
+            self.leader.lease.blocks_others()
+            + self.held_transactions.open_count
+        )
+
     def _on_primary_failed(self, group: str, primary: str) -> None:
         """Close all connections to a failed primary.
 
--- a/bamboospring/sessions/statement_execution.py
+++ b/bamboospring/sessions/statement_execution.py
@@ -17,6 +17,8 @@
 from bamboospring.sessions.change_wait import change_wait
 from bamboospring.sessions.direct_attempt import DirectAttempt
 from bamboospring.sessions.forwarded_attempt import ForwardedAttempt
+from bamboospring.sessions.forwarded_transaction import can_hold_transactions
+from bamboospring.sessions.forwarded_transaction import ForwardedOpening
 from bamboospring.sessions.holder_probes import PROBE_INTERVAL
 from bamboospring.sessions.model import ObservedTarget
 from bamboospring.sessions.model import SessionGroup
@@ -69,6 +71,9 @@
 MAX_QUEUED_FRACTION = 0.6
 
 
+Attempt = DirectAttempt | ForwardedAttempt | ForwardedOpening
+
+
 class StatementExecution:
     """Runs a single statement, or the first statement of a transaction.
 
@@ -98,7 +103,7 @@
         self._on_complete: OnOutcome | None = on_complete
         self._excluded: set[str] = set()
         self._attempts = 0
-        self._active: set[DirectAttempt | ForwardedAttempt] = set()
+        self._active: set[Attempt] = set()
         self._caller_disconnected = False
         self._uses_own_connection = False
         self.was_abandoned = False
@@ -154,7 +159,7 @@
         self._caller_disconnected = True
         if any(each.sent for each in self._active):
             for each in list(self._active):
-                if isinstance(each, ForwardedAttempt):
+                if not isinstance(each, DirectAttempt):
                     each.cancel()
                 else:
                     each.abandon_if_overdue()
@@ -206,21 +211,29 @@
             now=now,
         )
 
-    def _make_attempt(
-        self, choice: SendTo, now: float
-    ) -> DirectAttempt | ForwardedAttempt:
+    def _make_attempt(self, choice: SendTo, now: float) -> Attempt:
         """Return an attempt through the target's holder or an own connection.
 
-        Transactions use connections of this VM only. A single write may be
-        forwarded: it is sent once, and if its answer is lost, its outcome is
-        unknown, as with an own connection.
+        A single write may be forwarded: it is sent once, and if its answer is
+        lost, its outcome is unknown, as with an own connection. Without load
+        control, transactions use connections of this VM only.
         """
+        runner, tx = self.runner, self.tx
         holder = None
-        if self.tx is None and not self._uses_own_connection:
-            holder = self.runner.find_holder(self.group.name, choice, now)
+        may_forward = tx is None or runner.board.load_control
+        if may_forward and not self._uses_own_connection:
+            holder = runner.find_holder(self.group.name, choice, now)
         if holder is None:
             return DirectAttempt(execution=self, choice=choice)
-        return ForwardedAttempt(execution=self, choice=choice, holder=holder)
+        if tx is None:
+            return ForwardedAttempt(
+                execution=self, choice=choice, holder=holder
+            )
+        if not can_hold_transactions(runner.peers, holder):
+            return DirectAttempt(execution=self, choice=choice)
+        return ForwardedOpening(
+            execution=self, tx=tx, choice=choice, holder=holder
+        )
 
     def _requirements(self) -> TargetRequirements:
         tx = self.tx
@@ -293,15 +306,14 @@
             )
         )
 
-    def _is_held_back(
-        self, attempt: DirectAttempt | ForwardedAttempt, now: float
-    ) -> bool:
+    def _is_held_back(self, attempt: Attempt, now: float) -> bool:
         """Return whether a queue accepts no such statement at present."""
         if not self.runner.board.load_control:
             return False
         target = attempt.target
         until = self._held_back_until.get(target, now)
-        if isinstance(attempt, ForwardedAttempt):
+        is_forwarded = not isinstance(attempt, DirectAttempt)
+        if is_forwarded:
             if self._holder_sends[target] >= MAX_SENDS_PER_HOLDER:
                 until = float("inf")
             remaining = self.runner.backpressure.remaining(
@@ -312,7 +324,7 @@
             self._held_back_until[target] = until
             return True
         self._held_back_until.pop(target, None)
-        if isinstance(attempt, ForwardedAttempt):
+        if is_forwarded:
             self._holder_sends[target] += 1
         return False
 
@@ -447,7 +459,7 @@
 
     def on_served(
         self,
-        attempt: DirectAttempt | ForwardedAttempt,
+        attempt: Attempt,
         outcome: SessionOutcome,
         position: Position | None,
     ) -> None:
@@ -457,7 +469,7 @@
 
     def on_failed(
         self,
-        attempt: DirectAttempt | ForwardedAttempt,
+        attempt: Attempt,
         outcome: SessionOutcome,
         *,
         retryable: bool,
--- a/bamboospring/sessions/target_keeper.py
+++ b/bamboospring/sessions/target_keeper.py
@@ -13,6 +13,7 @@
 from bamboospring.pools import Pools
 from bamboospring.reactor import Reactor
 from bamboospring.reactor import Timer
+from bamboospring.sessions.held_transaction_rules import holder_connections
 from bamboospring.sessions.model import ListedTarget
 from bamboospring.sessions.model import SessionBoard
 from bamboospring.sessions.model import SessionGroup
@@ -257,7 +258,16 @@
         idle_limit, max_kept_idle = idle_timeout(fair_share), max(
             1, int(fair_share * KEPT_IDLE_FRACTION)
         )
-        if self._zone_holders.holds(listed.target.name, self._reactor.now()):
+        is_holder = self._zone_holders.holds(
+            listed.target.name, self._reactor.now()
+        )
+        share = None
+        if self._board.load_control:
+            share = self._holder_share(listed, limits.max_connections)
+            if share is not None and is_holder:
+                idle_limit = HOLDER_IDLE_TIMEOUT
+                max_kept_idle = share.connections
+        elif is_holder:
             # All reads of the zone come here. They may fill all slots of the
             # target, and connections are kept for the next reads of each team.
             max_connections = max(max_connections, listed.target.slots)
@@ -266,8 +276,35 @@
                 int(limits.max_connections * HOLDER_CONNECTION_FRACTION),
             )
             idle_limit, max_kept_idle = HOLDER_IDLE_TIMEOUT, connections
-        share = TargetCapacity(slots=max_connections, connections=connections)
+        if share is None:
+            share = TargetCapacity(
+                slots=max_connections, connections=connections
+            )
         pool = self._pools.pool(listed.target)
         if pool.share != share:
             pool.set_share(share)
         pool.set_idle_limits(idle_limit, max_kept=max_kept_idle)
+
+    def _holder_share(
+        self, listed: ListedTarget, max_connections: int
+    ) -> TargetCapacity | None:
+        """Return what this VM may use as a holder; None if it is none.
+
+        A spare holder has the same share, so that it can replace the first
+        one at once. It opens connections only when it does.
+        """
+        if not self._zone_holders.may_hold(
+            listed.target.name,
+            max_connections=max_connections,
+            vm_count=self._board.vm_count,
+            now=self._reactor.now(),
+        ):
+            return None
+        held = holder_connections(
+            max_connections=max_connections,
+            target_slots=listed.target.slots,
+            zone_vms=len(self._zone_holders.members),
+            all_vms=self._board.vm_count,
+            minimum=MIN_CONNECTIONS,
+        )
+        return TargetCapacity(slots=held.slots, connections=held.connections)
--- a/features/steps/configuration_transfer_steps.py
+++ b/features/steps/configuration_transfer_steps.py
@@ -900,7 +900,7 @@
 
 @given("an estate with {vms:d} VMs and load control")
 def given_real(context: Any, vms: int) -> None:
-    context.stage = SessionFleetRun(vms, 2, load_control="on")
+    context.stage = SessionFleetRun(vms, 2, load_control=True)
     context.add_cleanup(context.stage.close)
     context.stage.call(context.stage.fleet.start())
 
--- a/features/steps/overdue_responses_steps.py
+++ b/features/steps/overdue_responses_steps.py
@@ -66,7 +66,7 @@
 @then("no silent connection is left")
 def then_no_silent(context: Any) -> None:
     target = context.crowd.target
-    assert not target.silent_links & target.links
+    assert not target.silent_links & set(target.links)
 
 
 @then("at most {count:d} connections were in use at the target")
--- a/features/steps/session_stage.py
+++ b/features/steps/session_stage.py
@@ -17,7 +17,7 @@
 class SessionFleetRun:
     """An estate in its own event loop, with actions run meanwhile."""
 
-    def __init__(self, vms, groups, connections=22, load_control="auto"):
+    def __init__(self, vms, groups, connections=22, load_control=False):
         self.loop = asyncio.new_event_loop()
         self.thread = threading.Thread(
             target=self.loop.run_forever, daemon=True
--- a/features/steps/zone_holders_steps.py
+++ b/features/steps/zone_holders_steps.py
@@ -8,9 +8,9 @@
 
 from collections import Counter
 from collections import deque
+import dataclasses
 from dataclasses import dataclass
 from dataclasses import field
-from dataclasses import replace
 import itertools
 import random
 from typing import Any
@@ -27,6 +27,7 @@
 from bamboospring.outcomes import NotRun
 from bamboospring.outcomes import Overloaded
 from bamboospring.outcomes import Reason
+from bamboospring.peers import HELD_TRANSACTIONS_PROTOCOL
 from bamboospring.peers import new_envelope
 from bamboospring.peers import PeerLost
 from bamboospring.pool import PoolTiming
@@ -38,6 +39,7 @@
 from bamboospring.sessions.forward_messages import encode_result
 from bamboospring.sessions.forward_messages import encode_statement
 from bamboospring.sessions.forward_messages import ForwardRequest
+from bamboospring.sessions.held_transactions import HeldTransactions
 from bamboospring.sessions.holder_server import HolderServer
 from bamboospring.sessions.model import Catalog
 from bamboospring.sessions.model import Freshness
@@ -48,8 +50,16 @@
 from bamboospring.sessions.model import SessionBoard
 from bamboospring.sessions.node import LINK_BREAKER
 from bamboospring.sessions.node import LINK_TIMING
+from bamboospring.sessions.ports import Assign
+from bamboospring.sessions.ports import BeginWork
+from bamboospring.sessions.ports import CommitWork
 from bamboospring.sessions.ports import LinkLost
+from bamboospring.sessions.ports import PrepareShape
 from bamboospring.sessions.ports import Refusal
+from bamboospring.sessions.ports import ResetConnection
+from bamboospring.sessions.ports import RollbackWork
+from bamboospring.sessions.ports import RunShape
+from bamboospring.sessions.ports import RunText
 from bamboospring.sessions.ports import Served
 from bamboospring.sessions.ports import SessionState
 from bamboospring.sessions.ports import Shape
@@ -112,12 +122,18 @@
         self.queue: deque[tuple[float, Any]] = deque()
         self.lost_share = 0.0
         self.lost_ids: Counter[str] = Counter()
-        self.links: set[FakeLink] = set()
         self.silent_links: set[FakeLink] = set()
         self.rng = random.Random(2)
         self.busy_links: set[FakeLink] = set()
         self.max_busy_links = 0
         self.timeouts = 0
+        # Ids of statements by the commit that made them permanent.
+        self.committed: Counter[str] = Counter()
+        self.violations: list[str] = []
+        # Whether it runs what it gets but replies to nothing.
+        self.is_mute = False
+        self.links: list[FakeLink] = []
+        self.on_run: Any = lambda id, link: None
 
     def occupy_slot(self, seconds: float, done: Any, refused: Any) -> None:
         if self.slots_in_use < self.slots:
@@ -147,15 +163,25 @@
 
 @dataclass(eq=False)
 class FakeLink:
-    """A connection of one VM to the target."""
+    """A connection of one VM to the target.
+
+    `values`, `shapes` and `state` are what the VM knows from replies;
+    `real_values` and `real_state` are what the target has. Like a real
+    connection, it reports a timeout before it closes.
+    """
 
     target: FakeTarget
     vm: CrowdVm
     values: dict[str, str] = field(default_factory=dict)
     shapes: set[Shape] = field(default_factory=set)
     state: SessionState = SessionState.IDLE
+    real_values: dict[str, str] = field(default_factory=dict)
+    real_state: SessionState = SessionState.IDLE
     closed: bool = False
+    uncommitted: list[str] = field(default_factory=list)
     pending: Any = None
+    timer: Any = None
+    exchange_id: str = "-"
 
     @property
     def usable(self) -> bool:
@@ -165,46 +191,118 @@
         if not self.closed:
             self.closed = True
             self.target.connections -= 1
-            self.target.links.discard(self)
-            self._complete(self.pending, LinkLost())
+            self.target.links.remove(self)
+            if self.pending is not None:
+                self._complete(LinkLost())
 
     def send(self, orders: Any, timeout: float, on_complete: Any) -> None:
+        assert self.pending is None, "an exchange is running"
+        self.pending = on_complete
         target = self.target
-        id = getattr(orders[0], "id", "-")
-        self.pending = pending = [on_complete]
         target.busy_links.add(self)
         target.max_busy_links = max(
             target.max_busy_links, len(target.busy_links)
         )
+        self.timer = target.clock.call_later(timeout, self._on_timeout)
+        self.exchange_id = getattr(orders[0], "id", "-") if orders else "-"
+        self._run(list(orders), [], on_complete)
 
-        def done() -> None:
-            target.run_counts[id] += 1
-            if not target.loses_response(self, id):
-                reply = TargetReply(
-                    signature="s", position=Position(term=1, index=1)
-                )
-                self._complete(pending, [reply])
+    def _on_timeout(self) -> None:
+        self.target.timeouts += 1
+        self._complete(LinkLost(unresponsive=True))
+        self.close()
 
-        def refused() -> None:
-            self._complete(pending, [TargetReply(refusal=Refusal.BUSY)])
+    def _complete(self, result: Any) -> None:
+        on_complete, self.pending = self.pending, None
+        self.target.busy_links.discard(self)
+        self.timer.cancel()
+        if on_complete is not None and self.vm.is_running:
+            on_complete(result)
 
-        def no_answer() -> None:
-            if self.pending is pending:
-                self.target.timeouts += 1
-                self._complete(pending, LinkLost(unresponsive=True))
-                self.close()
+    def _run(
+        self, orders: Any, replies: list[TargetReply], exchange: Any
+    ) -> None:
+        """Run the orders one after the other, statements in a slot.
 
-        target.occupy_slot(target.run_time, done, refused)
-        target.clock.call_later(timeout, no_answer)
+        What the target has got takes effect, also without a connection.
+        """
+        if not orders:
+            if self.pending is exchange and self._responds():
+                self._complete(replies)
+            return
+        order, later = orders[0], orders[1:]
+
+        def next_after(refusal: Refusal | None) -> None:
+            if refusal is None:
+                self._apply(order)
+            reply = TargetReply(
+                signature="s",
+                refusal=refusal,
+                state=self.real_state,
+                position=Position(term=1, index=1),
+            )
+            if self.pending is exchange and not self.target.is_mute:
+                self._mirror(order, reply)
+            self._run(later, [*replies, reply], exchange)
+
+        if isinstance(order, (RunText, RunShape, CommitWork)):
+            self.target.on_run(order.id, self)
+            self.target.occupy_slot(
+                self.target.run_time,
+                lambda: next_after(None),
+                lambda: next_after(Refusal.BUSY),
+            )
+            return
+        self.target.clock.call_later(HOP_SECONDS, lambda: next_after(None))
 
-    def _complete(self, pending: Any, result: Any) -> None:
-        """End the exchange under way, unless it has ended before."""
-        if pending is None or self.pending is not pending:
+    def _responds(self) -> bool:
+        target = self.target
+        is_lost = target.loses_response(self, self.exchange_id)
+        return not is_lost and not target.is_mute
+
+    def _mirror(self, order: Any, reply: TargetReply) -> None:
+        self.state = reply.state
+        self.values = dict(self.real_values)
+        if isinstance(order, ResetConnection):
+            self.shapes = set()
+        elif isinstance(order, PrepareShape):
+            self.shapes.add(order.shape)
+
+    def _apply(self, order: Any) -> None:
+        match order:
+            case BeginWork():
+                self.real_state, self.uncommitted = SessionState.OPEN, []
+            case RollbackWork():
+                self.real_state, self.uncommitted = SessionState.IDLE, []
+            case CommitWork():
+                self.target.committed.update(self.uncommitted)
+                self.real_state, self.uncommitted = SessionState.IDLE, []
+            case Assign(name=name, value=value):
+                self.real_values = {**self.real_values, name: value}
+            case ResetConnection():
+                self.real_values = {}
+            case RunText() | RunShape():
+                self.target.run_counts[order.id] += 1
+                self._check(order.id)
+
+    def _check(self, id: str) -> None:
+        """Check that a statement runs in its transaction, with its values.
+
+        Ids of statements in transactions are `transaction/number`.
+        """
+        transaction, in_transaction, number = id.partition("/")
+        is_open = self.real_state is SessionState.OPEN
+        if is_open != bool(in_transaction):
+            self.target.violations.append(f"{id} ran in {self.real_state}")
+        if not is_open:
             return
-        self.pending = None
-        self.target.busy_links.discard(self)
-        if self.vm.is_running:
-            pending[0](result)
+        self.uncommitted.append(id)
+        if {each.partition("/")[0] for each in self.uncommitted} != {
+            transaction
+        }:
+            self.target.violations.append(f"{self.uncommitted} ran together")
+        if self.real_values != {"tx": transaction, "step": number}:
+            self.target.violations.append(f"{id} ran with {self.real_values}")
 
 
 class FakeDialer:
@@ -225,7 +323,7 @@
             target.connections += 1
             target.opened += 1
             link = FakeLink(target, self.vm)
-            target.links.add(link)
+            target.links.append(link)
             opened = Opened(link=link)
 
             def again() -> None:
@@ -261,6 +359,13 @@
         self.vm = vm
         self.handlers: dict[str, Any] = {"heartbeat": answer_heartbeat}
         self.unanswered: dict[str, list[float]] = {}
+        self.close_listeners: list[Any] = []
+
+    def add_close_listener(self, listener: Any) -> None:
+        self.close_listeners.append(listener)
+
+    def protocol_of(self, address: str) -> int:
+        return self.crowd.by_address[address].protocol
 
     def unresponsive_for(self, address: str) -> float | None:
         now = self.crowd.clock.now()
@@ -307,20 +412,34 @@
 
         def reply(answer: Any) -> None:
             if other.is_running:
-                clock.call_later(HOP_SECONDS, lambda: on_answer(answer))
+                standstill = (
+                    max(self.vm.still_until, other.still_until) - clock.now()
+                )
+                clock.call_later(
+                    max(HOP_SECONDS, standstill), lambda: on_answer(answer)
+                )
+
+        reply.sender = self.vm  # type: ignore[attr-defined]
 
         def arrive() -> None:
+            if other.is_running and self.vm.is_running:
+                self.crowd.on_message(message.which(), self.vm, other)
             if other.is_running:
                 other.peers.handlers[message.which()](message, reply)
 
-        clock.call_later(HOP_SECONDS, arrive)
+        # The messages of a VM that stands still arrive later, in order.
+        standstill = max(self.vm.still_until, other.still_until) - clock.now()
+        clock.call_later(max(HOP_SECONDS, standstill), arrive)
 
 
 class CrowdVm:
     """One VM of the crowd."""
 
     def __init__(self, crowd: Crowd, number: int, zone: str) -> None:
+        self.crowd = crowd
         self.is_running = True
+        self.still_until = 0.0
+        self.protocol = HELD_TRANSACTIONS_PROTOCOL
         self.can_reach_target = True
         self.pending_answers: list[Any] = []
         self.zone_vm = ZoneVm(name=f"vm-{number}", address=f"vm-{number}:1")
@@ -338,10 +457,9 @@
         )
         group = self.board.group("g")
         group.record = PrimaryRecord(group="g", version=1, term=1, primary="t")
+        target = dataclasses.replace(TARGET, slots=crowd.target.slots)
         group.targets["t"] = ListedTarget(
-            target=replace(TARGET, slots=crowd.target.slots),
-            group="g",
-            is_primary=True,
+            target=target, group="g", is_primary=True
         )
         self.pools: Any = Pools(
             reactor=clock,
@@ -362,6 +480,12 @@
             peers=self.peers,
             pools=self.pools,
         )
+        self.held = HeldTransactions(
+            reactor=clock,
+            board=self.board,
+            peers=self.peers,
+            pools=self.pools,
+        )
         self.keeper = TargetKeeper(
             reactor=clock,
             board=self.board,
@@ -412,6 +536,14 @@
         waiting, self.pending_answers = self.pending_answers, []
         for lost in waiting:
             lost()
+        for link in list(self.crowd.target.links):
+            if link.vm is self:
+                # The target does not notice and counts it further.
+                link.closed = True
+        for other in self.crowd.vms:
+            for listener in other.peers.close_listeners:
+                if other.is_running:
+                    listener(self)
 
 
 class Crowd:
@@ -433,6 +565,7 @@
         self.by_address = {vm.zone_vm.address: vm for vm in self.vms}
         self.outcomes: Counter[str] = Counter()
         self.sent_count = 0
+        self.on_message: Any = lambda kind, sender, receiver: None
         self.numbers = itertools.count()
         self.reported_outcome: dict[str, str] = {}
         self.writes, self.teams = 0.0, 1
@@ -474,8 +607,9 @@
             self.ask()
         self.clock.run_until(end + ROUTE.time_limit + 0.1)
 
-    def ask(self) -> None:
-        vm = self.rng.choice([vm for vm in self.vms if vm.is_running])
+    def ask(self, vm: CrowdVm | None = None) -> None:
+        if vm is None:
+            vm = self.rng.choice([vm for vm in self.vms if vm.is_running])
         clock: Any = self.clock
         number = next(self.numbers)
         self.sent_count += 1
