Let the replay's target refuse a preparation and lose no refusal

Two parts had their own links in the replay: in one the target refused the setup of a connection too, in the other refusals were never lost. The common link has both; checks and bounds are unchanged.

--- a/features/steps/overload_queues_steps.py
+++ b/features/steps/overload_queues_steps.py
@@ -803,6 +803,7 @@
 def given_checked_links(context: Any) -> None:
     crowd, send = context.overload, FakeLink.send
     crowd.wrong_values, crowd.refused_setups = [], 0
+    crowd.target.setup_needs_slot = True
 
     def checked(
         link: FakeLink, orders: Any, timeout: float, on_complete: Any
--- a/features/steps/zone_holders_steps.py
+++ b/features/steps/zone_holders_steps.py
@@ -130,6 +130,8 @@
         # Ids of statements by the commit that made them permanent.
         self.committed: Counter[str] = Counter()
         self.violations: list[str] = []
+        # Whether it also refuses orders of a preparation without a slot.
+        self.setup_needs_slot = False
         # Whether it runs what it gets but replies to nothing.
         self.is_mute = False
         self.links: list[FakeLink] = []
@@ -227,7 +229,7 @@
         What the target has got takes effect, also without a connection.
         """
         if not orders:
-            if self.pending is exchange and self._responds():
+            if self.pending is exchange and self._responds(replies):
                 self._complete(replies)
             return
         order, later = orders[0], orders[1:]
@@ -245,8 +247,10 @@
                 self._mirror(order, reply)
             self._run(later, [*replies, reply], exchange)
 
-        if isinstance(order, (RunText, RunShape, CommitWork)):
+        is_statement = isinstance(order, (RunText, RunShape, CommitWork))
+        if is_statement:
             self.target.on_run(order.id, self)
+        if is_statement or self.target.setup_needs_slot:
             self.target.occupy_slot(
                 self.target.run_time,
                 lambda: next_after(None),
@@ -255,10 +259,13 @@
             return
         self.target.clock.call_later(HOP_SECONDS, lambda: next_after(None))
 
-    def _responds(self) -> bool:
+    def _responds(self, replies: list[TargetReply]) -> bool:
         target = self.target
-        is_lost = target.loses_response(self, self.exchange_id)
-        return not is_lost and not target.is_mute
+        if target.is_mute:
+            return False
+        # A refusal is never lost.
+        was_refused = any(reply.refusal is not None for reply in replies)
+        return was_refused or not target.loses_response(self, self.exchange_id)
 
     def _mirror(self, order: Any, reply: TargetReply) -> None:
         self.state = reply.state
