Give a VM that becomes a relay the time limit of a relay

It had up to 2.8 s from its first news of a version, while its zone waits for it; now it has 1.2 s from when it becomes a relay at most. The test failed without the change (no earlier limit).

--- a/bamboospring/sessions/catalog_transfer.py
+++ b/bamboospring/sessions/catalog_transfer.py
@@ -167,9 +167,7 @@
         """
         if version < self.version:
             return None
-        if self._limit_at is None:
-            self._began_at = now
-            self._limit_at = now + self._time_limit(serves_zone)
+        self._limit(now, serves_zone)
         if version == self.version and self.is_active:
             # The source may have been replaced; it is kept once it has sent
             # something, since it may well answer.
@@ -261,10 +259,15 @@
         """Handle that the received content can't be used."""
         return self._give_up(reason)
 
-    def _time_limit(self, serves_zone: bool) -> float:
+    def _limit(self, now: float, serves_zone: bool) -> None:
+        """Set the time limit; that of a VM that becomes a relay is earlier."""
+        limit_at = now + TIME_LIMIT + TIME_LIMIT_SPREAD * self.spread
         if serves_zone:
-            return RELAY_TIME_LIMIT
-        return TIME_LIMIT + TIME_LIMIT_SPREAD * self.spread
+            limit_at = now + RELAY_TIME_LIMIT
+        if self._limit_at is None:
+            self._began_at = now
+            self._limit_at = limit_at
+        self._limit_at = min(self._limit_at, limit_at)
 
     def _begin(self, version: int, source: str) -> None:
         self.version = version
--- a/features/configuration_transfer.feature
+++ b/features/configuration_transfer.feature
@@ -172,6 +172,9 @@
     # the store at once, 18 MB over 30 Mbit/s.
     Then 43 VMs give up over at least 0.6 s, and a relay before all of them
 
+  Scenario: A VM that becomes a relay does not keep its zone waiting
+    Then its time limit is that of a relay, from then on at the latest
+
   Scenario: A sender keeps within its share of its link
     # Guards against: the configuration fills the link of the VM that sends
     # it, and no other message gets through.
--- a/features/steps/configuration_transfer_steps.py
+++ b/features/steps/configuration_transfer_steps.py
@@ -579,6 +579,19 @@
     assert limit(count, True) + 0.5 < limits[0]
 
 
+@then("its time limit is that of a relay, from then on at the latest")
+def then_relay_limit(context: Any) -> None:
+    transfer = CatalogTransfer(spread=1.0)
+    for now, serves_zone, limit_at in (
+        (0.0, False, 2.8),
+        (0.5, True, 1.7),
+        (0.7, True, 1.7),
+        (0.9, False, 1.7),
+    ):
+        transfer.announce(7, "s", serves_zone=serves_zone, now=now)
+        assert transfer.next_check_at() == limit_at, now
+
+
 # What to send, and when.
 
 
