Give VMs weights as holders and relays

Cause: holders of targets and relays of facts are chosen by hash alone. In a zone of 27 VMs, two of 2.15 cores and 25 of 0.516, the two hold 0.08 of the targets, and the relay is usually a VM of half a core behind 5 Mbit/s.

Change: with load control, a VM's weight (1 to 16, by the scarcer of processor and link) is stated in its request for facts and listed by the relay of its zone. Holders are ranked by weighted rendezvous hashing, and the leader names a VM of the highest weight in a zone as its relay. VMs of older releases get rows of two and count as weight 1. Contacts of a relay are kept by name, so that a VM that returns with another weight is listed once. The weight is in a log line at the start, and metrics show it and the number of targets held.

--- a/bamboospring/rendezvous.py
+++ b/bamboospring/rendezvous.py
@@ -23,6 +23,7 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 from collections import Counter
+import math
 from typing import Protocol
 from typing import TypeVar
 
@@ -45,6 +46,7 @@
     "choose_neighbours",
     "choose_platform_watchers",
     "choose_possible_holders",
+    "rank_by_weight",
     "rank_vms",
     "shard_of",
 ]
@@ -107,6 +109,34 @@
     )
 
 
+class HasWeight(HasName, Protocol):
+    """An object that is ranked by its name and its weight."""
+
+    @property
+    def weight(self) -> int:
+        """Return the weight, at least 1."""
+
+
+HasWeightT = TypeVar("HasWeightT", bound=HasWeight)
+
+
+def rank_by_weight(key: str, vms: Iterable[HasWeightT]) -> list[HasWeightT]:
+    """Order VMs for a key, each first as often as its weight says.
+
+    The order of any two VMs depends only on the key, their names and their
+    weights, so the loss of a VM moves only the keys for which it was first.
+    With equal weights the order is that of `rank_vms`.
+    """
+    ranked = rank_vms(key, vms)
+    if len({vm.weight for vm in ranked}) <= 1:
+        return ranked
+    seed = _hash(key)
+    # The sort is stable: VMs of equal score stay in the order of `rank_vms`.
+    return sorted(
+        ranked, key=lambda vm: _weighted_score(vm, seed), reverse=True
+    )
+
+
 def choose_holders(key: str, vms: Iterable[Vm], count: int) -> tuple[Vm, ...]:
     """Return up to `count` VMs for a key, spread over zones and regions.
 
@@ -398,6 +428,14 @@
     return xxh64_intdigest(text.encode())
 
 
+def _weighted_score(vm: HasWeight, seed: int) -> float:
+    """Return the score of weighted rendezvous hashing."""
+    hashed = xxh64_intdigest(vm.name.encode(), seed)
+    # Strictly between 0 and 1: neither end has a finite score.
+    fraction = min((hashed + 0.5) / 2**64, 1 - 2**-53)
+    return -vm.weight / math.log(fraction)
+
+
 def _fraction(name: str) -> float:
     return _hash(f"room/{name}") / 2**64
 
--- a/bamboospring/sessions/node.py
+++ b/bamboospring/sessions/node.py
@@ -59,6 +59,7 @@
 from bamboospring.sessions.team_quota import QuotaTolerance
 from bamboospring.sessions.vm_registry import ListedVm
 from bamboospring.sessions.vm_registry import VmRegistry
+from bamboospring.sessions.vm_weight import vm_weight
 from bamboospring.sessions.zone_holders import ZoneHolders
 from bamboospring.target_link import Dialer
 
@@ -118,6 +119,8 @@
             key_lifetime=_key_lifetime(cfg),
             load_control=is_load_control_on(cfg, adapters.load_control_terms),
         )
+        # Decided once, as load control is: a changed weight moves targets.
+        self.weight = vm_weight(cfg.resources)
         self.metrics = SessionMetrics(board=self.board)
         self.platform = PlatformClient(
             reactor=self.reactor,
@@ -153,10 +156,21 @@
             holder_server=self.holder_server,
             now=self.reactor.now,
         )
+        self.metrics.watch_weight(
+            weight=self.weight, holders=self.holders, now=self.reactor.now
+        )
 
     def start_work(self) -> None:
         """Start the components."""
         logs.log_event("load_control", on=self.board.load_control)
+        logs.log_event(
+            "vm_weight",
+            weight=self.weight,
+            used=self.board.load_control,
+            processor_share=self.cfg.resources.processor_share,
+            processor_speed=self.cfg.resources.processor_speed,
+            link_mbps=self.cfg.resources.link_mbps,
+        )
         self.catalog.start()
         self.targets.start()
         self.registry.start(self._on_registered)
@@ -270,6 +284,7 @@
             targets=self.targets,
             catalog=self.catalog,
             holders=self.holders,
+            weight=self.weight,
         )
         self.holder_server = HolderServer(
             reactor=self.reactor,
--- a/bamboospring/sessions/relay.py
+++ b/bamboospring/sessions/relay.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import Any
 
 import orjson
@@ -33,6 +34,8 @@
 from bamboospring.sessions.record_keeper import RecordKeeper
 from bamboospring.sessions.target_keeper import TargetKeeper
 from bamboospring.sessions.vm_registry import VmRegistry
+from bamboospring.sessions.vm_weight import MIN_WEIGHT
+from bamboospring.sessions.vm_weight import received_weight
 from bamboospring.sessions.zone_holders import ZoneHolders
 from bamboospring.sessions.zone_holders import ZoneVm
 from bamboospring.sessions.zone_relays import AskLeader
@@ -48,8 +51,10 @@
 __all__ = [
     "FactRelay",
     "decode_targets",
+    "decode_vms",
     "digest",
     "encode_targets",
+    "encode_vms",
     "spread_samples",
 ]
 
@@ -112,6 +117,35 @@
     ]
 
 
+def encode_vms(vms: Iterable[ZoneVm], *, with_weights: bool) -> bytes:
+    """Encode the VMs of a zone for another VM.
+
+    VMs of older releases accept rows of two only; such a row means weight 1.
+    """
+    return orjson.dumps(
+        [
+            (
+                (vm.name, vm.address, vm.weight)
+                if with_weights and vm.weight != MIN_WEIGHT
+                else (vm.name, vm.address)
+            )
+            for vm in vms
+        ]
+    )
+
+
+def decode_vms(data: bytes) -> tuple[ZoneVm, ...]:
+    """Decode the VMs of a zone, with or without their weights."""
+    return tuple(
+        ZoneVm(
+            name=name,
+            address=address,
+            weight=received_weight(weight[0]) if weight else MIN_WEIGHT,
+        )
+        for name, address, *weight in orjson.loads(data)
+    )
+
+
 def spread_samples(samples: list[Sample]) -> list[Sample]:
     """Return at most MAX_SAMPLES of the samples, evenly spread."""
     step = -(-len(samples) // MAX_SAMPLES) or 1
@@ -124,7 +158,10 @@
 
 
 class FactRelay:
-    """Answers other VMs while this VM is the leader, or asks the leader."""
+    """Answers other VMs while this VM is the leader, or asks the leader.
+
+    Without load control, no VM's weight is stated or used.
+    """
 
     def __init__(
         self,
@@ -138,6 +175,7 @@
         targets: TargetKeeper,
         catalog: CatalogKeeper,
         holders: ZoneHolders,
+        weight: int = MIN_WEIGHT,
     ) -> None:
         self._reactor = reactor
         self._board = board
@@ -150,7 +188,9 @@
         self._uses_relayed_facts = False
         self._informed_until = -1e9
         self._source = FactSource()
-        self._zone_relays = ZoneRelays()
+        self._uses_weights = board.load_control
+        self._weight = weight
+        self._zone_relays = ZoneRelays(weighted=self._uses_weights)
         self._zone_members = ZoneMembers()
         self._holders = holders
         peers.add_handler("factsAsk", self._on_request)
@@ -187,7 +227,10 @@
         ask.records = digest(self._records.as_bytes())
         ask.targets = digest(encode_targets(self._targets.listed))
         ask.wantsCatalog = self._catalog.refresh_failed
-        ask.zoneVms = digest(_encode_vms(self._holders.members))
+        ask.weight = self._weight if self._uses_weights else 0
+        ask.zoneVms = digest(
+            encode_vms(self._holders.members, with_weights=self._uses_weights)
+        )
 
         def on_answer(answer: Any) -> None:
             lost = isinstance(answer, PeerLost)
@@ -257,8 +300,7 @@
     def _apply_zone_members(self, data: bytes, now: float) -> None:
         listed = self._holders.members
         if data:
-            rows = orjson.loads(data)
-            listed = tuple(ZoneVm(name=n, address=a) for n, a in rows)
+            listed = decode_vms(data)
         self._holders.update_members(listed, now)
 
     def _apply_assignment(self, facts: Any, now: float) -> None:
@@ -274,6 +316,7 @@
                 "facts_source",
                 serves_zone=self._source.serves_zone,
                 relay=facts.relay,
+                weight=self._weight if self._uses_weights else None,
                 leader=self._lease.holder(),
             )
 
@@ -363,17 +406,26 @@
     def _fill_zone_members(self, facts: Any, request: Any, now: float) -> None:
         """Record the requesting VM, and tell it the other VMs of the zone."""
         self._zone_members.record_contact(
-            ZoneVm(name=request.vm, address=request.address), now
+            ZoneVm(
+                name=request.vm,
+                address=request.address,
+                weight=self._weight_of(request),
+            ),
+            now,
         )
         local_vm = ZoneVm(
-            name=self._board.vm, address=self._registry.local_vm.address
+            name=self._board.vm,
+            address=self._registry.local_vm.address,
+            weight=self._weight if self._uses_weights else MIN_WEIGHT,
         )
         vms = self._zone_members.vms(local_vm, now)
         if vms is None:
             return
         self._holders.update_members(vms, now)
         facts.zoneVmsKnown = True
-        data = _encode_vms(self._holders.members)
+        data = encode_vms(
+            self._holders.members, with_weights=request.weight > 0
+        )
         if digest(data) != request.zoneVms:
             facts.zoneVms = data
 
@@ -382,6 +434,7 @@
             vm=request.vm,
             address=request.address,
             availability_zone=request.availabilityZone,
+            weight=self._weight_of(request),
         )
         match self._zone_relays.assign(requester, now):
             case ServeZone():
@@ -391,6 +444,13 @@
             case AskLeader():
                 pass
 
+    def _weight_of(self, request: Any) -> int:
+        return (
+            received_weight(request.weight)
+            if self._uses_weights
+            else MIN_WEIGHT
+        )
+
     def _fill_facts(self, facts: Any, request: Any) -> None:
         now = self._reactor.now()
         age = max(0.0, now - self._records.read_at)
@@ -415,9 +475,5 @@
         facts.vms = self._board.vm_count
 
 
-def _encode_vms(vms: tuple[ZoneVm, ...]) -> bytes:
-    return orjson.dumps([(vm.name, vm.address) for vm in vms])
-
-
 def _milliseconds(seconds: float) -> int:
     return min(max(0, round(seconds * 1000)), 2**31)
--- a/bamboospring/sessions/session_metrics.py
+++ b/bamboospring/sessions/session_metrics.py
@@ -31,6 +31,7 @@
     from bamboospring.sessions.leader_lease import LeaderLease
     from bamboospring.sessions.platform_adapters import CallerListener
     from bamboospring.sessions.ports import SessionLink
+    from bamboospring.sessions.zone_holders import ZoneHolders
 
 __all__ = ["SessionMetrics", "largest_teams"]
 
@@ -194,6 +195,29 @@
             description="Log lines left out to keep within bounds.",
         )
 
+    def watch_weight(
+        self, *, weight: int, holders: ZoneHolders, now: Callable[[], float]
+    ) -> None:
+        """Add metrics of this VM's weight and of the targets it holds."""
+        watch = self._metrics.register
+        watch(
+            "bamboospring.vm.weight",
+            lambda: weight,
+            description="Weight of this VM, by processor and link.",
+        )
+        watch(
+            "bamboospring.targets.held",
+            lambda: holders.held_targets(
+                (
+                    target
+                    for group in self._board.groups.values()
+                    for target in group.targets
+                ),
+                now(),
+            ),
+            description="Targets that this VM holds for its zone.",
+        )
+
     def load_exporter(self) -> None:
         """Import the exporter; may run in a thread.
 
--- a/bamboospring/sessions/zone_holders.py
+++ b/bamboospring/sessions/zone_holders.py
@@ -9,8 +9,9 @@
 is forwarded.
 
 Every VM computes the choice itself, by rendezvous hashing over the VMs of its
-zone that it has recently heard of. Two VMs that temporarily differ use two
-holders, which is harmless. Pure decisions; times are passed in.
+zone that it has recently heard of, in proportion to their weights. Two VMs
+that temporarily differ use two holders, which is harmless. Pure decisions;
+times are passed in.
 """
 
 from __future__ import annotations
@@ -19,7 +20,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 
-from bamboospring.rendezvous import rank_vms
+from bamboospring.rendezvous import rank_by_weight
 
 __all__ = ["MIN_CONNECTIONS", "ZoneHolders", "ZoneVm"]
 
@@ -43,10 +44,11 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ZoneVm:
-    """A VM of this zone and its address for peers."""
+    """A VM of this zone, its address for peers and its weight."""
 
     name: str
     address: str
+    weight: int = 1
 
 
 @dataclass(slots=True, kw_only=True)
@@ -98,6 +100,10 @@
             return False
         return self._ranking(target)[0].name == self.local_vm
 
+    def held_targets(self, targets: Iterable[str], now: float) -> int:
+        """Return how many of the targets this VM holds for its zone."""
+        return sum(self.holds(target, now) for target in targets)
+
     def record_failure(self, vm: str, target: str, now: float) -> None:
         """Skip a holder for a while, for all targets if `target` is empty."""
         self._skipped_until = {
@@ -117,5 +123,5 @@
     def _ranking(self, target: str) -> list[ZoneVm]:
         found = self._ranked.get(target)
         if found is None:
-            found = self._ranked[target] = rank_vms(target, self.members)
+            found = self._ranked[target] = rank_by_weight(target, self.members)
         return found
--- a/bamboospring/wire.capnp
+++ b/bamboospring/wire.capnp
@@ -45,6 +45,8 @@
   availabilityZone @4 :Text;
   zoneVms @5 :UInt64;         # digest, as above
   wantsCatalog @6 :Bool;      # the sender can't read the newest catalog
+  weight @7 :UInt8;           # 1 to 16; 0: none stated, the sender is of an
+                              # older release or without load control
 }
 
 struct Facts {
@@ -64,7 +66,10 @@
   servesZone @12 :Bool;       # the asker is the relay of its zone
   leader @13 :Text;           # the leader, if it is not the sender
   leaderAddress @14 :Text;
-  zoneVms @15 :Data;          # JSON: VMs of the zone; empty if the asker has the same
+  zoneVms @15 :Data;          # JSON: VMs of the zone; empty if the asker has the same.
+                              # Rows of name and address; for a VM whose weight
+                              # is not 1, of name, address and weight, if the
+                              # asker has stated its own
   zoneVmsKnown @16 :Bool;     # the sender knows the VMs of the zone
   catalogConfirmedMs @17 :UInt32;  # age of the instant at which the store
                               # certainly had no newer configuration
