Run a team's most urgent operations first at its limit

Cause: a team that sends 4 to 8 times its limit through all VMs has its payments refused as often as its lookups, since tokens go to whoever asks first.

Change: with load control, a VM that counts keeps the last tokens of a team's bucket for more urgent operations, by what these have lately asked for. The request has the number of operations of each class of urgency, the answer a delay for each. Buckets, rates and the bound of a limit stay as they are; without the new fields requests are granted as before.

--- a/bamboospring/sessions/statement_execution.py
+++ b/bamboospring/sessions/statement_execution.py
@@ -108,7 +108,12 @@
     def start(self) -> None:
         """Start the first attempt if the team's limit permits it."""
         team = self.session.identity.team
-        self.runner.quotas.request_permit(team, self._on_permit)
+        self.runner.quotas.request_permit(
+            team,
+            self._on_permit,
+            urgency=self.job.route.urgency,
+            objective=self.job.route.objective,
+        )
 
     def _on_permit(self, result: Permit | Overloaded) -> None:
         if isinstance(result, Overloaded):
--- a/bamboospring/sessions/team_quota.py
+++ b/bamboospring/sessions/team_quota.py
@@ -92,6 +92,13 @@
             count=count, retry_after=self._reserve(wanted - count, now)
         )
 
+    def take_above(self, floor: float, wanted: int, now: float) -> int:
+        """Take up to `wanted` tokens, leaving `floor`; return how many."""
+        self._refill(now)
+        count = max(0, min(wanted, int(self.tokens - floor)))
+        self.tokens -= count
+        return count
+
     def return_tokens(self, count: int, now: float) -> None:
         """Return tokens of operations that did not run."""
         self._refill(now)
@@ -127,7 +134,7 @@
         """Grant up to `wanted` operations of a limit divided into `parts`."""
         if team.rate is None:
             return Allowance(count=wanted)
-        return self._bucket(team, team.rate, parts, now).take(wanted, now)
+        return self.bucket(team, team.rate, parts, now).take(wanted, now)
 
     def teams(self) -> list[str]:
         """Return the teams that have a bucket."""
@@ -143,9 +150,10 @@
         if bucket is not None:
             bucket.return_tokens(count, now)
 
-    def _bucket(
+    def bucket(
         self, team: Team, rate: float, parts: int, now: float
     ) -> TokenBucket:
+        """Return a team's bucket for one of the `parts` of its rate."""
         excess = self.tolerance.excess_operations(rate, team.burst) / parts
         rate = rate / parts
         size = team.burst / parts + BUCKET_SIZE_FRACTION * excess
--- a/bamboospring/wire.capnp
+++ b/bamboospring/wire.capnp
@@ -79,12 +79,18 @@
 struct QuotaAsk {             # asks the VM that counts a team to admit operations
   team @0 :Text;
   wanted @1 :UInt32;
+  urgencies @2 :List(UInt32);  # of the wanted operations, the number of each
+                              # class, the most urgent first; empty if the
+                              # sender is of an older release or without load
+                              # control
 }
 
 struct QuotaAnswer {
   counts @0 :Bool;            # false: the sender does not count the team
   count @1 :UInt32;           # number of operations that may run
   retryMs @2 :UInt32;         # time until the others may run
+  retriesMs @3 :List(UInt32);  # the same by class; empty unless urgencies were
+                              # stated and used
 }
 
 struct QuotaReturn {          # admitted operations that have not run
