--- a/bamboospring/wire.capnp
+++ b/bamboospring/wire.capnp
@@ -50,6 +50,8 @@
   availabilityZone @4 :Text;
   zoneVms @5 :UInt64;         # digest, as above
   unusedWantsCatalog @6 :Bool;  # replaced by CatalogAsk
+  weight @7 :UInt8;           # 1 to 16; 0: none stated, the sender is of an
+                              # older release or without load control
 }
 
 struct Facts {
@@ -69,7 +71,10 @@
   servesZone @12 :Bool;       # the asker is the relay of its zone
   leader @13 :Text;           # the leader, if it is not the sender
   leaderAddress @14 :Text;
-  zoneVms @15 :Data;          # JSON: VMs of the zone; empty if the asker has the same
+  zoneVms @15 :Data;          # JSON: VMs of the zone; empty if the asker has the same.
+                              # Rows of name and address; for a VM whose weight
+                              # is not 1, of name, address and weight, if the
+                              # asker has stated its own
   zoneVmsKnown @16 :Bool;     # the sender knows the VMs of the zone
   catalogConfirmedMs @17 :UInt32;  # age of the instant at which the store
                               # certainly had no newer configuration
@@ -98,12 +103,18 @@
 struct QuotaAsk {             # asks the VM that counts a team to admit operations
   team @0 :Text;
   wanted @1 :UInt32;
+  urgencies @2 :List(UInt32);  # of the wanted operations, the number of each
+                              # class, the most urgent first; empty if the
+                              # sender is of an older release or without load
+                              # control
 }
 
 struct QuotaAnswer {
   counts @0 :Bool;            # false: the sender does not count the team
   count @1 :UInt32;           # number of operations that may run
   retryMs @2 :UInt32;         # time until the others may run
+  retriesMs @3 :List(UInt32);  # the same by class; empty unless urgencies were
+                              # stated and used
 }
 
 struct QuotaReturn {          # admitted operations that have not run
