Use own connections where a holder has no room for a transaction

Change: after a refusal for want of connections a transaction tries own connections; if there are none, its caller gets the holder's delay. Holders give transactions 0.7 of their connections, before 0.6.

--- a/bamboospring/sessions/forwarded_transaction.py
+++ b/bamboospring/sessions/forwarded_transaction.py
@@ -211,9 +211,18 @@
             return
         execution = self.execution
         delay = refusal.retry_after_ms / 1000
-        if not self.choice.at_replica and delay > 0:
+        if self.choice.at_replica:
+            self._fail(refusal, retryable=True, is_free=True)
+            return
+        if refusal.reason is Reason.TARGET_CONNECTIONS:
+            # The target may have connections left that holders don't use.
+            execution.avoid_holders(refusal)
+            self._fail(
+                refusal, retryable=True, is_free=True, exclude_target=False
+            )
+            return
+        if delay > 0:
             # Only this target can run it, and the holder has said when it can.
-            # An own connection would find no more room there.
             if delay >= execution.slot_wait_remaining():
                 self._fail(refusal, retryable=False)
                 return
--- a/bamboospring/sessions/held_transaction_rules.py
+++ b/bamboospring/sessions/held_transaction_rules.py
@@ -37,8 +37,9 @@
 HOLDERS_FRACTION = 0.85
 # The part of its connections to a target that a holder may give to open
 # transactions. Each keeps one while its caller pauses, for up to the idle
-# timeout, and single statements would find none left.
-TRANSACTION_FRACTION = 0.6
+# timeout, and single statements would find none left. With 0.8, the holders of
+# six zones had one connection each for the others.
+TRANSACTION_FRACTION = 0.7
 # Seconds by which a holder waits longer for the next step than the entry waits
 # for its caller. The entry normally ends an idle transaction itself.
 IDLE_MARGIN = 1.0
--- a/bamboospring/sessions/statement_execution.py
+++ b/bamboospring/sessions/statement_execution.py
@@ -92,6 +92,7 @@
         self._active: set[Attempt] = set()
         self._caller_disconnected = False
         self._uses_own_connection = False
+        self._holder_refusal: Overloaded | NotRun | None = None
         self._refusal: SessionOutcome | None = None
         self._no_target_reason = ""
         self._timer: Timer | None = None
@@ -335,6 +336,15 @@
         else:
             self._finish(outcome, None)
 
+    def avoid_holders(self, refusal: Overloaded | NotRun) -> None:
+        """Use own connections only, since a holder had none left.
+
+        If there is none for this VM either, the holder's refusal is given to
+        the caller: it says when the holder will have room again.
+        """
+        self._uses_own_connection = True
+        self._holder_refusal = refusal
+
     def slot_wait_remaining(self) -> float:
         """Return the seconds within which the statement should get a slot."""
         now = self.runner.reactor.now()
@@ -350,6 +360,9 @@
         on_complete, self._on_complete = self._on_complete, None
         if on_complete is None:
             return
+        reason = getattr(outcome, "reason", None)
+        if reason is Reason.TARGET_CONNECTIONS and self._holder_refusal:
+            outcome = self._holder_refusal
         for timer in (self._timer, self._hedge_timer):
             if timer is not None:
                 timer.cancel()
--- a/features/held_transactions.feature
+++ b/features/held_transactions.feature
@@ -89,6 +89,14 @@
     When 40 transactions and 120 reads of 10 ms of 83 teams arrive a second for 8 s
     Then at least 0.95 of both are served, with at most 0.25 connections opened for each statement
 
+  Scenario: Callers pause in their transactions
+    # Guards against: transactions are refused for want of room at holders
+    # while the target has connections left.
+    Given 80 VMs in 6 zones before a target of 6 slots and 53 connections
+    And load control is on at all of them
+    When 40 transactions that pause for 300 ms and 100 reads of 20 ms arrive a second for 8 s
+    Then at least 0.95 of both are served, with at most 0.2 connections opened for each statement
+
   Scenario: Transactions whose holders die are told the truth
     # Guards against: a transaction is reported as not run although it was
     # committed, is committed in part or twice, or takes in statements of
