--- a/bamboospring/admission.py
+++ b/bamboospring/admission.py
@@ -369,15 +369,16 @@
         statement is not refused because its less urgent ones wait, or because
         another caller has many. Late tickets run after it.
         """
-        ahead = sum(
-            each < ticket
-            for each in self._queue
-            if self._is_alike(each, ticket)
+        ahead = self._count_ahead(ticket) - sum(
+            count
+            for urgency, count in self._waiting_by_urgency.items()
+            if urgency < ticket.urgency
         )
         is_full = len(self._queue) >= self.queue_limit
         is_least_urgent = is_full and ticket.urgency > self._queue[-1].urgency
+        wait = (ahead + 1) * self._interval(ticket.urgency, now)
         if not is_least_urgent and not self._is_hopeless(
-            ticket, ahead, now, MAX_WAIT_FRACTION
+            ticket, wait, now, MAX_WAIT_FRACTION
         ):
             return None
         refused = self._refuse(ticket, self._full_reason(ticket), now)
@@ -415,27 +416,26 @@
         )
 
     def _is_hopeless(
-        self, ticket: Ticket, ahead: int, now: float, fraction: float
+        self, ticket: Ticket, wait: float, now: float, fraction: float
     ) -> bool:
-        """Return whether a ticket can't run before its deadline.
-
-        `ahead` counts only tickets of the same urgency, see `DrainRates`.
-        """
+        """Return whether a ticket that waits can't run before its deadline."""
         remaining = ticket.deadline - now
-        wait = (ahead + 1) * self._interval(ticket.urgency, now)
         return wait > remaining * fraction or wait + self.estimate > remaining
 
     def _find_hopeless(self, now: float) -> list[Ticket]:
         """Return the queued tickets that can't run before their deadlines."""
         hopeless = []
-        kept: Counter[int] = Counter()
+        urgency, interval, wait = None, 0.0, 0.0
         for ticket in self._queue:
             if ticket.objective_at is None:
                 continue
-            if self._is_hopeless(ticket, kept[ticket.urgency], now, 1.0):
+            if ticket.urgency != urgency:
+                urgency = ticket.urgency
+                wait = interval = self._interval(urgency, now)
+            if self._is_hopeless(ticket, wait, now, 1.0):
                 hopeless.append(ticket)
             else:
-                kept[ticket.urgency] += 1
+                wait += interval
         return hopeless
 
     def _evict_least_urgent(self, now: float) -> SlotRefused:
