Explore queues under load control

Cause: no test covered random orders of late, evicted and hopeless statements.

Change: 300 generated loads, in which each statement must run once or be refused once with a delay of at most 2 s.

--- a/features/overload_queues.feature
+++ b/features/overload_queues.feature
@@ -120,6 +120,11 @@
     When statements of 18 ms in the mix of A arrive at 260 a second for 8 s
     Then less than 0.97 of urgency 0 are answered in time
 
+  Scenario: Every statement has one result
+    # Guards against: a statement that is moved, evicted or found hopeless is
+    # forgotten, or both run and refused.
+    Then no explored load under load control loses a statement
+
   Scenario: What can still be in time goes before what can not
     # Guards against: an urgency's queue that is longer than its objective
     # answers every statement late.
--- a/features/steps/overload_queues_steps.py
+++ b/features/steps/overload_queues_steps.py
@@ -16,6 +16,9 @@
 from behave import given
 from behave import then
 from behave import when
+from hypothesis import given as for_all
+from hypothesis import settings
+from hypothesis import strategies as st
 
 from bamboospring.admission import Admission
 from bamboospring.admission import SlotDecision
@@ -557,14 +560,14 @@
             objective_at=self.now + objective,
             item=name,
         )
-        self._apply(self.admission.submit(ticket, self.now))
+        self.apply(self.admission.submit(ticket, self.now))
 
     def finish(self, seconds: float = 0.01) -> None:
         self.now += seconds
         self.admission.release(self.running.pop(), 0.01)
-        self._apply(self.admission.grant_next(self.now))
+        self.apply(self.admission.grant_next(self.now))
 
-    def _apply(self, decisions: list[SlotDecision]) -> None:
+    def apply(self, decisions: list[SlotDecision]) -> None:
         for decision in decisions:
             match decision:
                 case SlotGranted(ticket=ticket):
@@ -908,3 +911,54 @@
     crowd = context.overload
     assert crowd.target.run_counts["1.0"] == 0
     assert crowd.last_outcome[0].reason is Reason.CALLER_GONE
+
+
+EVENTS = st.lists(
+    st.tuples(
+        st.sampled_from(
+            ["submit"] * 6 + ["finish", "finish", "slots", "wait"]
+        ),
+        st.sampled_from(["one", "two", "three"]),
+        st.integers(0, 2),
+        st.integers(1, 100),
+    ),
+    min_size=30,
+    max_size=150,
+)
+
+
+def explore_queue(events: list[tuple[str, str, int, int]]) -> None:
+    """Replay events, and check that each statement has one result."""
+    queue, submitted = Queue(8), 0
+    queue.admission.slots = 2
+    for kind, caller, urgency, number in events:
+        match kind:
+            case "submit":
+                submitted += 1
+                queue.submit(f"{submitted}", caller, urgency, number / 100)
+            case "finish" if queue.running:
+                queue.finish(number / 1000)
+            case "wait":
+                queue.now += number / 50
+                queue.apply(queue.admission.expire(queue.now))
+            case "slots":
+                queue.admission.slots = 1 + number % 3
+                queue.apply(queue.admission.grant_next(queue.now))
+        assert queue.admission.waiting <= 8
+    while queue.running:
+        queue.finish()
+    assert queue.admission.waiting == 0
+    results = [*queue.order, *(name for name, _outcome in queue.refused)]
+    assert sorted(results) == sorted(str(n + 1) for n in range(submitted))
+    for _name, outcome in queue.refused:
+        assert 0 < outcome.retry_after_ms <= 2000
+
+
+@then("no explored load under load control loses a statement")
+def then_explored(context: Any) -> None:
+    @settings(max_examples=300, derandomize=True, database=None, deadline=None)
+    @for_all(EVENTS)
+    def run(events: list[tuple[str, str, int, int]]) -> None:
+        explore_queue(events)
+
+    run()
