Refuse heads whose members have wrong types

decode_statement and decode_outcome counted the members of a head and did not check their types, so that a head of nulls was read as a statement, or as a Done without a position. Both now look the sequence of the members' types up in a set of the permitted ones and raise MessageError otherwise. The wire format is unchanged.

--- a/bamboospring/wire.py
+++ b/bamboospring/wire.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from types import NoneType
 from typing import Any
 
 import capnp
@@ -39,6 +40,24 @@
     OVERLOADED: Overloaded,
     UNKNOWN: Unknown,
 }
+# Each permitted sequence of the members' types in a head. One lookup of the
+# whole sequence checks the number of members too.
+STATEMENT_TYPES: frozenset[tuple[type, ...]] = frozenset(
+    (
+        *(str, str, bool, str, int, str, str, int, int),
+        staleness,
+        remaining,
+        *(str, bool),
+    )
+    for staleness in (NoneType, int, float)
+    for remaining in (int, float)
+)
+OUTCOME_TYPES: frozenset[tuple[type, ...]] = frozenset(
+    {
+        (int, int, int, str, int, bool, bool, str),
+        (int, str, str, int),
+    }
+)
 # Exceptions raised while decoding a head with unexpected members.
 MALFORMED = (ValueError, TypeError, KeyError, capnp.KjException)
 
@@ -86,7 +105,7 @@
             remaining,
             trace,
             allow_primary,
-        ) = orjson.loads(src.head)
+        ) = _load_head(src.head, STATEMENT_TYPES)
         return Statement(
             group=group,
             caller=caller,
@@ -132,7 +151,7 @@
     """Decode an outcome; raise `MessageError` if it is malformed."""
     try:
         src = message.answer
-        kind, *members = orjson.loads(src.head)
+        kind, *members = _load_head(src.head, OUTCOME_TYPES)
         if kind == DONE:
             return _read_done(src, members)
         return _read_refusal(kind, members)
@@ -140,6 +159,13 @@
         raise MessageError(f"malformed answer: {exc}") from exc
 
 
+def _load_head(data: bytes, permitted: frozenset[tuple[type, ...]]) -> Any:
+    head = orjson.loads(data)
+    if tuple(map(type, head)) not in permitted:
+        raise ValueError("unexpected types or number of members")
+    return head
+
+
 def _done_head(outcome: Done) -> bytes:
     return orjson.dumps(
         (
