Let the fleet of the transfer tests state weights

With weights the leader names the VM with the large link as relay, which the fleet arranged by the order of its VMs' first requests.

--- a/features/steps/configuration_transfer_steps.py
+++ b/features/steps/configuration_transfer_steps.py
@@ -73,7 +73,9 @@
 def given_fleet(
     context: Any, vms: int, zones: int, regions: int, kind: str
 ) -> None:
-    shape = FleetShape(vms=vms, zones=zones, regions=regions)
+    shape = FleetShape(
+        vms=vms, zones=zones, regions=regions, weighted=kind == "large"
+    )
     start_fleet(context, shape, large_relays=kind == "large")
     relays = context.transfers.relays()
     assert len(relays) == zones * (vms // zones >= 4)
--- a/features/steps/transfer_fleet.py
+++ b/features/steps/transfer_fleet.py
@@ -103,6 +103,12 @@
     region_mbps: float = 30.0
     region_latency: float = 0.008
     load_control: bool = True
+    # Whether VMs with a large link state a higher weight, by which they become
+    # relays.
+    weighted: bool = True
+
+    def weight(self, mbps: float) -> int:
+        return 4 if self.weighted and mbps == self.large_mbps else 1
 
 
 class SimPeers:
@@ -278,6 +284,7 @@
             catalog=self.keeper,
             catalog_relay=self.transfers,
             holders=ZoneHolders(local_vm=name),
+            weight=fleet.shape.weight(mbps),
         )
 
     @property
--- a/features/steps/vm_weights_steps.py
+++ b/features/steps/vm_weights_steps.py
@@ -317,6 +317,7 @@
             records=keepers,
             targets=keepers,
             catalog=keepers,
+            catalog_relay=keepers,
             holders=self.holders,
             weight=weight,
         )
