Remember refusals that concern all callers for 0.1 s

Cause: a holder names to each refused caller its turn among the callers of all VMs, up to 2 s. An entry took that as the time in which the holder accepts nothing, up to 1 s, for all of its statements.

Change: such a refusal is remembered for at most 0.1 s, one of a caller's own part of the queue for at most 1 s as before. Callers are told the whole delay.

Three scenarios of overload_queues.feature stated the former times: they now ask for the shorter ones, a statement that can't wait is one whose slot wait is below 0.1 s, and the longer memory has an example of its own.

--- a/bamboospring/sessions/backpressure.py
+++ b/bamboospring/sessions/backpressure.py
@@ -51,6 +51,10 @@
 # Seconds after which a holder is asked again in any case, as it may have been
 # replaced or may have capacity again.
 MAX_DURATION = 1.0
+# The same for refusals that concern all callers. The delay that a holder names
+# is the turn of one caller among those of all VMs; if each VM sent nothing
+# until its turn, a holder with free slots would get nothing for a second.
+MAX_SHARED_DURATION = 0.1
 # A caller's retry delay is at most this multiple of its objective, and at most
 # MAX_RETRY_DELAY seconds.
 MAX_DELAY_PER_OBJECTIVE = 4.0
@@ -105,21 +109,23 @@
             self._forget_expired(now)
         if self._count >= MAX_REFUSALS:
             return False
+        longest = MAX_DURATION
         if refusal.reason not in CALLER_REASONS:
-            caller = ANY_CALLER
+            caller, longest = ANY_CALLER, MAX_SHARED_DURATION
         delay = refusal.retry_after_ms / 1000
-        until = now + min(delay, MAX_DURATION)
+        until = now + min(delay, longest)
         by_urgency = self._refusals.setdefault(
             _Key(target=target, caller=caller), {}
         )
         known = by_urgency.get(urgency)
         if known is not None and known.until >= until:
             return False
-        reserved = until if known is None else known.reserved_until
+        retry_at = now + min(delay, MAX_RETRY_DELAY)
+        reserved = retry_at if known is None else known.reserved_until
         by_urgency[urgency] = _Refusal(
             until=until,
             interval=delay,
-            reserved_until=max(until, reserved),
+            reserved_until=max(retry_at, reserved),
             reason=refusal.reason,
         )
         self._count += known is None
--- a/features/overload_queues.feature
+++ b/features/overload_queues.feature
@@ -102,6 +102,7 @@
     # Guards against: a caller waits for a refusal that is known already.
     Given 80 VMs in 3 zones with load control on, a target of 4 slots, 56 connections and a queue of 0
     And a replica that can serve reads of urgency 2
+    And routes of urgency 2 with an objective of 300 ms
     And the holder of t has refused urgency 2 for 900 ms
     And the holder of t2 has refused urgency 2 for 700 ms
     When a read of urgency 2 arrives at a VM that forwards it
@@ -221,10 +222,10 @@
     Given a VM that a holder has refused at 5 s
     When urgency 1 of caller one was refused for 200 ms because of queue_full
     Then urgency 0 of caller two is kept back for 0 ms
-    And urgency 1 of caller two is kept back for 200 ms
-    And urgency 2 of caller one is kept back for 200 ms
+    And urgency 1 of caller two is kept back for 100 ms
+    And urgency 2 of caller one is kept back for 100 ms
     And callers of urgency 2 are refused for 200, 400, 600 ms
-    And nothing is kept back after 0.2 s
+    And nothing is kept back after 0.1 s
 
   Scenario: One caller's part of a queue concerns only this caller
     # Guards against: a team that floods the queue keeps others from it.
@@ -233,15 +234,21 @@
     Then urgency 1 of caller one is kept back for 300 ms
     And urgency 1 of caller two is kept back for 0 ms
 
-  Scenario: A remembered refusal ends within a second
+  Scenario Outline: A remembered refusal ends soon
     # Guards against: a holder that was replaced, or has capacity again, is
-    # not asked. The holder's clock and this VM's may differ by any time.
+    # not asked; the delays that it names are the turns of callers of many
+    # VMs. The holder's clock and this VM's may differ by any time.
     Given a VM that a holder has refused at 80000 s
-    When urgency 1 of caller one was refused for 2000 ms because of queue_full
-    Then urgency 1 of caller one is kept back for 1000 ms
-    And nothing is kept back after 1 s
+    When urgency 1 of caller one was refused for 2000 ms because of <reason>
+    Then urgency 1 of caller one is kept back for <ms> ms
+    And nothing is kept back after <seconds> s
     And a target of the same name at another time of day is not concerned
 
+    Examples:
+      | reason       | ms   | seconds |
+      | queue_full   | 100  | 0.1     |
+      | caller_limit | 1000 | 1       |
+
   Scenario: Objectives between VMs of different versions
     # Guards against: an older VM's statement can't be read, or a late
     # statement counts as one without an objective.
--- a/features/steps/overload_queues_steps.py
+++ b/features/steps/overload_queues_steps.py
@@ -429,6 +429,12 @@
         )
 
 
+@given("routes of urgency {urgency:d} with an objective of {ms:d} ms")
+def given_objective(context: Any, urgency: int, ms: int) -> None:
+    routes = context.overload.routes
+    routes[urgency] = replace(routes[urgency], objective=ms / 1000)
+
+
 @when("a read of urgency {urgency:d} arrives at a VM that forwards it")
 def when_read(context: Any, urgency: int) -> None:
     crowd = context.overload
