Give the stub of the relay a catalog relay

FactRelay reads the known version from the catalog relay and tells it the source of facts; the stub of the tests of weights passed the keepers instead, which have neither. It gets a stub of its own, and loses refresh_failed, which no module reads any more.

--- a/features/steps/vm_weights_steps.py
+++ b/features/steps/vm_weights_steps.py
@@ -290,10 +290,12 @@
             apply_relayed=lambda *args: None,
             listed=[],
             read_at=0.0,
-            refresh_failed=False,
             version=1,
             checked_at=0.0,
         )
+        catalog_relay: Any = SimpleNamespace(
+            known_version=1, set_source=lambda *args: None
+        )
         lease: Any = SimpleNamespace(
             is_held=False,
             holder=lambda: "leader",
@@ -317,7 +319,7 @@
             records=keepers,
             targets=keepers,
             catalog=keepers,
-            catalog_relay=keepers,
+            catalog_relay=catalog_relay,
             holders=self.holders,
             weight=weight,
         )
