Ask only VMs of protocol 2 for parts of a configuration

A VM of an older release drops the link on a message that it does not know, which makes the outcome of forwarded writes on it unknown. A request can now state the lowest protocol that it needs; a peer with an earlier one in its hello counts as lost at once and is sent nothing. The protocol is set before the messages that wait for the hello are sent.

The new scenarios failed without the change: a VM of protocol 0 or 1 was sent catalogAsk.

--- a/bamboospring/peers.py
+++ b/bamboospring/peers.py
@@ -24,6 +24,7 @@
 from bamboospring.reactor import Timer
 
 __all__ = [
+    "CATALOG_PARTS_PROTOCOL",
     "HELD_TRANSACTIONS_PROTOCOL",
     "PeerLost",
     "Peers",
@@ -38,7 +39,9 @@
 # The accepting side names its protocol in its hello. A VM that does not know a
 # kind of message drops the link, and with it all other exchanges on it, so
 # messages of a newer protocol are sent only where it is spoken.
+# Both kinds of messages were introduced in the same release.
 HELD_TRANSACTIONS_PROTOCOL = 2
+CATALOG_PARTS_PROTOCOL = 2
 PROTOCOL = HELD_TRANSACTIONS_PROTOCOL
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 CONNECT_TIMEOUT = 1.0
@@ -148,10 +151,16 @@
         message: Any,
         timeout: float,
         on_answer: OnAnswer,
+        *,
+        min_protocol: int = 0,
     ) -> None:
-        """Send and call back with the answer, or PeerLost after `timeout`."""
+        """Send and call back with the answer, or PeerLost after `timeout`.
+
+        Nothing is sent to a peer of an earlier protocol than `min_protocol`;
+        it counts as lost as soon as its protocol is known.
+        """
         message.id = next(self._ids)
-        self._link(address).ask(message, timeout, on_answer)
+        self._link(address).ask(message, timeout, on_answer, min_protocol)
 
     def unresponsive_for(self, address: str) -> float | None:
         """Return for how many seconds an awaited answer has not arrived.
@@ -210,6 +219,7 @@
 
     on_answer: OnAnswer
     timer: Timer
+    min_protocol: int = 0
     sent: bool = False
 
 
@@ -233,12 +243,20 @@
     def send(self, data: bytes) -> None:
         self.write(0, data)
 
-    def ask(self, message: Any, timeout: float, on_answer: OnAnswer) -> None:
+    def ask(
+        self,
+        message: Any,
+        timeout: float,
+        on_answer: OnAnswer,
+        min_protocol: int,
+    ) -> None:
         number = message.id
         timer = self.peers.reactor.call_later(
             timeout, lambda: self._expire_exchange(number)
         )
-        self.exchanges[number] = _Exchange(on_answer=on_answer, timer=timer)
+        self.exchanges[number] = _Exchange(
+            on_answer=on_answer, timer=timer, min_protocol=min_protocol
+        )
         self.write(number, message.to_bytes())
         if self.heartbeat_timer is None and self.is_ready:
             # Only time after the request counts as unresponsive.
@@ -296,6 +314,11 @@
             return
         exchange = self.exchanges.get(number)
         if exchange is not None:
+            if self.protocol < exchange.min_protocol:
+                self.peers.reactor.call_later(
+                    0, lambda: self._expire_exchange(number)
+                )
+                return
             exchange.sent = True
         self.peers.sent_bytes += len(data) + LENGTH_PREFIX.size
         self.stream.send(LENGTH_PREFIX.pack(len(data)) + data)
@@ -343,6 +366,10 @@
 
     def _on_message(self, message: Any) -> None:
         if not self.is_ready:
+            # The hello comes first, and messages that wait for it depend on
+            # the protocol.
+            if message.which() == "hello":
+                self.protocol = message.hello.protocol
             self._mark_ready()
         number = message.id
         exchange = self.exchanges.pop(number, None)
@@ -351,8 +378,6 @@
             exchange.on_answer(message)
             return
 
-        if message.which() == "hello":
-            self.protocol = message.hello.protocol
         self.peers.dispatch(message, Reply(sender=self, number=number))
 
     def _start_heartbeat_timer(self) -> None:
--- a/bamboospring/sessions/catalog_relay.py
+++ b/bamboospring/sessions/catalog_relay.py
@@ -15,6 +15,7 @@
 import xxhash
 
 from bamboospring import logs
+from bamboospring.peers import CATALOG_PARTS_PROTOCOL
 from bamboospring.peers import new_envelope
 from bamboospring.peers import PeerLost
 from bamboospring.peers import Peers
@@ -181,7 +182,13 @@
                 action = self._transfer.record_part(part, ask, now=self._now())
             self._execute(action)
 
-        self._peers.ask(ask.source, message, SOURCE_TIMEOUT, on_answer)
+        self._peers.ask(
+            ask.source,
+            message,
+            SOURCE_TIMEOUT,
+            on_answer,
+            min_protocol=CATALOG_PARTS_PROTOCOL,
+        )
 
     def _is_relay(self, address: str) -> bool:
         """Return whether another source may replace a lost one.
--- a/features/configuration_transfer.feature
+++ b/features/configuration_transfer.feature
@@ -110,6 +110,19 @@
     And a relay has a part of it and not all
     Then the relay announces it, and has not put it in force
 
+  Scenario Outline: A VM of protocol <protocol> is asked for parts
+    # Guards against: a VM of an older release drops the link on a message
+    # that it does not know, and the forwarded writes on it become unknown.
+    When a VM states protocol <protocol> and is asked for a part and for facts
+    Then it is sent <kinds>
+    And the request for a part is lost <outcome>
+
+    Examples:
+      | protocol | kinds                | outcome     |
+      | 0        | factsAsk             | at once     |
+      | 1        | factsAsk             | at once     |
+      | 2        | catalogAsk, factsAsk | after 0.4 s |
+
   Scenario: A VM that loses its leader does not read all former versions
     # Guards against: a VM that watches the store again gets each of the
     # versions that were stored meanwhile, hundreds of kilobytes each.
--- a/features/steps/configuration_transfer_steps.py
+++ b/features/steps/configuration_transfer_steps.py
@@ -8,6 +8,7 @@
 import dataclasses
 import re
 import time
+from types import SimpleNamespace
 from typing import Any
 
 from behave import given
@@ -20,6 +21,9 @@
 
 from bamboospring.object_store import Changes
 from bamboospring.object_store import Found
+from bamboospring.peers import new_envelope
+from bamboospring.peers import Peers
+from bamboospring.peers import schema
 from bamboospring.platform.line_protocol import key_digest
 from bamboospring.platform.store_objects import read_catalog
 from bamboospring.sessions.catalog_encoding import CatalogDecoder
@@ -28,6 +32,7 @@
 from bamboospring.sessions.catalog_encoding import DecodeState
 from bamboospring.sessions.catalog_encoding import encode_catalog
 from bamboospring.sessions.catalog_encoding import EncodedCatalog
+from bamboospring.sessions.catalog_relay import CatalogRelay
 from bamboospring.sessions.catalog_relay import CatalogSource
 from bamboospring.sessions.catalog_sending import AskAgain
 from bamboospring.sessions.catalog_sending import CatalogCopy
@@ -46,6 +51,7 @@
 from bamboospring.sessions.catalog_transfer import FindSource
 from bamboospring.sessions.catalog_transfer import ReadStore
 from bamboospring.sessions.model import Catalog
+from bamboospring.sessions.model import SessionBoard
 from bamboospring.store_version import version_of
 from features.steps.access_steps import config
 from features.steps.access_steps import KeyVm
@@ -215,6 +221,101 @@
     fleet.lead(name)
 
 
+@when("a VM hears from its relay of version 2, with an age of {age:g} s")
+def when_hears(context: Any, age: float) -> None:
+    fleet = context.transfers
+    vm = next(vm for vm in fleet.running() if not vm.serves_zone)
+    context.hearer = vm
+    context.confirmed_before = vm.board.catalog_confirmed_at
+    facts = new_envelope().init("facts")
+    facts.informed = True
+    facts.leader = facts.leaderAddress = fleet.leader
+    facts.leaseVersion = fleet.term
+    facts.catalog = 2
+    facts.catalogAgeMs = round(age * 1000)
+    vm.facts._apply_facts(facts, fleet.clock.now())
+
+
+@then("it requests that version and confirms nothing")
+def then_requests(context: Any) -> None:
+    vm = context.hearer
+    relay = next(r for r in context.transfers.relays() if r.zone == vm.zone)
+    assert vm.transfers._transfer.is_pending
+    assert vm.transfers.known_version == 2
+    assert context.transfers.asked[relay.name, "catalogAsk"] == 1
+    assert vm.board.catalog_confirmed_at == context.confirmed_before
+
+
+class PeerStage(FakeClock):
+    """A reactor with one connection, to a VM that only sends its hello."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.sent: list[str] = []
+        self.stream = SimpleNamespace(
+            send=self._note, abort=lambda: None, on_data=None, on_close=None
+        )
+
+    def _note(self, data: bytes) -> None:
+        with schema.Envelope.from_bytes(data[4:]) as message:
+            self.sent.append(message.which())
+
+    def listen(self, _address: str, _on_accept: Any) -> Any:
+        return SimpleNamespace(close=lambda: None)
+
+    def connect(self, _address: str, _timeout: float, on_open: Any) -> None:
+        self.call_later(0.01, lambda: on_open(self.stream))
+
+    def send_hello(self, protocol: int) -> None:
+        message = new_envelope()
+        message.init("hello").protocol = protocol
+        data = message.to_bytes()
+        self.stream.on_data(len(data).to_bytes(4, "little") + data)
+
+
+@when(
+    "a VM states protocol {protocol:d} and is asked for a part and for facts"
+)
+def when_asked_for_part(context: Any, protocol: int) -> None:
+    stage = PeerStage()
+    reactor: Any = stage
+    keeper: Any = SimpleNamespace(read_store=lambda: None, version=1)
+    peers = Peers(reactor=reactor, vm="vm-1", listen="vm-1:1")
+    relay = CatalogRelay(
+        reactor=reactor,
+        board=SessionBoard(
+            vm="vm-1", availability_zone="z", load_control=True
+        ),
+        peers=peers,
+        keeper=keeper,
+        address="vm-1:1",
+        link_mbps=5.0,
+    )
+    lost_at: list[float] = []
+    relay.on_source_lost = lambda _source: lost_at.append(stage.now())
+    relay.set_source(CatalogSource(address="vm-2:1", is_relay=True), 2)
+    keeper.on_newer(2)
+    message = new_envelope()
+    message.init("factsAsk")
+    peers.ask("vm-2:1", message, 0.4, lambda _answer: None)
+    stage.run_until(0.05)
+    stage.send_hello(protocol)
+    stage.run_until(0.45)
+    context.peer_stage, context.lost_at = stage, lost_at
+
+
+@then("it is sent {kinds}")
+def then_sent(context: Any, kinds: str) -> None:
+    sent = [k for k in context.peer_stage.sent if k != "heartbeat"]
+    assert sent == kinds.split(", "), sent
+
+
+@then("the request for a part is lost {outcome}")
+def then_part_lost(context: Any, outcome: str) -> None:
+    at = 0.05 if outcome.startswith("at once") else 0.4
+    assert context.lost_at == [at], context.lost_at
+
+
 @when("the leader is lost and no VM leads")
 def when_leader_lost(context: Any) -> None:
     fleet = context.transfers
--- a/features/steps/transfer_fleet.py
+++ b/features/steps/transfer_fleet.py
@@ -123,7 +123,13 @@
         self.handlers[kind] = callback
 
     def ask(
-        self, address: str, message: Any, timeout: float, on_answer: Any
+        self,
+        address: str,
+        message: Any,
+        timeout: float,
+        on_answer: Any,
+        *,
+        min_protocol: int = 0,
     ) -> None:
         fleet = self.fleet
         answered = False
