Use news of a configuration whatever the age of the facts is

A relay that receives a version has no newer check of its own version to pass on, so the age that it states grows. VMs of its zone that first heard of the version after 1.7 s ignored it, watched the store, and got the version there. The age limits only how long a VM assumes that there is nothing newer; without load control it applies as before.

--- a/bamboospring/sessions/relay.py
+++ b/bamboospring/sessions/relay.py
@@ -330,7 +330,13 @@
         max_catalog_age = MAX_CATALOG_AGE + (
             RELAY_REQUEST_INTERVAL if is_from_relay else 0.0
         )
-        if catalog_age <= max_catalog_age:
+        # The age limits for how long nothing newer is assumed. A relay that
+        # receives a newer version has that news without having its content,
+        # so its age grows meanwhile; the news itself does not age.
+        is_newer = (
+            self._board.load_control and facts.catalog > self._catalog.version
+        )
+        if is_newer or catalog_age <= max_catalog_age:
             self._catalog.apply_relayed(
                 facts.catalog,
                 asked_at - catalog_age,
--- a/features/configuration_transfer.feature
+++ b/features/configuration_transfer.feature
@@ -110,6 +110,14 @@
     And a relay has a part of it and not all
     Then the relay announces it, and has not put it in force
 
+  Scenario: A newer version is requested however old the facts are
+    # Guards against: a relay that receives a version has heard nothing newer
+    # of its own for 1.7 s, so the VMs of its zone ignore its news and read
+    # the store.
+    Given 86 VMs in 6 zones and 2 regions, with large relays
+    When a VM hears from its relay of version 2, with an age of 5 s
+    Then it requests that version and confirms nothing
+
   Scenario Outline: A VM of protocol <protocol> is asked for parts
     # Guards against: a VM of an older release drops the link on a message
     # that it does not know, and the forwarded writes on it become unknown.
