--- a/features/steps/transfer_fleet.py
+++ b/features/steps/transfer_fleet.py
@@ -403,8 +403,10 @@
     def start(self, leader: str, *, large_relays: bool = True) -> None:
         """Start all VMs.
 
-        The fourth VM that asks in a zone becomes its relay; with
-        `large_relays` it has a large link.
+        With `large_relays`, the first VMs of a zone that ask have large links.
+        Without weights the fourth VM that asks becomes the relay. With them
+        the order does not decide; it lets many VMs first hear of a version
+        from relays that are still receiving it.
         """
         rng = random.Random(2)
         asked: Counter[str] = Counter()
