Release slots at the threshold, and leave stalls out of queue rates

With few slots at a holder, all of them often wait for lost responses. A statement beyond the threshold kept its slot until one sent later was answered, or for four thresholds. Nothing was sent later while all slots were kept, so the queue stood still for 0.6 s and more. The interval between grants then included this time and made the queue refuse statements with queue_full that would fit.

The slot is now released at the threshold; the read is abandoned as before. The time since the last grant is left out of the intervals when a slot is given back because a response is overdue.

--- a/bamboospring/admission.py
+++ b/bamboospring/admission.py
@@ -173,6 +173,14 @@
         self._usage_of(ticket.caller).running -= 1
         self._forget_if_unused(ticket.caller)
 
+    def release_overdue(self, ticket: Ticket, now: float) -> None:
+        """Give back the slot of a statement whose response is overdue.
+
+        How long it was held says nothing about the statements that follow.
+        """
+        self.release(ticket, self.estimate)
+        self._rates.record_overdue_slot(now)
+
     def grant_next(self, now: float) -> list[SlotDecision]:
         """Grant free slots to queued tickets; refuse those too late."""
         decisions: list[SlotDecision] = []
--- a/bamboospring/drain_rate.py
+++ b/bamboospring/drain_rate.py
@@ -9,6 +9,10 @@
 For example, of 220 statements a second 200 are more urgent. A ticket of the
 least urgent kind with ten of its kind ahead waits half a second, not 50 ms.
 
+A statement whose response is lost keeps its slot until it is overdue. If all
+slots are kept so, nothing is granted until then. This time does not enter the
+intervals: it ends when the slots are given back.
+
 This module does no I/O and uses neither the clock nor random numbers.
 """
 
@@ -45,9 +49,14 @@
 
 @dataclass(slots=True, kw_only=True)
 class DrainRates:
-    """Intervals between the grants of queued tickets, by urgency."""
+    """Intervals between the grants of queued tickets, by urgency.
+
+    `_resumed_at` is the time of the last grant of any urgency, or when slots
+    were given back whose statements had no response.
+    """
 
     _rates: dict[int, _UrgencyRate] = field(default_factory=dict)
+    _resumed_at: float = -1e9
 
     def record_first_queued(
         self, urgency: int, now: float, *, usual: float
@@ -68,6 +77,17 @@
         if rate is not None:
             rate.interval = _smooth(rate.interval, now - rate.last_at)
             rate.last_at = now
+        self._resumed_at = now
+
+    def record_overdue_slot(self, now: float) -> None:
+        """Record that a statement without a response gave its slot back.
+
+        The time since the last grant of any urgency is left out of all
+        intervals: it says nothing about the grants that follow.
+        """
+        for rate in self._rates.values():
+            rate.last_at += max(0.0, now - max(rate.last_at, self._resumed_at))
+        self._resumed_at = now
 
     def interval(
         self, urgency: int, now: float, *, usual: float, is_waiting: bool
--- a/bamboospring/pool.py
+++ b/bamboospring/pool.py
@@ -326,7 +326,9 @@
         """
         leased.is_overdue = True
         now = self._reactor.now()
-        self._free_slot(leased, now)
+        if leased.slot_ticket is not None:
+            self._slot_admission.release_overdue(leased.slot_ticket, now)
+            leased.slot_ticket = None
         if not in_transaction:
             self._free_write_ticket(leased, now)
         self._serve_waiting()
--- a/bamboospring/sessions/overdue.py
+++ b/bamboospring/sessions/overdue.py
@@ -135,12 +135,15 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class StillExpected:
-    """The response may still come; judge again after these seconds.
+    """The response may still come; judge again after `recheck_in` seconds.
 
-    None means that the statement reaches its time limit before.
+    None means that the statement reaches its time limit before. A statement
+    beyond the threshold does not keep its slot: if all slots were kept,
+    nothing would be sent later whose answer shows that responses are lost.
     """
 
     recheck_in: float | None
+    keeps_slot: bool = True
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -165,11 +168,15 @@
     if now >= due_at:
         return Overdue()
     recheck_at = min(due_at, now + RECHECK_FRACTION * threshold)
-    return _expected_until(recheck_at, now, deadline)
+    return _expected_until(recheck_at, now, deadline, keeps_slot=False)
 
 
-def _expected_until(at: float, now: float, deadline: float) -> StillExpected:
-    return StillExpected(recheck_in=at - now if at < deadline else None)
+def _expected_until(
+    at: float, now: float, deadline: float, *, keeps_slot: bool = True
+) -> StillExpected:
+    return StillExpected(
+        recheck_in=at - now if at < deadline else None, keeps_slot=keeps_slot
+    )
 
 
 def should_abandon(
--- a/bamboospring/sessions/response_watch.py
+++ b/bamboospring/sessions/response_watch.py
@@ -98,8 +98,11 @@
         match verdict:
             case Overdue():
                 self._on_verdict_overdue(reactor.now())
-            case StillExpected(recheck_in=float(seconds)):
-                self._timer = reactor.call_later(seconds, self.check)
+            case StillExpected(recheck_in=seconds, keeps_slot=keeps_slot):
+                if seconds is not None:
+                    self._timer = reactor.call_later(seconds, self.check)
+                if not keeps_slot:
+                    self._release_slot()
 
     def stop(self) -> None:
         """End the watch: the exchange has ended or is abandoned."""
@@ -135,10 +138,13 @@
             sent_at=self.sent_at, now=now, is_read=self.is_read
         )
         self._log(now)
+        self._release_slot()
+        self.on_overdue()
+
+    def _release_slot(self) -> None:
         self.watcher.pools.release_overdue_slot(
             self.leased, in_transaction=self.in_transaction
         )
-        self.on_overdue()
 
     def _log(self, now: float) -> None:
         observed = self.observed
--- a/features/overdue_responses.feature
+++ b/features/overdue_responses.feature
@@ -178,6 +178,37 @@
       | 50    | a     | 301    | overdue        |
       | 400   | a     | 999    | still expected |
 
+  Scenario Outline: When a statement without a response keeps its slot
+    # Guards against: the statements whose responses are lost keep all slots
+    # of a queue, so that nothing is sent later, nothing shows that they are
+    # lost, and the queue refuses what would fit.
+    Given a target that usually responds within 20 ms
+    And <later> statement sent later was answered
+    Then a statement that has waited for <waited> ms <slot>
+
+    Examples:
+      | later | waited | slot                |
+      | no    | 149    | keeps its slot      |
+      | no    | 151    | gives back its slot |
+      | no    | 599    | gives back its slot |
+      | a     | 149    | keeps its slot      |
+      | a     | 151    | gives back its slot |
+
+  Scenario: Slots that are given back end a stall
+    # Guards against: the time in which all slots were kept by statements
+    # whose responses were lost counts as the rate of the queue, which then
+    # refuses what would fit.
+    Given a queue of 2 slots that serves a statement every 10 ms
+    When both slots are kept for 150 ms and given back as overdue
+    Then 50 to 70 further statements are accepted at once
+
+  Scenario: Other waits still count
+    # Guards against: a queue that serves more urgent statements accepts others
+    # that will wait too long, since the response to one is overdue.
+    Given a queue of 2 slots that serves a statement every 10 ms
+    When it serves more urgent ones for 500 ms, and then a response is overdue
+    Then 8 to 10 further statements are accepted at once
+
   Scenario: Lost responses leave the threshold as it is
     # Guards against: each lost response counts as a slow one, so that a
     # target that loses a fifth of them raises the threshold to the time limit.
--- a/features/steps/overdue_responses_steps.py
+++ b/features/steps/overdue_responses_steps.py
@@ -11,6 +11,9 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from bamboospring.admission import Admission
+from bamboospring.admission import SlotRefused
+from bamboospring.admission import Ticket
 from bamboospring.outcomes import Unknown
 from bamboospring.retry_budget import RetryBudget
 from bamboospring.sessions.access import Identity
@@ -21,6 +24,7 @@
 from bamboospring.sessions.overdue import OverdueStatistics
 from bamboospring.sessions.overdue import ResponseTimes
 from bamboospring.sessions.overdue import should_abandon
+from bamboospring.sessions.overdue import StillExpected
 from bamboospring.sessions.overdue import USUAL_FACTOR
 from bamboospring.sessions.ports import Served
 from bamboospring.sessions.session import Job
@@ -372,6 +376,85 @@
     assert isinstance(found, Overdue) == (verdict == "overdue"), found
 
 
+@then("a statement that has waited for {ms:g} ms keeps its slot")
+def then_keeps_slot(context: Any, ms: float) -> None:
+    assert keeps_slot(context.times, ms / 1000)
+
+
+@then("a statement that has waited for {ms:g} ms gives back its slot")
+def then_gives_back_slot(context: Any, ms: float) -> None:
+    assert not keeps_slot(context.times, ms / 1000)
+
+
+def keeps_slot(times: ResponseTimes, waited: float) -> bool:
+    found = judge_response(
+        times,
+        sent_at=SENT_AT,
+        now=SENT_AT + waited,
+        deadline=SENT_AT + TIME_LIMIT,
+    )
+    return isinstance(found, StillExpected) and found.keeps_slot
+
+
+@given("a queue of 2 slots that serves a statement every 10 ms")
+def given_served_queue(context: Any) -> None:
+    """Let two statements of urgency 0 run and one of each urgency wait."""
+    context.queue = Admission(slots=2, estimate=0.02)
+    context.running = [queue_ticket(0, SENT_AT) for _ in range(2)]
+    context.waiting = queue_ticket(0, SENT_AT)
+    for ticket in (
+        *context.running,
+        context.waiting,
+        queue_ticket(1, SENT_AT),
+    ):
+        context.queue.submit(ticket, SENT_AT)
+
+
+def queue_ticket(urgency: int, now: float) -> Ticket:
+    return Ticket(
+        caller="",
+        deadline=now + TIME_LIMIT,
+        objective_at=now + TIME_LIMIT,
+        urgency=urgency,
+        item=None,
+    )
+
+
+@when("both slots are kept for {ms:g} ms and given back as overdue")
+def when_slots_kept(context: Any, ms: float) -> None:
+    context.now = SENT_AT + ms / 1000
+    for ticket in context.running:
+        context.queue.release_overdue(ticket, context.now)
+    context.queue.grant_next(context.now)
+
+
+@when(
+    "it serves more urgent ones for {ms:g} ms, and then a response is overdue"
+)
+def when_urgent_served(context: Any, ms: float) -> None:
+    queue, running = context.queue, context.running
+    for number in range(int(ms / 10)):
+        context.now = SENT_AT + (number + 1) / 100
+        running.append(context.waiting)
+        context.waiting = queue_ticket(0, context.now)
+        queue.submit(context.waiting, context.now)
+        queue.release(running.pop(0), 0.02)
+        queue.grant_next(context.now)
+    queue.release_overdue(running[0], context.now)
+
+
+@then("{least:d} to {most:d} further statements are accepted at once")
+def then_accepted(context: Any, least: int, most: int) -> None:
+    accepted = 0
+    while accepted <= most:
+        ticket = queue_ticket(1, context.now)
+        decisions = context.queue.submit(ticket, context.now)
+        if any(isinstance(each, SlotRefused) for each in decisions):
+            break
+        accepted += 1
+    assert least <= accepted <= most, accepted
+
+
 @when("{count:d} statements are sent, of which every {nth:d}th is lost")
 def when_part_lost(context: Any, count: int, nth: int) -> None:
     times = context.times
