Log calls that time out and announcements of configurations

platform_call_timeout has the purpose, the time waited, and whether the connection was new or reused, after how long at rest. catalog_announced is the leader's word; catalog has source and pending_ms. Metrics: platform.calls.timed_out by purpose, catalog.pending.

--- a/bamboospring/explain.py
+++ b/bamboospring/explain.py
@@ -259,11 +259,12 @@
 
 
 def describe_catalog(events: Sequence[Event], version: str) -> list[str]:
-    """Return when each VM put a version of the configuration in force."""
+    """Return when each VM heard of a configuration and put it in force."""
     found = [
         e
         for e in events
-        if e.name == "catalog" and e.fields.get("version") == version
+        if e.name in ("catalog", "catalog_announced")
+        and e.fields.get("version") == version
     ]
     if not found:
         return [f"No line names version {version}."]
--- a/bamboospring/http_client.py
+++ b/bamboospring/http_client.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from collections import deque
 from dataclasses import dataclass
+from dataclasses import replace
 
 import httptools
 
@@ -48,11 +49,14 @@
 class HttpFailure:
     """No complete response arrived.
 
-    `sent` is false only if it is certain that nothing was sent.
+    `sent` is false only if it is certain that nothing was sent. `idle` is how
+    many seconds the connection had been idle before the request, None if it
+    was opened for the request.
     """
 
     sent: bool
     reason: str
+    idle: float | None = None
 
 
 OnComplete = Callable[[HttpResponse | HttpFailure], None]
@@ -267,6 +271,9 @@
         self._queue: deque[_QueuedRequest] = deque()
         self._request_active = False
         self._on_complete: OnComplete | None = None
+        self._idle_since = 0.0
+        # How long the connection was idle before the active request.
+        self._idle: float | None = None
 
     def request(
         self,
@@ -279,10 +286,11 @@
     ) -> None:
         """Queue a request; see `HttpConnection.request`."""
         conn = self._conn
-        idle = not self._request_active and not self._queue
-        if idle and conn is not None and conn.usable:
+        is_free = not self._request_active and not self._queue
+        if is_free and conn is not None and conn.usable:
             self._request_active = True
             self._on_complete = on_complete
+            self._idle = self._reactor.now() - self._idle_since
             conn.request(method, path, body, timeout, self._complete, headers)
             return
         call = _QueuedRequest(
@@ -311,8 +319,10 @@
         call = self._queue.popleft()
         self._on_complete = call.on_complete
         if self._conn is not None and self._conn.usable:
+            self._idle = self._reactor.now() - self._idle_since
             self._send(call)
             return
+        self._idle = None
         self._conn = HttpConnection(
             reactor=self._reactor,
             address=self._address,
@@ -348,6 +358,9 @@
 
     def _complete(self, answer: HttpResponse | HttpFailure) -> None:
         self._request_active = False
+        self._idle_since = self._reactor.now()
+        if isinstance(answer, HttpFailure):
+            answer = replace(answer, idle=self._idle)
         on_complete, self._on_complete = self._on_complete, None
         if on_complete is not None:
             on_complete(answer)
--- a/bamboospring/platform_client.py
+++ b/bamboospring/platform_client.py
@@ -99,11 +99,13 @@
 class CallCounts:
     """Calls of one purpose since the process started.
 
-    `refused` counts calls that were refused locally and never sent.
+    `refused` counts calls that were refused locally and never sent;
+    `timed_out` counts the failed ones whose answer did not arrive in time.
     """
 
     calls: int = 0
     failed: int = 0
+    timed_out: int = 0
     refused: int = 0
 
 
@@ -507,8 +509,12 @@
             queue.is_busy = False
             if isinstance(answer, HttpResponse):
                 self._update_era(answer)
+            seconds = self._reactor.now() - sent_at
             if not has_fixed_timeout:
-                self._record_answer_time(answer, self._reactor.now() - sent_at)
+                self._record_answer_time(answer, seconds)
+            if isinstance(answer, HttpFailure) and answer.reason == TIMED_OUT:
+                counts.timed_out += 1
+                _log_timeout(purpose, seconds, answer.idle)
             result = self._classify_answer(queue, counts, call.method, answer)
             self._send_next(queue)
             on_answer(result)
@@ -653,5 +659,15 @@
     )
 
 
+def _log_timeout(purpose: str, seconds: float, idle: float | None) -> None:
+    logs.log_event(
+        "platform_call_timeout",
+        purpose=purpose,
+        waited_ms=round(seconds * 1000),
+        connection="new" if idle is None else "reused",
+        idle_ms=None if idle is None else round(idle * 1000),
+    )
+
+
 def _base_purpose(purpose: str) -> str:
     return purpose.partition("/")[0]
--- a/bamboospring/sessions/catalog_keeper.py
+++ b/bamboospring/sessions/catalog_keeper.py
@@ -80,6 +80,10 @@
         self._refresh_asked_at = -1e9
         self._unreadable_version = 0
         self._ignored_version = 0
+        # The newest version that another VM has announced, and when a version
+        # newer than the current one was first announced.
+        self._announced_version = 0
+        self._announced_at: float | None = None
         self.is_leader: Callable[[], bool] = lambda: False
         self._watch = KindWatch(
             reactor=reactor,
@@ -103,6 +107,13 @@
         """
         return max(self._watch.last_response_at, self._relayed_at)
 
+    @property
+    def pending_seconds(self) -> float:
+        """Return for how long a newer configuration has been announced."""
+        if self._announced_at is None:
+            return 0.0
+        return self._reactor.now() - self._announced_at
+
     def start(self) -> None:
         """Start to follow the configuration."""
         self._watch.set_watching(True)
@@ -126,6 +137,7 @@
             self._relayed_at = max(self._relayed_at, checked_at)
             self._confirm(confirmed_at)
         else:
+            self._record_announcement(version)
             self.on_newer(version)
         self._reactor.call_later(
             max(0.0, until - self._reactor.now()), self._check_relayed
@@ -156,7 +168,7 @@
             return False
         # Objects that the store assigned an earlier version are older.
         self.stored_version = max(self.stored_version, content.stored_version)
-        self._activate(content.catalog)
+        self._activate(content.catalog, "vm")
         return True
 
     def read_directly(self) -> None:
@@ -164,6 +176,16 @@
         self._relayed_until = -1e9
         self._resume_watch()
 
+    def _record_announcement(self, version: int) -> None:
+        if version <= self._announced_version:
+            return
+        self._announced_version = version
+        if self._announced_at is None:
+            self._announced_at = self._reactor.now()
+        logs.log_event(
+            "catalog_announced", version=version, known_version=self.version
+        )
+
     def _check_relayed(self) -> None:
         if self._reactor.now() >= self._relayed_until:
             self._resume_watch()
@@ -197,7 +219,7 @@
     def _on_refreshed(self, result: Changes | Unavailable) -> None:
         self._refreshing = False
         if isinstance(result, Changes):
-            self._apply_objects(result.objects)
+            self._apply_objects(result.objects, "store_read")
             self._confirm_read(self._refresh_asked_at)
         self.on_updated()
 
@@ -211,7 +233,7 @@
 
     def _on_watched(self, objects: tuple[Found, ...]) -> None:
         self._watch.wait_ms = self._wait_ms()
-        self._apply_objects(objects)
+        self._apply_objects(objects, "store_watch")
         self._confirm_read(self._watch.confirmed_at)
 
     def _confirm_read(self, instant: float) -> None:
@@ -233,7 +255,7 @@
                 board.catalog_confirmed_at, instant
             )
 
-    def _apply_objects(self, objects: tuple[Found, ...]) -> None:
+    def _apply_objects(self, objects: tuple[Found, ...], source: str) -> None:
         for found in objects:
             # The store's versions only increase. One that arrives late, from
             # a lagging copy or an answer out of order, must not undo a
@@ -249,7 +271,7 @@
             if self._ignore_older(catalog, found):
                 continue
             self.stored_version = found.version
-            self._activate(catalog)
+            self._activate(catalog, source)
 
     def _ignore_older(self, catalog: Catalog, found: Found) -> bool:
         """Return whether the object is an older configuration; log it once.
@@ -271,8 +293,11 @@
         self._ignored_version = max(self._ignored_version, found.version)
         return True
 
-    def _activate(self, catalog: Catalog) -> None:
+    def _activate(self, catalog: Catalog, source: str) -> None:
         self._board.catalog = catalog
+        pending = self.pending_seconds
+        if catalog.version >= self._announced_version:
+            self._announced_at = None
         for name in catalog.groups:
             self._board.group(name)
         logs.log_event(
@@ -282,6 +307,8 @@
             routes=len(catalog.routes),
             groups=len(catalog.groups),
             teams=len(catalog.teams or {}),
+            source=source,
+            pending_ms=round(pending * 1000),
         )
         self._on_changed()
         self.on_updated()
--- a/bamboospring/sessions/node.py
+++ b/bamboospring/sessions/node.py
@@ -163,7 +163,9 @@
             held_transactions=self.held_transactions,
             now=self.reactor.now,
         )
-        self.metrics.watch_transfers(self.catalog_relay.counts)
+        self.metrics.watch_catalog(
+            catalog=self.catalog, counts=self.catalog_relay.counts
+        )
         self.metrics.watch_weight(
             weight=self.weight, holders=self.holders, now=self.reactor.now
         )
--- a/bamboospring/sessions/session_metrics.py
+++ b/bamboospring/sessions/session_metrics.py
@@ -28,6 +28,7 @@
     from bamboospring.metrics_export import Exporter
     from bamboospring.platform_client import PlatformClient
     from bamboospring.pools import Pools
+    from bamboospring.sessions.catalog_keeper import CatalogKeeper
     from bamboospring.sessions.catalog_relay import TransferCounts
     from bamboospring.sessions.held_transactions import HeldTransactions
     from bamboospring.sessions.holder_server import HolderServer
@@ -214,6 +215,13 @@
             label="purpose",
             description="Calls to the store that told nothing.",
         )
+        watch(
+            "bamboospring.platform.calls.timed_out",
+            lambda: {k: c.timed_out for k, c in platform.counts.items()},
+            kind=Kind.COUNTER,
+            label="purpose",
+            description="Calls to the store without an answer in time.",
+        )
         watch(
             "bamboospring.platform.era",
             lambda: platform.era,
@@ -246,9 +254,17 @@
             description="Log lines left out to keep within bounds.",
         )
 
-    def watch_transfers(self, counts: TransferCounts) -> None:
-        """Add metrics of the transfer of configurations between VMs."""
+    def watch_catalog(
+        self, *, catalog: CatalogKeeper, counts: TransferCounts
+    ) -> None:
+        """Add metrics of the configuration and its transfer between VMs."""
         watch = self._metrics.register
+        watch(
+            "bamboospring.catalog.pending",
+            lambda: catalog.pending_seconds,
+            unit="s",
+            description="Time since a newer configuration was announced.",
+        )
         watch(
             "bamboospring.catalog.received",
             lambda: counts.received,
