Check in the soak that configurations are in force in time

The soak now adds and removes databases all the while and asks every VM for the newest one. Open connections to the store go silent every 4 to 12 s; that schedule has random numbers of its own, so that seeds keep their other faults.

Seed 905 is part of the feature.

--- a/bamboospring/testing/fault_proxy.py
+++ b/bamboospring/testing/fault_proxy.py
@@ -114,6 +114,11 @@
         self._mode_changed.set()
         self._mode_changed = asyncio.Event()
 
+    def silence_open_connections(self) -> None:
+        """Drop all data of the open connections, whatever the mode."""
+        for conn in self._connections:
+            conn.dropped_directions |= {"to_upstream", "to_client"}
+
     def as_json(self) -> dict[str, Any]:
         """Return the link as it is in the API."""
         return {
--- a/bamboospring/testing/session_soak.py
+++ b/bamboospring/testing/session_soak.py
@@ -5,9 +5,13 @@
 With --load-control there are as many VMs, and as few connections, as make
 statements and transactions go through the holders of their targets.
 
+Meanwhile the configuration changes, and every VM is asked for the newest one
+(`configuration_checker`).
+
 VMs are real processes; members, the store and the promotion service are
 stand-ins. The faults are external: links that are cut, delayed or silent in
-one or both directions; members that crash, do not respond, lag or drain; a
+one or both directions; connections to the store that go silent for good;
+members that crash, do not respond, lag or drain; a
 store that is down, slow, loses its history, loses answers or (with --returns)
 is restored from an older copy; VMs that are stopped, paused, killed and
 restarted. The seed determines the schedule, not the interleaving of processes.
@@ -26,6 +30,9 @@
 import sys
 import time
 
+from bamboospring.testing.configuration_checker import ConfigurationChecker
+from bamboospring.testing.configuration_checker import Disturbances
+from bamboospring.testing.configuration_checker import EVERY_VM
 from bamboospring.testing.session_callers import SessionCaller
 from bamboospring.testing.session_fleet import SessionFleet
 from bamboospring.testing.session_members import MemberGroup
@@ -49,6 +56,7 @@
 OUTAGE_SECONDS = (0.1, 2.5)
 MAX_REWRITE_DELAY = 1.5
 STORE_RESTORE_WEIGHT = 4
+SILENCE_INTERVAL = (4.0, 12.0)
 
 
 # Five VMs in each of the three zones, one more than holders need, and fewer
@@ -61,7 +69,8 @@
 class SessionSoakResult:
     """The result of a soak; no `violations` if all guarantees were kept.
 
-    `held_count` is how many statements of transactions holders have served.
+    `held_count` is how many statements of transactions holders have served;
+    `configuration_delays` are the seconds until VMs served an added database.
     """
 
     violations: list[str]
@@ -70,6 +79,7 @@
     event_counts: Counter[str]
     served_at_end: int = 0
     held_count: int = 0
+    configuration_delays: list[float] = field(default_factory=list)
     logs: dict[str, str] = field(default_factory=dict)
 
 
@@ -83,7 +93,10 @@
         self, fleet: SessionFleet, seed: int, *, restore_store: bool = False
     ) -> None:
         self.fleet = fleet
+        self.disturbances = Disturbances()
         self._with_store_restores = restore_store
+        # Does not change the schedule of the other faults of a seed.
+        self._silence_rng = random.Random(f"{seed}/silence")
         self.rng = random.Random(f"{seed}/faults")
         self.history: list[str] = []
         self.started_at = time.monotonic()
@@ -133,39 +146,43 @@
     async def kill_vm(self, seconds: float) -> None:
         vm = self.fleet.vms[self._random_vm()]
         self.record(f"kill {vm.name} {seconds:.1f}")
-        vm.process.kill()
-        await asyncio.sleep(seconds / 3)
-        if not vm.process.running:
-            vm.process.start()
+        with self.disturbances.during(vm.name):
+            vm.process.kill()
+            await asyncio.sleep(seconds / 3)
+            if not vm.process.running:
+                vm.process.start()
 
     async def kill_most_vms(self, seconds: float) -> None:
         names = sorted(self.fleet.vms)
         names = self.rng.sample(names, max(1, len(names) - 1))
         self.record(f"kill {names}")
-        for name in names:
-            self.fleet.vms[name].process.kill()
-        await asyncio.sleep(0.3)
-        for name in names:
-            if not self.fleet.vms[name].process.running:
-                self.fleet.vms[name].process.start()
+        with self.disturbances.during(*names):
+            for name in names:
+                self.fleet.vms[name].process.kill()
+            await asyncio.sleep(0.3)
+            for name in names:
+                if not self.fleet.vms[name].process.running:
+                    self.fleet.vms[name].process.start()
 
     async def pause_vm(self, seconds: float) -> None:
         vm = self.fleet.vms[self._random_vm()]
         self.record(f"pause {vm.name} {seconds:.1f}")
-        vm.process.freeze()
-        await asyncio.sleep(seconds)
-        vm.process.thaw()
+        with self.disturbances.during(vm.name):
+            vm.process.freeze()
+            await asyncio.sleep(seconds)
+            vm.process.thaw()
 
     async def stop_vm(self, seconds: float) -> None:
         vm = self.fleet.vms[self._random_vm()]
         self.record(f"stop {vm.name}")
-        vm.process.terminate()
-        for _ in range(100):
+        with self.disturbances.during(vm.name):
+            vm.process.terminate()
+            for _ in range(100):
+                if not vm.process.running:
+                    break
+                await asyncio.sleep(0.1)
             if not vm.process.running:
-                break
-            await asyncio.sleep(0.1)
-        if not vm.process.running:
-            vm.process.start()
+                vm.process.start()
 
     async def reload_vm(self, seconds: float) -> None:
         vm = self.fleet.vms[self._random_vm()]
@@ -263,9 +280,10 @@
         self, faults: StoreFaults, seconds: float
     ) -> None:
         self.record(f"store {faults} {seconds:.1f}")
-        self.fleet.store.faults = faults
-        await asyncio.sleep(seconds)
-        self.fleet.store.faults = StoreFaults()
+        with self.disturbances.during(EVERY_VM):
+            self.fleet.store.faults = faults
+            await asyncio.sleep(seconds)
+            self.fleet.store.faults = StoreFaults()
 
     async def stop_store(self, seconds: float) -> None:
         outage = self.rng.choice(("busy", "reset", "silent"))
@@ -297,18 +315,29 @@
             f"store restored from a copy of {seconds:.1f} s before, outage "
             f"{outage:.1f}, rewritten after {rewrite_delay:.1f}"
         )
-        await self.fleet.restore_store(
-            snapshot, outage=outage, rewrite_delay=rewrite_delay
-        )
+        with self.disturbances.during(EVERY_VM):
+            await self.fleet.restore_store(
+                snapshot, outage=outage, rewrite_delay=rewrite_delay
+            )
 
     async def cut_vm_from_store(self, seconds: float) -> None:
         name = self._random_vm()
         mode = self.rng.choice(("cut", "freeze", "silent"))
         self.record(f"{mode} {name} from the store {seconds:.1f}")
         link = self.fleet.links[f"{name}-store"]
-        link.set_mode(mode=mode, direction="both", delay_ms=0)
-        await asyncio.sleep(seconds * 1.5)
-        link.set_mode(mode="pass", direction="both", delay_ms=0)
+        with self.disturbances.during(name):
+            link.set_mode(mode=mode, direction="both", delay_ms=0)
+            await asyncio.sleep(seconds * 1.5)
+            link.set_mode(mode="pass", direction="both", delay_ms=0)
+
+    async def silence_store_connections(self) -> None:
+        """Silence the open connections to the store at random times."""
+        while True:
+            await asyncio.sleep(self._silence_rng.uniform(*SILENCE_INTERVAL))
+            self.record("silence the connections to the store")
+            for name in self.fleet.vms:
+                self.fleet.links[f"{name}-store"].silence_open_connections()
+            self.disturbances.record(EVERY_VM)
 
     async def lose_answers(self, seconds: float) -> None:
         self.record(f"lose answers {seconds:.1f}")
@@ -353,6 +382,16 @@
         end = faults.started_at + seconds
         stop_at = end + MAX_FAULT_SECONDS
         tasks = [asyncio.create_task(w.run(stop_at)) for w in workers]
+        checker = ConfigurationChecker(
+            fleet=fleet,
+            disturbances=faults.disturbances,
+            seed=seed,
+            load_control=load_control,
+        )
+        background = [
+            asyncio.create_task(checker.run()),
+            asyncio.create_task(faults.silence_store_connections()),
+        ]
         await _inject_faults(faults, end)
         # The last fault may end seconds after the schedule, so the settling
         # time starts at its end.
@@ -362,6 +401,10 @@
         served_before = sum(len(w.latencies) for w in workers)
         await asyncio.gather(*tasks)
         served = sum(len(w.latencies) for w in workers) - served_before
+        for task in background:
+            task.cancel()
+        await asyncio.wait(background)
+        _check_background(background, fleet)
         fleet.checker.check_promotions(fleet.promotion_service.orders)
         if served < callers * 4:
             fleet.checker.violations.append(
@@ -381,12 +424,22 @@
             event_counts=fleet.checker.counts,
             served_at_end=served,
             held_count=held_count,
+            configuration_delays=sorted(checker.delays),
             logs=logs,
         )
     finally:
         await fleet.close()
 
 
+def _check_background(
+    tasks: list[asyncio.Task[None]], fleet: SessionFleet
+) -> None:
+    """Report tasks that have failed instead of running to the end."""
+    for task in tasks:
+        if not task.cancelled() and (exc := task.exception()) is not None:
+            fleet.checker.violations.append(f"the soak itself failed: {exc!r}")
+
+
 def _make_fleet(vms: int, seed: int, *, load_control: bool) -> SessionFleet:
     if not load_control:
         return SessionFleet(vms=vms, seed=seed)
@@ -463,6 +516,8 @@
         "held:",
         result.held_count,
     )
+    delays = result.configuration_delays
+    print("configurations:", len(delays), "slowest:", delays[-5:])
     if args.logs:
         for name, text in result.logs.items():
             with open(f"{args.logs}/{name}.log", "w") as file:
--- a/features/session_soak.feature
+++ b/features/session_soak.feature
@@ -3,6 +3,8 @@
   # Callers read, write, set values, prepare and run transactions at real VMs
   # while links are cut or silent, members crash, lag and drain, the store fails
   # and VMs are killed, paused and stopped, with up to three faults at a time.
+  # All open connections to the store go silent now and then. The configuration
+  # changes all the while, and each undisturbed VM must have it in force in time.
   # A checker verifies each statement that members execute and compares the
   # answers to callers with the logs of the members.
   Scenario Outline: A soak of <seconds> s with seed <seed>
@@ -21,6 +23,12 @@
       | seed | seconds |
       | 200  | 14      |
 
+    Examples: Seeds that once failed with a late configuration
+      # Guards against a configuration that is read on a connection to the
+      # store that has gone silent since its last use.
+      | seed | seconds |
+      | 905  | 14      |
+
   Scenario: A soak in which the store comes back from older copies
     # Guards against a VM that treats data which the store has lost as data
     # that was never written.
