Repeat a failed read of an announced configuration at once

Callers saw a configuration in force up to 0.6 s later than need be where a VM's read of it had failed: in the trace of the postmortem a read given up after 2.5 s was followed by the next one only with the leader's next word (in force 3.4 and 3.6 s after the change; 2.5 of it the read, up to 0.6 s twice the wait for the leader's word).

Cause: only an announcement starts a read, and a VM asks for announcements every 0.6 s. A read that has failed is now repeated after the client's backoff, 0.1 s at least, as long as the version is announced and missing; without announcements the store is watched as before. With load control the transfer decides, as before.

--- a/bamboospring/sessions/catalog_keeper.py
+++ b/bamboospring/sessions/catalog_keeper.py
@@ -221,8 +221,18 @@
         if isinstance(result, Changes):
             self._apply_objects(result.objects, "store_read")
             self._confirm_read(self._refresh_asked_at)
+        else:
+            wait = max(RECHECK_INTERVAL, result.retry_after)
+            self._reactor.call_later(wait, self._retry_read)
         self.on_updated()
 
+    def _retry_read(self) -> None:
+        """Read again unless the configuration comes another way by now."""
+        is_relayed = self._reactor.now() < self._relayed_until
+        is_missing = self._announced_version > self.version
+        if is_relayed and is_missing and not self._board.load_control:
+            self.read_store()
+
     def _wait_ms(self) -> int:
         key_lifetime = self._board.key_lifetime
         if key_lifetime is None or not self.is_leader():
--- a/features/steps/store_connections_steps.py
+++ b/features/steps/store_connections_steps.py
@@ -13,6 +13,9 @@
 from behave import when
 
 from bamboospring import logs
+from bamboospring.object_store import Changes
+from bamboospring.object_store import Found
+from bamboospring.object_store import Unavailable
 from bamboospring.platform.store_dialect import StoreDialect
 from bamboospring.platform.store_objects import read_catalog
 from bamboospring.platform_client import CallTiming
@@ -169,19 +172,94 @@
 
 @given("a VM that has version 1 of the configuration")
 def given_vm(context: Any) -> None:
+    create_keeper(context, context.client)
+    context.keeper.on_newer = lambda _version: None
+
+
+@given("a VM that has version 1 of the configuration and reads the store")
+def given_reading_vm(context: Any) -> None:
+    context.platform = PendingReads()
+    create_keeper(context, context.platform)
+
+
+class PendingReads:
+    """A client of the store whose reads end when the scenario says so."""
+
+    def __init__(self) -> None:
+        self.pending: list[Callable[[Any], None]] = []
+
+    def list(
+        self, _kind: str, purpose: str, on_result: Callable[[Any], None]
+    ) -> None:
+        # Not those of the watch, which resumes when nothing is announced.
+        if purpose == CATALOG_PURPOSE:
+            self.pending.append(on_result)
+
+    def may_be_incomplete(self, _instant: float) -> bool:
+        return False
+
+    def fail(self) -> None:
+        self.pending.pop()(
+            Unavailable(maybe_applied=False, retry_after=0.1, reason="timeout")
+        )
+
+    def answer(self, version: int) -> None:
+        spec = {"version": version, "routes": [], "services": []}
+        found = Found(kind=KIND, name=NAME, version=version, value=spec)
+        self.pending.pop()(Changes(objects=(found,), revision=version))
+
+
+def create_keeper(context: Any, platform: Any) -> None:
     context.keeper = CatalogKeeper(
         reactor=context.network,
         board=SessionBoard(vm="vm-1", availability_zone="zone-a"),
-        platform=context.client,
+        platform=platform,
         kind=KIND,
         name=NAME,
         decode_catalog=read_catalog,
         on_changed=lambda: None,
     )
-    context.keeper.on_newer = lambda _version: None
     receive(context, 1)
 
 
+def announce(context: Any, version: int, seconds: float) -> None:
+    """Have the leader announce a version, for the next so many seconds."""
+    now = context.network.now()
+    context.keeper.apply_relayed(version, now, now, now + seconds)
+
+
+@when("version 2 is announced and the read fails")
+def when_read_fails(context: Any) -> None:
+    announce(context, 2, 5.0)
+    context.platform.fail()
+
+
+@then("it is read again within {seconds:g} s")
+def then_read_again(context: Any, seconds: float) -> None:
+    advance(context, seconds)
+    assert len(context.platform.pending) == 1
+
+
+@when("version 2 is read")
+def when_version_read(context: Any) -> None:
+    context.platform.answer(2)
+    assert context.keeper.version == 2
+
+
+@when(
+    "version 3 is announced, the read fails, and no VM announces it any more"
+)
+def when_not_announced(context: Any) -> None:
+    announce(context, 3, 0.05)
+    context.platform.fail()
+
+
+@then("it is not read again within {seconds:g} s")
+def then_not_read(context: Any, seconds: float) -> None:
+    advance(context, seconds)
+    assert not context.platform.pending
+
+
 def receive(context: Any, version: int) -> None:
     content = CatalogContent(catalog=catalog(version), stored_version=version)
     assert context.keeper.apply_content(content)
@@ -189,8 +267,7 @@
 
 @when("version 2 is announced and does not arrive for {seconds:g} s")
 def when_announced(context: Any, seconds: float) -> None:
-    now = context.network.now()
-    context.keeper.apply_relayed(2, now, now, now + 5)
+    announce(context, 2, 5.0)
     advance(context, seconds)
 
 
--- a/features/store_connections.feature
+++ b/features/store_connections.feature
@@ -34,6 +34,18 @@
     When a configuration is read every 0.9 s, 20 times
     Then one connection was opened
 
+  Scenario: A read that has failed is repeated at once
+    # Guards against a VM that waits for the next announcement after a read of
+    # an announced configuration has failed.
+    Given a store that answers after 4 ms
+    And a VM that has version 1 of the configuration and reads the store
+    When version 2 is announced and the read fails
+    Then it is read again within 0.2 s
+    When version 2 is read
+    Then it is not read again within 2 s
+    When version 3 is announced, the read fails, and no VM announces it any more
+    Then it is not read again within 2 s
+
   Scenario: A configuration is in force in time after connections went silent
     # Guards against a VM that is told of a newer configuration and waits for
     # 2.5 s for a read on a connection that was idle since the last one.
