Show no pending configuration once it is announced no more

Operators would have seen bamboospring_catalog_pending_seconds grow for good, and a failed read repeated for as long, after the announcement of a version that the store has lost: only a version that came into force ended it. The newest announcement counts now.

Measured: the new scenario fails without the change, and passes with it.

--- a/bamboospring/http_client.py
+++ b/bamboospring/http_client.py
@@ -340,7 +340,7 @@
         )
 
     def _reusable_connection(self) -> HttpConnection | None:
-        """Return the connection if it may be used for another request."""
+        """Return the connection, or close it if it was idle for too long."""
         conn = self._conn
         if conn is None or not conn.usable:
             return None
--- a/bamboospring/sessions/catalog_keeper.py
+++ b/bamboospring/sessions/catalog_keeper.py
@@ -80,8 +80,8 @@
         self._refresh_asked_at = -1e9
         self._unreadable_version = 0
         self._ignored_version = 0
-        # The newest version that another VM has announced, and when a version
-        # newer than the current one was first announced.
+        # The newest version that another VM has announced, 0 if none is newer
+        # than the current one, and when the first such was announced.
         self._announced_version = 0
         self._announced_at: float | None = None
         self.is_leader: Callable[[], bool] = lambda: False
@@ -136,6 +136,9 @@
         if version <= self.version:
             self._relayed_at = max(self._relayed_at, checked_at)
             self._confirm(confirmed_at)
+            # A version may be announced and turn out not to be stored.
+            self._announced_version = 0
+            self._announced_at = None
         else:
             self._record_announcement(version)
             self.on_newer(version)
--- a/features/steps/store_connections_steps.py
+++ b/features/steps/store_connections_steps.py
@@ -276,6 +276,11 @@
     assert round(context.keeper.pending_seconds * 1000) == pending
 
 
+@when("version 1 is announced as the newest")
+def when_withdrawn(context: Any) -> None:
+    announce(context, 1, 5.0)
+
+
 @when("version 2 arrives from another VM")
 def when_arrives(context: Any) -> None:
     receive(context, 2)
--- a/features/store_connections.feature
+++ b/features/store_connections.feature
@@ -20,6 +20,15 @@
     Then the VM reports no pending configuration
     And the log has the announcement of version 2 and its way "vm" after 800 ms
 
+  Scenario: A configuration that is announced no more is not pending
+    # Guards against a metric that grows for good after the announcement of a
+    # version that the store has lost.
+    Given a store that answers after 4 ms
+    And a VM that has version 1 of the configuration
+    When version 2 is announced and does not arrive for 0.8 s
+    And version 1 is announced as the newest
+    Then the VM reports no pending configuration
+
   Scenario: A connection that was idle for long is not used again
     # Guards against a read that waits for its time limit on a connection that
     # has gone silent since the last read.
