--- a/review/estate.py
+++ b/review/estate.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
@@ -16,7 +17,9 @@
 import os
 from pathlib import Path
 import shutil
+import signal
 import subprocess
+import sys
 import tempfile
 import time
 from typing import Any
@@ -29,6 +32,9 @@
 
 __all__ = [
     "Answer",
+    "BROKEN",
+    "COULD_NOT_RUN",
+    "HELD",
     "CannotRun",
     "CallerSession",
     "Estate",
@@ -36,8 +42,13 @@
     "RouteSpec",
     "Vm",
     "is_disturbed",
+    "run_case",
 ]
 
+# Exit codes of a case's process; its `run.sh` turns BROKEN into 1.
+HELD = 0
+COULD_NOT_RUN = 2
+BROKEN = 10
 ROOT = Path(__file__).resolve().parents[1]
 HOST = "127.0.0.1"
 HEARTBEAT_INTERVAL = 1.2
@@ -78,6 +89,29 @@
         self._path.write_text("\n".join(self._lines) + "\n")
 
 
+def run_case(run: Callable[[Record], Awaitable[int]], path: Path) -> int:
+    """Run a case, write its record and return its exit code.
+
+    Whatever goes wrong besides means that the case did not run.
+    """
+    # Ends the case's tasks, and so all processes that it has started.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
+    record = Record(path)
+
+    async def main() -> int:
+        return await run(record)
+
+    try:
+        return asyncio.run(main())
+    except Exception as exc:
+        record.add("could_not_run", reason=repr(exc))
+        print(f"could not run: {exc!r}", file=sys.stderr)
+        return COULD_NOT_RUN
+    finally:
+        record.add("end")
+        record.write()
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RouteSpec:
     """One route of the configuration, in the words of the store."""
