--- a/review/2/case.py
+++ b/review/2/case.py
@@ -6,13 +6,11 @@
 
 from __future__ import annotations
 
-import asyncio
 from dataclasses import dataclass
 from dataclasses import field
 import itertools
 from pathlib import Path
 import sys
-import time
 
 from bamboospring.testing.session_members import Member
 from bamboospring.testing.session_members import MemberConnection
@@ -20,12 +18,15 @@
 from bamboospring.testing.session_members import MemberLogEntry
 from bamboospring.testing.session_members import MemberSettings
 
+from review.estate import BROKEN
 from review.estate import CallerSession
 from review.estate import CannotRun
 from review.estate import Estate
+from review.estate import HELD
 from review.estate import is_disturbed
 from review.estate import Record
 from review.estate import RouteSpec
+from review.estate import run_case
 
 ZONES = ("zone-a", "zone-b", "zone-c")
 SERVICE, DATABASE = "strings", "strings-primary"
@@ -159,23 +160,8 @@
         changed=len(judge.changed),
     )
     print(f"{count} writes acknowledged, {len(judge.changed)} texts changed")
-    return 1 if judge.changed else 0
-
-
-def main() -> int:
-    """Run the case: 1 if the rule was broken, 0 if it held, 2 if not run."""
-    record = Record(Path(__file__).with_name("record.txt"))
-    started_at = time.monotonic()
-    try:
-        return asyncio.run(run(record))
-    except (CannotRun, OSError, EOFError) as exc:
-        record.add("could_not_run", reason=repr(exc))
-        print(f"could not run: {exc}", file=sys.stderr)
-        return 2
-    finally:
-        record.add("end", seconds=f"{time.monotonic() - started_at:.1f}")
-        record.write()
+    return BROKEN if judge.changed else HELD
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_case(run, Path(__file__).with_name("record.txt")))
