Log the size of statements as received and as sent

At level debug, statement_received has the bytes of a caller's statement that must reach its target unchanged, statement_sent those on a target's connection, of this VM or of the holder that runs the statement. The lines of one id tell where bytes were lost: in decoding, between VMs, or in what is sent to the target. Below debug each costs one comparison.

--- a/bamboospring/platform/caller_server.py
+++ b/bamboospring/platform/caller_server.py
@@ -14,6 +14,7 @@
 from bamboospring.platform.line_protocol import key_digest
 from bamboospring.platform.line_protocol import LineDecoder
 from bamboospring.platform.line_protocol import LineTooLong
+from bamboospring.platform.line_protocol import payload_size
 from bamboospring.platform.line_protocol import replace_line_breaks
 from bamboospring.reactor import Listener
 from bamboospring.reactor import Reactor
@@ -258,6 +259,13 @@
             if not id:
                 self._reject("MALFORMED", "QUERY requires an id and a text")
                 return
+            if logs.is_enabled(logs.Level.DEBUG):
+                logs.log_event(
+                    "statement_received",
+                    level=logs.Level.DEBUG,
+                    trace=id,
+                    payload_bytes=payload_size(text),
+                )
             self.session.submit(id, parse_statement(text))
         else:
             self._reject("MALFORMED", f"unexpected message {keyword[:32]!r}")
--- a/bamboospring/platform/line_protocol.py
+++ b/bamboospring/platform/line_protocol.py
@@ -18,6 +18,7 @@
     "LineTooLong",
     "MAX_LINE_BYTES",
     "parse_position",
+    "payload_size",
     "replace_line_breaks",
 ]
 
@@ -67,6 +68,18 @@
     return Position(term=int(term), index=int(index))
 
 
+def payload_size(text: str) -> int:
+    """Return how many bytes of a statement must reach the target unchanged.
+
+    That is the whole text, or what follows the name of a prepared statement,
+    which the proxy replaces.
+    """
+    keyword, _, rest = text.partition(" ")
+    if keyword == "EXECUTE":
+        return len(rest.partition(" ")[2])
+    return len(text)
+
+
 def replace_line_breaks(text: str) -> str:
     """Replace line breaks by spaces, so that the text fits in one line."""
     return text.replace("\r", " ").replace("\n", " ")
--- a/bamboospring/platform/target_dialer.py
+++ b/bamboospring/platform/target_dialer.py
@@ -7,10 +7,12 @@
 import hashlib
 
 from bamboospring.blackboard import Target
+from bamboospring import logs
 from bamboospring.platform.line_protocol import format_position
 from bamboospring.platform.line_protocol import LineDecoder
 from bamboospring.platform.line_protocol import LineTooLong
 from bamboospring.platform.line_protocol import parse_position
+from bamboospring.platform.line_protocol import payload_size
 from bamboospring.reactor import Reactor
 from bamboospring.reactor import Stream
 from bamboospring.reactor import Timer
@@ -255,10 +257,10 @@
 def _encode_order(order: TargetOrder) -> str:
     match order:
         case RunText(id=id, text=text, after=after):
-            return f"QUERY {id} {_after_clause(after)}{text}\r\n"
+            return _encode_statement(id, text, after)
         case RunShape(id=id, shape=shape, arguments=arguments, after=after):
             text = f"EXECUTE {_name_of(shape)} {arguments}".rstrip()
-            return f"QUERY {id} {_after_clause(after)}{text}\r\n"
+            return _encode_statement(id, text, after)
         case CommitWork(id=id):
             return f"QUERY {id} COMMIT\r\n"
         case RollbackWork():
@@ -283,6 +285,17 @@
             return f"QUERY - STEPDOWN {term}\r\n"
 
 
+def _encode_statement(id: str, text: str, after: Position | None) -> str:
+    if logs.is_enabled(logs.Level.DEBUG):
+        logs.log_event(
+            "statement_sent",
+            level=logs.Level.DEBUG,
+            trace=id,
+            payload_bytes=payload_size(text),
+        )
+    return f"QUERY {id} {_after_clause(after)}{text}\r\n"
+
+
 def _after_clause(position: Position | None) -> str:
     return "" if position is None else f"AFTER {format_position(position)} "
 
