Send the arguments of prepared statements byte for byte

What callers saw: a write by a prepared statement was told as done, and its target had run and kept data without their last bytes. Shown for A0 and 85, with which common letters of Hindi, Malayalam, Russian, Greek, Italian and Chinese end in UTF-8; the same holds for blanks, tabs and 0B, 0C, 0D, 1C to 1F. A read whose item ended in such a byte ran for another item.

Cause: _encode_order built the text as f"EXECUTE {name} {arguments}".rstrip(), to drop the blank where there are no arguments. Lines are decoded as latin-1, one character a byte, and str.rstrip removes what is white space in Unicode. All prepared statements go through it: on a VM's own connections, at holders, and in transactions.

Change: nothing is trimmed. The case that it was meant for, EXECUTE without an item, is not a statement; it is refused as malformed at once, before a target is asked.

Soak and estate callers now end items, data, values and shapes with such bytes, the checker compares the arguments of prepared statements, which it did not, and takes a row that no caller has sent for a fault.

--- a/bamboospring/platform/caller_server.py
+++ b/bamboospring/platform/caller_server.py
@@ -79,9 +79,8 @@
             return TextStatement(writes=False, text=text)
         case "WRITE" if rest:
             return TextStatement(writes=True, text=text)
-        case "EXECUTE" if rest:
-            name, _, arguments = rest.partition(" ")
-            return Execute(name=name, arguments=arguments)
+        case "EXECUTE":
+            return _parse_execute(rest)
         case "BEGIN" if rest in ("", "READ"):
             return Begin(read_only=rest == "READ")
         case "COMMIT" if not rest:
@@ -111,6 +110,13 @@
     return Prepare(name=name, shape=Shape(writes=mode == "WRITE", text=text))
 
 
+def _parse_execute(rest: str) -> SessionStatement:
+    name, _, arguments = rest.partition(" ")
+    if not name or not arguments:
+        return MalformedStatement(message="EXECUTE requires a name, an item")
+    return Execute(name=name, arguments=arguments)
+
+
 def encode_answer(answer: SessionAnswer) -> bytes:
     """Return an answer in the wire format."""
     lines = _outcome_lines(answer.outcome)
--- a/bamboospring/platform/target_dialer.py
+++ b/bamboospring/platform/target_dialer.py
@@ -259,7 +259,7 @@
         case RunText(id=id, text=text, after=after):
             return _encode_statement(id, text, after)
         case RunShape(id=id, shape=shape, arguments=arguments, after=after):
-            text = f"EXECUTE {_name_of(shape)} {arguments}".rstrip()
+            text = f"EXECUTE {_name_of(shape)} {arguments}"
             return _encode_statement(id, text, after)
         case CommitWork(id=id):
             return f"QUERY {id} COMMIT\r\n"
--- a/bamboospring/testing/session_callers.py
+++ b/bamboospring/testing/session_callers.py
@@ -27,6 +27,11 @@
 )
 ANSWER_TIMEOUT = 6.0
 ITEM_COUNT = 40
+# Ends of items, data, values and shapes: letters whose last byte in UTF-8 is a
+# white space of latin-1, and bytes that are no text. None of the first four
+# holds a blank, so that they can end any field of a line.
+FIELD_ENDINGS = ("", "ठ".encode().decode("latin-1"), "\x85", "\xb2")
+DATA_ENDINGS = (*FIELD_ENDINGS, " ", "\t", "\x0b", "\x1f", "\r", "\x00\xff")
 _session_numbers = itertools.count(1)
 
 
@@ -178,7 +183,8 @@
 
     async def _set_value(self) -> None:
         name = self.rng.choice(("lang", "zone"))
-        value = str(self.rng.randrange(4))
+        number = self.rng.randrange(4)
+        value = f"{number}{FIELD_ENDINGS[number]}"
         reply = await self._query("-s", f"SET {name} {value}")
         if not reply.code:
             self.values[name] = value
@@ -186,7 +192,8 @@
     async def _prepare_shape(self) -> None:
         name = self.rng.choice(("a", "b"))
         is_write = self.rng.random() < self.route.write_share
-        shape = f"q{self.rng.randrange(6)}"
+        number = self.rng.randrange(6)
+        shape = f"q{number}{DATA_ENDINGS[number]}"
         mode = "WRITE" if is_write else "READ"
         reply = await self._query("-p", f"PREPARE {name} {mode} {shape}")
         if not reply.code:
@@ -245,8 +252,10 @@
         self, is_write: bool, started_at: float, transaction: str
     ) -> tuple[str, bool, StatementReply]:
         id = _new_id()
-        item = f"i{self.rng.randrange(ITEM_COUNT)}"
-        data = f" d{id[:6]}" if is_write else ""
+        number = self.rng.randrange(ITEM_COUNT)
+        item = f"i{number}{FIELD_ENDINGS[number % len(FIELD_ENDINGS)]}"
+        ending = DATA_ENDINGS[int(id, 16) % len(DATA_ENDINGS)]
+        data = f" d{id[:6]}{ending}" if is_write else ""
         mode = "WRITE" if is_write else "READ"
         text, shape = f"{mode} {item}{data}", ""
         matching_names = [
@@ -259,7 +268,10 @@
                 self.prepared_shapes[name][1],
             )
         self._record_sent(id, text, started_at, transaction, shape)
-        return id, is_write, await self._query(id, text)
+        reply = await self._query(id, text)
+        if not is_write and not reply.code:
+            self.checker.check_rows(id, reply.rows)
+        return id, is_write, reply
 
     def _record_sent(
         self,
@@ -270,19 +282,21 @@
         shape: str = "",
     ) -> None:
         sent_at = started_at if transaction else time.monotonic()
-        self.checker.sent_statements[id] = SentStatement(
-            id=id,
-            group=self.route.group,
-            session=self.number,
-            attempt=id,
-            text=text,
-            sent_at=sent_at,
-            max_age=self.route.max_age,
-            transaction=transaction,
-            values=dict(self.values),
-            shape=shape,
-            key=self.key.key,
-            team=self.key.team,
+        self.checker.record_sent(
+            SentStatement(
+                id=id,
+                group=self.route.group,
+                session=self.number,
+                attempt=id,
+                text=text,
+                sent_at=sent_at,
+                max_age=self.route.max_age,
+                transaction=transaction,
+                values=dict(self.values),
+                shape=shape,
+                key=self.key.key,
+                team=self.key.team,
+            )
         )
 
     async def _query(self, id: str, text: str) -> StatementReply:
@@ -294,7 +308,7 @@
         assert self.writer is not None and self.reader is not None
         if id.startswith("-"):
             id = _new_id()
-        self.writer.write(f"QUERY {id} {text}\r\n".encode())
+        self.writer.write(f"QUERY {id} {text}\r\n".encode("latin-1"))
         rows: list[str] = []
         code = signature = ""
         while True:
--- a/bamboospring/testing/session_checker.py
+++ b/bamboospring/testing/session_checker.py
@@ -28,6 +28,9 @@
 LIMIT_TOLERANCE = 0.1
 LIMIT_EXTRA_OPERATIONS = 20
 
+# The row of an item that was never written.
+NO_DATA = "-"
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class TeamLimits:
@@ -61,6 +64,13 @@
     team: str = ""
     executed_at: float | None = None
 
+    @property
+    def item_and_data(self) -> tuple[str, str]:
+        """Return the item of a read or write, and the data of a write."""
+        skipped = 2 if self.text.startswith("EXECUTE") else 1
+        item, _, data = self.text.split(" ", skipped)[skipped].partition(" ")
+        return item, data
+
 
 @dataclass(slots=True, kw_only=True)
 class AcknowledgedCommit:
@@ -78,6 +88,8 @@
         self.violations: list[str] = []
         self.counts: Counter[str] = Counter()
         self.sent_statements: dict[str, SentStatement] = {}
+        # The data that callers have sent, by group and item.
+        self._sent_data: dict[tuple[str, str], set[str]] = {}
         self.leaving_since: dict[str, float] = {}
         # When the store acknowledged the removal of a key, and for how many
         # seconds after that the key may still be used.
@@ -90,6 +102,13 @@
         self._on: dict[str, tuple[MemberConnection, int]] = {}
         self._owner: dict[int, str] = {}
 
+    def record_sent(self, sent: SentStatement) -> None:
+        """Record a statement that a caller is about to send."""
+        self.sent_statements[sent.id] = sent
+        if sent.text != "COMMIT":
+            item, data = sent.item_and_data
+            self._sent_data.setdefault((sent.group, item), set()).add(data)
+
     # Events at members.
 
     def on_connection_opened(self, member: Member, id: str) -> None:
@@ -172,7 +191,9 @@
                     f"{sent.id}: {sent.text!r} became {text!r}"
                 )
             return
-        name = text.split(" ")[1]
+        _, name, arguments = text.split(" ", 2)
+        if arguments != sent.text.split(" ", 2)[2]:
+            self._add_violation(f"{sent.id}: {sent.text!r} became {text!r}")
         if conn.prepared_shapes[name][1] != sent.shape:
             self._add_violation(
                 f"{sent.id}: {name} is {conn.prepared_shapes[name]}"
@@ -233,6 +254,15 @@
 
     # Answers to callers.
 
+    def check_rows(self, id: str, rows: tuple[str, ...]) -> None:
+        """Check that a read returned data of its item that a caller sent."""
+        sent = self.sent_statements[id]
+        item, _ = sent.item_and_data
+        known = self._sent_data[sent.group, item]
+        for row in rows:
+            if row != NO_DATA and row not in known:
+                self._add_violation(f"{id} of {item!r} returned {row!r}")
+
     def check_outcome(
         self,
         group: str,
