Forward the text of a target's error without trimming it

What callers saw: the text of an error lost its last bytes if these were A0, 85 or blanks, as the data of prepared writes did, and a text over 200 bytes was cut within a character, so that what arrived was not UTF-8.

Change: the rest of the line is the message. What is too long is cut before the character that would not fit.

--- a/bamboospring/platform/caller_server.py
+++ b/bamboospring/platform/caller_server.py
@@ -16,6 +16,7 @@
 from bamboospring.platform.line_protocol import LineTooLong
 from bamboospring.platform.line_protocol import payload_size
 from bamboospring.platform.line_protocol import replace_line_breaks
+from bamboospring.platform.line_protocol import truncate_text
 from bamboospring.reactor import Listener
 from bamboospring.reactor import Reactor
 from bamboospring.reactor import Stream
@@ -45,6 +46,9 @@
 # Seconds within which a new connection must have opened a session.
 OPEN_TIMEOUT = 10.0
 
+# The part of an error's message that callers are sent, in bytes.
+MAX_MESSAGE_BYTES = 200
+
 STATE_CODES = {
     SessionState.IDLE: "I",
     SessionState.OPEN: "T",
@@ -152,7 +156,8 @@
         parts.append(f"retry_after_ms={retry_after_ms}")
     message = getattr(outcome, "message", "")
     if message:
-        parts.append(replace_line_breaks(message)[:200])
+        message = replace_line_breaks(message)
+        parts.append(truncate_text(message, MAX_MESSAGE_BYTES))
     return " ".join(parts)
 
 
--- a/bamboospring/platform/line_protocol.py
+++ b/bamboospring/platform/line_protocol.py
@@ -20,11 +20,14 @@
     "parse_position",
     "payload_size",
     "replace_line_breaks",
+    "truncate_text",
 ]
 
 # The maximum size of a message, including its terminator.
 MAX_LINE_BYTES = 1024 * 1024
 LINE_END = b"\r\n"
+# The size of the longest character in UTF-8.
+MAX_CHARACTER_BYTES = 4
 
 
 class LineTooLong(Exception):
@@ -85,6 +88,23 @@
     return text.replace("\r", " ").replace("\n", " ")
 
 
+def truncate_text(text: str, max_bytes: int) -> str:
+    """Cut a text to a number of bytes, but not within a UTF-8 character."""
+    if len(text) <= max_bytes:
+        return text
+    end = max_bytes
+    while end > max_bytes - MAX_CHARACTER_BYTES and _is_continuation(
+        text[end]
+    ):
+        end -= 1
+    return text[:end]
+
+
+def _is_continuation(byte: str) -> bool:
+    """Return whether a byte continues a UTF-8 character."""
+    return "\x80" <= byte <= "\xbf"
+
+
 def key_digest(key: bytes) -> str:
     """Return the digest of a caller's key.
 
--- a/bamboospring/platform/target_dialer.py
+++ b/bamboospring/platform/target_dialer.py
@@ -182,9 +182,9 @@
             case "COMPLETE":
                 self._reply.signature = rest
             case "ERROR":
-                code, _, message = rest.partition(" ")
+                code = rest.partition(" ")[0]
                 self._reply.refusal = REFUSALS_BY_CODE.get(code, Refusal.OTHER)
-                self._reply.message = f"{code} {message}".strip()
+                self._reply.message = rest
                 if not self._orders:
                     # The target closes the connection after it has refused
                     # the session, without a READY line.
--- a/features/statement_bytes.feature
+++ b/features/statement_bytes.feature
@@ -17,6 +17,13 @@
     Then rows and signatures of any bytes reach the caller unchanged
     And they do so from a holder
 
+  Scenario: The text of a target's error reaches the caller unchanged
+    # Guards against an error text that loses the last bytes of a word, or
+    # that is cut within a character.
+    Given a caller's connection and a target's connection
+    Then error texts of any bytes reach the caller with their line breaks as blanks
+    And an error text of 300 bytes in Hindi is cut between two characters
+
   Scenario: A prepared statement without an item is refused at once
     Given a session
     When it is asked to PREPARE a READ q1
--- a/features/steps/statement_bytes_steps.py
+++ b/features/steps/statement_bytes_steps.py
@@ -25,6 +25,7 @@
 from bamboospring.sessions.ports import SessionAnswer
 from bamboospring.sessions.ports import SessionState
 from bamboospring.sessions.replies import order_for_job
+from bamboospring.sessions.replies import refusal_outcome
 from bamboospring.sessions.replies import served_outcome
 from bamboospring.sessions.session import Session
 from features.steps.session_stage import SessionFleetRun
@@ -235,6 +236,46 @@
     check()
 
 
+def relay_error(context, text):
+    """Return the error line that the caller gets for a target's error."""
+    job = receive(context, b"READ a")
+    results = []
+    context.link.send([order_for_job(job, None)], 1.0, results.append)
+    context.target.on_data(b"ERROR FAILED %s\r\nREADY I -\r\n" % text)
+    ((reply,),) = results
+    context.caller.take()
+    context.channel.answer(
+        SessionAnswer(
+            outcome=refusal_outcome(decode_result(encode_result(reply))),
+            state=SessionState.IDLE,
+        )
+    )
+    line, _, _ready = context.caller.take().partition(b"\r\n")
+    return line
+
+
+@then(
+    "error texts of any bytes reach the caller with their line breaks as"
+    " blanks"
+)
+def then_errors_unchanged(context):
+    @PROPERTY
+    @given_input(text=LINE_REST)
+    def check(text):
+        expected = text.replace(b"\r", b" ").replace(b"\n", b" ")
+        line = relay_error(context, text)
+        assert line.endswith(b" FAILED " + expected), line
+
+    check()
+
+
+@then("an error text of {size:d} bytes in Hindi is cut between two characters")
+def then_error_cut(context, size):
+    for skipped in range(3):
+        line = relay_error(context, ("x" * skipped + "ठ" * size).encode())
+        assert "ठठठ" in line[:size].decode(), line
+
+
 @then('the sizes that are logged of "{text}" are {received:d} and {sent:d}')
 def then_logged(context, text, received, sent):
     lines = []
