End a connection whose target sends a position that is no number

What callers saw: nothing so far. A target's READY whose position has a digit that only Unicode takes for such (B2, B3 or B9 in latin-1) raised ValueError in the handler of the connection; the exchange stayed open until its time limit. A position over 64 bits, or without a number, was taken as it came or as none. No message between VMs can hold the first, and a write without a position is acknowledged although a later read of its session may miss it.

Change: a position is two numbers of ASCII digits that fit in 64 bits, `-` or nothing. Anything else ends the connection, so that a read goes elsewhere and a write is told as unknown; target_answer_malformed names target and reason, also for an unknown keyword, which ended the connection without a line.

--- a/bamboospring/platform/line_protocol.py
+++ b/bamboospring/platform/line_protocol.py
@@ -8,7 +8,9 @@
 from __future__ import annotations
 
 import hashlib
+import re
 
+from bamboospring.errors import BamboospringError
 from bamboospring.statements import Position
 
 __all__ = [
@@ -16,6 +18,7 @@
     "key_digest",
     "LineDecoder",
     "LineTooLong",
+    "MalformedPosition",
     "MAX_LINE_BYTES",
     "parse_position",
     "payload_size",
@@ -28,6 +31,13 @@
 LINE_END = b"\r\n"
 # The size of the longest character in UTF-8.
 MAX_CHARACTER_BYTES = 4
+# `str.isdigit` also accepts digits that `int` refuses. A number of 18 digits
+# fits into the 64 bits that it has in messages between VMs.
+_POSITION = re.compile(r"([0-9]{1,18})\.([0-9]{1,18})")
+
+
+class MalformedPosition(BamboospringError):
+    """A position is neither two whole numbers nor `-`."""
 
 
 class LineTooLong(Exception):
@@ -64,11 +74,16 @@
 
 
 def parse_position(text: str) -> Position | None:
-    """Parse a position; return None if the text holds none."""
-    term, dot, index = text.partition(".")
-    if not dot or not (term.isdigit() and index.isdigit()):
+    """Parse a position; return None for `-` and for an empty text.
+
+    Raises `MalformedPosition` for any other text that is not two numbers.
+    """
+    match = _POSITION.fullmatch(text)
+    if match is not None:
+        return Position(term=int(match[1]), index=int(match[2]))
+    if text in ("", "-"):
         return None
-    return Position(term=int(term), index=int(index))
+    raise MalformedPosition(f"not a position: {text[:40]!r}")
 
 
 def payload_size(text: str) -> int:
--- a/bamboospring/platform/target_dialer.py
+++ b/bamboospring/platform/target_dialer.py
@@ -11,6 +11,7 @@
 from bamboospring.platform.line_protocol import format_position
 from bamboospring.platform.line_protocol import LineDecoder
 from bamboospring.platform.line_protocol import LineTooLong
+from bamboospring.platform.line_protocol import MalformedPosition
 from bamboospring.platform.line_protocol import parse_position
 from bamboospring.platform.line_protocol import payload_size
 from bamboospring.reactor import Reactor
@@ -85,15 +86,19 @@
         "_replies",
         "_reply",
         "_stream",
+        "_target_name",
         "_timer",
         "shapes",
         "state",
         "values",
     )
 
-    def __init__(self, *, reactor: Reactor, stream: Stream) -> None:
+    def __init__(
+        self, *, reactor: Reactor, stream: Stream, target_name: str = ""
+    ) -> None:
         self._reactor = reactor
         self._stream = stream
+        self._target_name = target_name
         self._buffer = LineDecoder()
         self._orders: Sequence[TargetOrder] = ()
         self._replies: list[TargetReply] = []
@@ -190,14 +195,22 @@
                     # the session, without a READY line.
                     self._finish_reply()
             case "READY":
-                state, _, position = rest.partition(" ")
-                self._reply.state = STATES_BY_CODE.get(
-                    state, SessionState.FAILED
-                )
-                self._reply.position = parse_position(position)
-                self._finish_reply()
+                self._handle_ready(rest)
             case _:
-                self._fail(LinkLost())
+                self._fail_malformed(f"unknown keyword {keyword[:32]!r}")
+
+    def _handle_ready(self, rest: str) -> None:
+        state, _, text = rest.partition(" ")
+        try:
+            position = parse_position(text)
+        except MalformedPosition as exc:
+            # Without its position, a write would be acknowledged that later
+            # reads of the session could miss.
+            self._fail_malformed(str(exc))
+            return
+        self._reply.state = STATES_BY_CODE.get(state, SessionState.FAILED)
+        self._reply.position = position
+        self._finish_reply()
 
     def _finish_reply(self) -> None:
         reply, self._reply = self._reply, TargetReply()
@@ -239,6 +252,15 @@
         if on_complete is not None:
             on_complete(lost)
 
+    def _fail_malformed(self, reason: str) -> None:
+        logs.log_event(
+            "target_answer_malformed",
+            level=logs.Level.WARNING,
+            target=self._target_name,
+            reason=reason,
+        )
+        self._fail(LinkLost())
+
     def _complete(self, result: list[TargetReply] | LinkLost) -> None:
         on_complete = self._end_exchange()
         if on_complete is not None:
@@ -340,7 +362,7 @@
             lag=float(lag) / 1000 if lag != "-" else 0.0,
             connections=int(connections),
         )
-    except ValueError:
+    except (ValueError, MalformedPosition):
         return None
 
 
@@ -374,7 +396,11 @@
                     )
                 )
                 return
-            link = LineLink(reactor=self._reactor, stream=stream)
+            link = LineLink(
+                reactor=self._reactor,
+                stream=stream,
+                target_name=self._target.name,
+            )
 
             def on_opened(result: list[TargetReply] | LinkLost) -> None:
                 if isinstance(result, LinkLost):
--- a/features/statement_bytes.feature
+++ b/features/statement_bytes.feature
@@ -24,6 +24,23 @@
     Then error texts of any bytes reach the caller with their line breaks as blanks
     And an error text of 300 bytes in Hindi is cut between two characters
 
+  Scenario Outline: A response whose position is no number ends its connection <bytes>
+    # Guards against a position whose digits only Unicode takes for such. It
+    # raised an error in the connection's handler, and the statement waited
+    # until its time was up.
+    Given a caller's connection and a target's connection
+    When the target ends its response with the position <bytes>
+    Then the connection is lost at once and the log says why
+
+    Examples:
+      | bytes                                 |
+      | 3.\xb2                               |
+      | \xb9.7                               |
+      | 3.-7                                  |
+      | 3                                     |
+      | 3.18446744073709551616                |
+      | 3.99999999999999999999999999999999999 |
+
   Scenario: A prepared statement without an item is refused at once
     Given a session
     When it is asked to PREPARE a READ q1
--- a/features/steps/statement_bytes_steps.py
+++ b/features/steps/statement_bytes_steps.py
@@ -4,6 +4,7 @@
 
 from behave import given
 from behave import then
+from behave import when
 from hypothesis import given as given_input
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -22,6 +23,7 @@
 from bamboospring.sessions import held_transactions
 from bamboospring.sessions import holder_server
 from bamboospring.sessions.model import SessionBoard
+from bamboospring.sessions.ports import LinkLost
 from bamboospring.sessions.ports import SessionAnswer
 from bamboospring.sessions.ports import SessionState
 from bamboospring.sessions.replies import order_for_job
@@ -276,6 +278,29 @@
         assert "ठठठ" in line[:size].decode(), line
 
 
+@when("the target ends its response with the position {position}")
+def when_position(context, position):
+    data = position.encode("latin-1").decode("unicode_escape")
+    job = receive(context, b"WRITE a 1")
+    context.results, context.log_lines = [], []
+    context.link.send([order_for_job(job, None)], 1.0, context.results.append)
+    logs.configure(write=context.log_lines.append)
+    try:
+        context.target.on_data(
+            b"COMPLETE s\r\nREADY I %s\r\n" % data.encode("latin-1")
+        )
+    finally:
+        logs.configure()
+
+
+@then("the connection is lost at once and the log says why")
+def then_lost(context):
+    assert context.results == [LinkLost()], context.results
+    assert context.target.closed
+    (line,) = context.log_lines
+    assert "event=target_answer_malformed" in line, line
+
+
 @then('the sizes that are logged of "{text}" are {received:d} and {sent:d}')
 def then_logged(context, text, received, sent):
     lines = []
