Ignore an entry whose port has digits outside ASCII

Cause: str.isdigit is true for digits that int refuses, so _is_address raised ValueError, which nobody expects of an entry.

Change: a port is one to five ASCII digits.

Before: the scenario "Entries of other writers name nothing to use" ended with ValueError for the new row.

--- a/bamboospring/platform/store_objects.py
+++ b/bamboospring/platform/store_objects.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import Any
 
 from pydantic import BaseModel
@@ -41,6 +42,8 @@
 STATE_DRAINING = "draining"
 ROLES = ("primary", "replica")
 DEFAULT_TRANSACTION_IDLE_MS = 3000
+# `str.isdigit` also accepts digits that `int` refuses.
+_PORT = re.compile(r"[0-9]{1,5}")
 
 
 class _StoreValue(BaseModel):
@@ -217,7 +220,11 @@
 
 def _is_address(text: str) -> bool:
     host, _, port = text.rpartition(":")
-    return bool(host) and port.isdigit() and 0 < int(port) < 65536
+    return (
+        bool(host)
+        and _PORT.fullmatch(port) is not None
+        and 0 < int(port) < 65536
+    )
 
 
 def _log_invalid(found: Found, exc: ValidationError) -> None:
--- a/features/session_texts.feature
+++ b/features/session_texts.feature
@@ -104,6 +104,8 @@
     And a listener that stays unready answers BUSY within 2 s
 
   Scenario: Entries of other writers name nothing to use
+    # Guards against an entry that raises an error while it is read, and so
+    # hides all other targets.
     Then each of these entries of a target is ignored
       | entry                                                    |
       | null                                                     |
@@ -112,6 +114,9 @@
       | {"service": 7, "address": "1.2.3.4:5", "zone": "z"}      |
       | {"service": "g", "address": "1.2.3.4:5", "zone": "z", "state": "asleep", "databaseRole": "replica"} |
       | {"service": "g", "address": "nowhere", "zone": "z", "state": "ready", "databaseRole": "replica"} |
+      | {"service": "g", "address": "1.2.3.4:8²", "zone": "z", "state": "ready", "databaseRole": "replica"} |
+      | {"service": "g", "address": "1.2.3.4:٨٠", "zone": "z", "state": "ready", "databaseRole": "replica"} |
+      | {"service": "g", "address": "1.2.3.4:65536", "zone": "z", "state": "ready", "databaseRole": "replica"} |
       | {"service": "g", "address": "1.2.3.4:5", "zone": "z", "state": "ready", "databaseRole": "boss"} |
     And a valid entry is read
 
