Send names of the configuration in UTF-8

What callers saw: a database whose name has a letter outside ASCII was never found (NODATABASE while the route is in force).

Cause: names of the configuration are text, lines are bytes that are decoded as latin-1. The two were compared, and written into each other, as they are.

Change: name_in_line turns a name into its bytes in UTF-8 where it enters a line or is compared with one. Keys were compared by their bytes already.

Before: the new scenario failed for the database `¡`; with the name encoded as before, the second step ends with UnicodeEncodeError for a team outside latin-1. After: passed, 400 names each. ASCII names are sent as they were.

--- a/bamboospring/platform/line_protocol.py
+++ b/bamboospring/platform/line_protocol.py
@@ -20,6 +20,7 @@
     "LineTooLong",
     "MalformedPosition",
     "MAX_LINE_BYTES",
+    "name_in_line",
     "parse_position",
     "payload_size",
     "replace_line_breaks",
@@ -44,6 +45,15 @@
     """A line is longer than the maximum size of a message."""
 
 
+def name_in_line(name: str) -> str:
+    """Return a name of the configuration as lines have it.
+
+    The configuration holds text. A line holds its bytes in UTF-8, each of them
+    one character here: the database `café` is `cafÃ©` in a decoded line.
+    """
+    return name.encode("utf-8", "replace").decode("latin-1")
+
+
 class LineDecoder:
     """Splits a stream of bytes into lines."""
 
--- a/bamboospring/platform/store_objects.py
+++ b/bamboospring/platform/store_objects.py
@@ -14,6 +14,7 @@
 from bamboospring import logs
 from bamboospring.object_store import Found
 from bamboospring.platform.line_protocol import key_digest
+from bamboospring.platform.line_protocol import name_in_line
 from bamboospring.sessions.model import Catalog
 from bamboospring.sessions.model import Freshness
 from bamboospring.sessions.model import GroupLimits
@@ -115,13 +116,10 @@
     except ValidationError as exc:
         _log_invalid(found, exc)
         return None
-    routes = {}
-    for route in raw.routes:
-        if route.kind in FRESHNESS_BY_KIND:
-            routes[route.database] = _route(route)
+    routes = [_route(r) for r in raw.routes if r.kind in FRESHNESS_BY_KIND]
     return Catalog(
         version=raw.version,
-        routes=routes,
+        routes={route.database: route for route in routes},
         groups={
             service.name: GroupLimits(
                 name=service.name,
@@ -175,7 +173,8 @@
     max_staleness_ms = raw.maxStalenessMs
     return Route(
         name=raw.name,
-        database=raw.database,
+        # Callers name the database in a line.
+        database=name_in_line(raw.database),
         group=raw.service,
         freshness=FRESHNESS_BY_KIND[raw.kind],
         time_limit=raw.timeoutMs / 1000,
--- a/bamboospring/platform/target_dialer.py
+++ b/bamboospring/platform/target_dialer.py
@@ -12,6 +12,7 @@
 from bamboospring.platform.line_protocol import LineDecoder
 from bamboospring.platform.line_protocol import LineTooLong
 from bamboospring.platform.line_protocol import MalformedPosition
+from bamboospring.platform.line_protocol import name_in_line
 from bamboospring.platform.line_protocol import parse_position
 from bamboospring.platform.line_protocol import payload_size
 from bamboospring.reactor import Reactor
@@ -136,7 +137,8 @@
         Another target that listens at the address refuses the session.
         """
         self._start_exchange((), timeout, on_complete)
-        line = f"OPEN {service} {team or DEFAULT_USER} {target.name}\r\n"
+        names = (service, team or DEFAULT_USER, target.name)
+        line = f"OPEN {' '.join(map(name_in_line, names))}\r\n"
         self._stream.send(line.encode("latin-1"))
 
     def send(
--- a/features/statement_bytes.feature
+++ b/features/statement_bytes.feature
@@ -41,6 +41,13 @@
       | 3.18446744073709551616                |
       | 3.99999999999999999999999999999999999 |
 
+  Scenario: Names outside ASCII mean the same to operators, callers and targets
+    # Guards against a database that no caller can open, and against a team
+    # whose statements all wait until their time is up, since connections in
+    # its name can't be opened.
+    Then a database of any name is found by callers who send it in UTF-8
+    And connections are opened in the names of any service and team
+
   Scenario: A prepared statement without an item is refused at once
     Given a session
     When it is asked to PREPARE a READ q1
--- a/features/steps/statement_bytes_steps.py
+++ b/features/steps/statement_bytes_steps.py
@@ -9,8 +9,13 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from bamboospring.blackboard import Target
 from bamboospring import logs
+from bamboospring.object_store import Found
+from bamboospring.outcomes import NotRun
+from bamboospring.outcomes import Reason
 from bamboospring.platform.caller_server import CallerServer
+from bamboospring.platform.store_objects import read_catalog
 from bamboospring.platform.target_dialer import LineLink
 from bamboospring.sessions.forward_messages import decode_result
 from bamboospring.sessions.forward_messages import decode_statement
@@ -47,6 +52,14 @@
 # The rest of a line, which may hold anything but the end of a line.
 LINE_REST = BYTES.filter(lambda data: b"\r\n" not in data + b"\r")
 WORD = LINE_REST.filter(lambda data: b" " not in data)
+NAME = st.text(
+    st.characters(
+        exclude_categories=("Cs", "Cc", "Zs"),
+        exclude_characters="\u2028\u2029",
+    ),
+    min_size=1,
+    max_size=12,
+)
 PROPERTY = settings(
     max_examples=400, derandomize=True, database=None, deadline=None
 )
@@ -301,6 +314,67 @@
     assert "event=target_answer_malformed" in line, line
 
 
+@then("a database of any name is found by callers who send it in UTF-8")
+def then_found(context):
+    @PROPERTY
+    @given_input(name=NAME)
+    def check(name):
+        value = {
+            "version": 1,
+            "routes": [
+                {
+                    "name": "r",
+                    "database": name,
+                    "kind": "primary",
+                    "service": "g",
+                    "timeoutMs": 1000,
+                }
+            ],
+            "services": [{"name": "g", "maxConnections": 1}],
+        }
+        found = Found(kind="config", name="main", version=1, value=value)
+        reactor = ListeningReactor()
+        board = SessionBoard(vm="v", availability_zone="z")
+        board.catalog = read_catalog(found)
+        opened = []
+
+        def admit(database, credential, held):
+            opened.append(board.route(database))
+            return NotRun(reason=Reason.DRAINING)
+
+        CallerServer(
+            reactor=reactor, address="", admit=admit, make_session=None
+        )
+        caller = FakeStream()
+        reactor.accept(caller)
+        caller.on_data(b"OPEN %s key\r\n" % name.encode())
+        (route,) = opened
+        assert route is not None and route.group == "g", name
+
+    check()
+
+
+@then("connections are opened in the names of any service and team")
+def then_opened(context):
+    @PROPERTY
+    @given_input(service=NAME, team=NAME)
+    def check(service, team):
+        stream = FakeStream()
+        link = LineLink(reactor=FakeReactor(), stream=stream)
+        target = Target(
+            name="i-1",
+            address="127.0.0.1:1",
+            availability_zone="z",
+            site="z",
+            slots=1,
+        )
+        link.open_session(target, service, team, 1.0, lambda result: None)
+        expected = f"OPEN {service} {team} i-1\r\n".encode()
+        assert stream.sent == expected, stream.sent
+
+    check()
+
+
 @then('the sizes that are logged of "{text}" are {received:d} and {sent:d}')
 def then_logged(context, text, received, sent):
     lines = []
