Replace links between VMs that are silent to short questions

A VM whose link to its leader has gone silent never hears of the leader again: it depends on the store alone, and pays calls for it, until one of the two processes ends.

Cause: a link is dropped after two heartbeat times (0.5 s each) while an exchange is open. Facts are asked for every 0.6 s with a time limit of 0.4 s, so the timer finds no exchange, and the next question starts it anew.

A VM that answers late, or stands still for 1.2 s, keeps its link, since links carry transactions of callers, which end with them. The log says peer_link_silent.

Test: features/peer_links.feature, 200 times limits, intervals and moments.

--- a/bamboospring/peers.py
+++ b/bamboospring/peers.py
@@ -18,6 +18,7 @@
 import capnp
 
 from bamboospring.errors import MessageError
+from bamboospring import logs
 from bamboospring.reactor import Listener
 from bamboospring.reactor import Reactor
 from bamboospring.reactor import Stream
@@ -50,6 +51,10 @@
 # is received for as long again, the link is dropped and its exchanges fail at
 # once, instead of each waiting for its own deadline.
 HEARTBEAT_TIMEOUT = 0.5
+# Exchanges that end before a heartbeat is sent would leave a silent link in
+# use. The link is dropped when an exchange ends without an answer and nothing
+# was received for this long, counted from the first unanswered one.
+SILENCE_TIMEOUT = 1.5
 # The accepting side sends a hello at once, and nothing is sent to it before.
 # The kernel of a frozen process, or a proxy whose upstream is dead, also
 # accepts connections; the outcome of a statement sent over one would be
@@ -219,6 +224,7 @@
 
     on_answer: OnAnswer
     timer: Timer
+    asked_at: float
     min_protocol: int = 0
     sent: bool = False
 
@@ -236,6 +242,9 @@
     last_received_at: float = 0.0
     heartbeat_at: float = -1e9
     heartbeat_timer: Timer | None = None
+    # When the first question was asked of those that were not answered since
+    # anything was received.
+    silent_since: float | None = None
     protocol: int = 0
     is_ready: bool = False
     is_closed: bool = False
@@ -255,7 +264,10 @@
             timeout, lambda: self._expire_exchange(number)
         )
         self.exchanges[number] = _Exchange(
-            on_answer=on_answer, timer=timer, min_protocol=min_protocol
+            on_answer=on_answer,
+            timer=timer,
+            asked_at=self.peers.reactor.now(),
+            min_protocol=min_protocol,
         )
         self.write(number, message.to_bytes())
         if self.heartbeat_timer is None and self.is_ready:
@@ -325,6 +337,7 @@
 
     def _on_data(self, data: bytes) -> None:
         self.last_received_at = self.peers.reactor.now()
+        self.silent_since = None
         self.peers.received_bytes += len(data)
         # Whole frames usually arrive in one piece; then nothing is copied to
         # the buffer.
@@ -409,8 +422,28 @@
 
     def _expire_exchange(self, number: int) -> None:
         exchange = self.exchanges.pop(number, None)
-        if exchange is not None:
-            exchange.on_answer(PeerLost(sent=exchange.sent))
+        if exchange is None:
+            return
+        if exchange.sent:
+            self._check_silence(exchange.asked_at)
+        exchange.on_answer(PeerLost(sent=exchange.sent))
+
+    def _check_silence(self, asked_at: float) -> None:
+        """Drop the link if it has been silent for long, after a timeout."""
+        if self.silent_since is None:
+            # Whatever was received meanwhile shows that the link works.
+            if self.last_received_at <= asked_at:
+                self.silent_since = asked_at
+            return
+        silence = self.peers.reactor.now() - self.silent_since
+        if silence >= SILENCE_TIMEOUT:
+            logs.log_event(
+                "peer_link_silent",
+                level=logs.Level.WARNING,
+                address=self.address,
+                silent_ms=round(silence * 1000),
+            )
+            self.drop()
 
     def _on_close(self) -> None:
         if self.is_closed:
--- /dev/null
+++ b/features/steps/peer_links_steps.py
@@ -0,0 +1,167 @@
+"""Steps for links between VMs that go silent for good."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+
+from behave import given
+from behave import then
+from behave import when
+from hypothesis import given as given_input
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from bamboospring import logs
+from bamboospring.peers import new_envelope
+from bamboospring.peers import PeerLost
+from bamboospring.peers import Peers
+from features.steps.unanswered_steps import FakeClock
+
+LEADER = "leader:1"
+TRANSIT_SECONDS = 0.001
+
+
+class PairedStream:
+    """One end of a connection; a silent one loses all data, also its end."""
+
+    def __init__(self, network):
+        self.network = network
+        self.closed = False
+        self.on_data = self.on_close = self.other = None
+
+    def send(self, data):
+        self.network.call_later(
+            TRANSIT_SECONDS, lambda: self.other.receive(data)
+        )
+
+    def receive(self, data):
+        if not (self.closed or self in self.network.silent):
+            self.on_data(data)
+
+    def abort(self):
+        if not self.closed:
+            self.closed = True
+            self.on_close()
+
+
+class LinkNetwork(FakeClock):
+    """Connects listeners in memory, with simulated time."""
+
+    def __init__(self):
+        super().__init__()
+        self.listeners = {}
+        self.streams = []
+        self.silent = set()
+
+    def listen(self, address, on_accept):
+        self.listeners[address] = on_accept
+        return SimpleNamespace(address=address, close=lambda: None)
+
+    def connect(self, address, timeout, on_open):
+        near, far = PairedStream(self), PairedStream(self)
+        near.other, far.other = far, near
+        self.streams.append(near)
+
+        def open_both():
+            self.listeners[address](far)
+            on_open(near)
+
+        self.call_later(TRANSIT_SECONDS, open_both)
+
+    def silence(self):
+        for stream in self.streams:
+            self.silent |= {stream, stream.other}
+
+
+class TwoVms:
+    """A VM that asks its leader, and the leader."""
+
+    def __init__(self, delay=0.002):
+        self.network = LinkNetwork()
+        self.delay = delay
+        # The leader answers nothing until then.
+        self.still_until = 0.0
+        self.answers = []
+        self.vm = Peers(reactor=self.network, vm="vm", listen="vm:1")
+        self.leader = Peers(reactor=self.network, vm="leader", listen=LEADER)
+        self.leader.add_handler("factsAsk", self.answer)
+
+    def answer(self, _message, reply):
+        answer = new_envelope()
+        answer.init("facts")
+        wait = max(self.delay, self.still_until - self.network.now())
+        self.network.call_later(wait, lambda: reply(answer))
+
+    def ask(self, timeout, interval):
+        """Ask once and let the time pass until the next question."""
+        message = new_envelope()
+        message.init("factsAsk")
+        self.vm.ask(
+            LEADER,
+            message,
+            timeout,
+            lambda answer: self.answers.append(
+                (self.network.now(), not isinstance(answer, PeerLost))
+            ),
+        )
+        self.network.run_until(self.network.now() + interval)
+
+
+@then("a link that goes silent at any moment is replaced within {seconds:g} s")
+def then_replaced(context, seconds):
+    context.log_lines = []
+
+    @settings(max_examples=200, derandomize=True, database=None, deadline=None)
+    @given_input(
+        timeout=st.floats(0.05, 0.45),
+        pause=st.floats(0.0, 0.2),
+        before=st.integers(1, 8),
+    )
+    def check(timeout, pause, before):
+        vms = TwoVms()
+        interval = timeout + pause
+        for _ in range(before):
+            vms.ask(timeout, interval)
+        vms.network.silence()
+        silent_at = vms.network.now()
+        while vms.network.now() < silent_at + seconds:
+            vms.ask(timeout, interval)
+        vms.answers.clear()
+        vms.ask(timeout, interval)
+        assert [good for _, good in vms.answers] == [True], vms.answers
+
+    logs.configure(write=context.log_lines.append)
+    try:
+        check()
+    finally:
+        logs.configure()
+
+
+@then("the log says that it was silent")
+def then_logged(context):
+    lines = [x for x in context.log_lines if "event=peer_link_silent" in x]
+    assert lines and f"address={LEADER}" in lines[0], context.log_lines
+
+
+@given("two VMs, of which one answers after {delay:d} ms")
+def given_vms(context, delay):
+    context.vms = TwoVms(delay / 1000)
+
+
+@when("it is asked every {interval:d} ms for {timeout:d} ms, {count:d} times")
+def when_asked(context, interval, timeout, count):
+    for _ in range(count):
+        context.vms.ask(timeout / 1000, interval / 1000)
+
+
+@when("it stands still for {seconds:g} s while it is asked")
+def when_still(context, seconds):
+    vms = context.vms
+    vms.still_until = vms.network.now() + seconds
+    while vms.network.now() < vms.still_until:
+        vms.ask(0.4, 0.6)
+
+
+@then("one link was opened")
+def then_one(context):
+    assert len(context.vms.network.streams) == 1, context.vms.network.streams
