Ask for the release of proofs again on a new link

Cause: the leader's links to other VMs are idle until a primary is changed, so that a silent one is found out by the question that the change waits for. It was given up after 0.7 s, and the change waited for all proofs to lapse. The class is that of the late configuration: a time limit of the order of the bound is spent on finding out what could have been avoided.

Change: a VM that has not answered after 0.35 s is asked again on a link of its own. The first link stays: other exchanges may use it, and if it is silent it is dropped as before. The question may arrive twice, which changes nothing.

Tests: two scenarios in features/peer_links.feature.

--- a/bamboospring/peers.py
+++ b/bamboospring/peers.py
@@ -167,6 +167,28 @@
         message.id = next(self._ids)
         self._link(address).ask(message, timeout, on_answer, min_protocol)
 
+    def ask_anew(
+        self,
+        address: str,
+        message: Any,
+        timeout: float,
+        on_answer: OnAnswer,
+    ) -> None:
+        """Ask on a new link, which is closed afterwards.
+
+        For a question without an answer: its link may be silent, but has to
+        stay for its other exchanges until that is certain.
+        """
+        message.id = next(self._ids)
+        link = _Link(peers=self, address=address)
+
+        def finish(answer: Any) -> None:
+            on_answer(answer)
+            link.drop()
+
+        link.ask(message, timeout, finish, 0)
+        self.reactor.connect(address, CONNECT_TIMEOUT, link.on_open)
+
     def unresponsive_for(self, address: str) -> float | None:
         """Return for how many seconds an awaited answer has not arrived.
 
--- a/bamboospring/sessions/proof_release.py
+++ b/bamboospring/sessions/proof_release.py
@@ -35,6 +35,10 @@
 
 # Timeout in seconds of a VM's answer.
 ANSWER_TIMEOUT = 0.7
+# After this many seconds without an answer a VM is asked to release its proof
+# on a new link. The leader's links to other VMs are mostly idle, so a silent
+# one shows only when a change of primary waits for the answer.
+RELEASE_RETRY_DELAY = 0.35
 # Seconds that requests in flight at the old primary may take before a VM
 # releases its proof. The outcome of later answers is unknown.
 IN_FLIGHT_GRACE_PERIOD = 0.15
@@ -150,8 +154,22 @@
                 elif answer.recordSeen.version >= record.version:
                     on_vm_released(vm.name)
 
+            def answered_first(answer: Any) -> None:
+                if not isinstance(answer, PeerLost):
+                    answered(answer)
+                    return
+                self._peers.ask_anew(
+                    vm.address,
+                    _record_message(record),
+                    ANSWER_TIMEOUT,
+                    answered,
+                )
+
             self._peers.ask(
-                vm.address, _record_message(record), ANSWER_TIMEOUT, answered
+                vm.address,
+                _record_message(record),
+                RELEASE_RETRY_DELAY,
+                answered_first,
             )
 
         for vm in vms:
--- a/features/peer_links.feature
+++ b/features/peer_links.feature
@@ -18,3 +18,15 @@
     And it stands still for 1.2 s while it is asked
     And it is asked every 600 ms for 400 ms, 5 times
     Then one link was opened
+
+  Scenario: A change of primary does not wait for a link that went silent
+    # Guards against callers that have no primary for 2 s longer, until proofs
+    # lapse, since the leader's idle links to other VMs have gone silent.
+    Given a leader that changes a primary, and a VM with which it had a link
+    When that link goes silent and the leader asks for the release of proofs
+    Then the VM has released its proof within 0.5 s
+
+  Scenario: A VM that is gone is asked twice and reported once
+    Given a leader that changes a primary, and a VM with which it had a link
+    When the VM answers nothing and the leader asks for the release of proofs
+    Then no release is known after 3 s, and the log says so once
--- a/features/steps/peer_links_steps.py
+++ b/features/steps/peer_links_steps.py
@@ -15,6 +15,11 @@
 from bamboospring.peers import new_envelope
 from bamboospring.peers import PeerLost
 from bamboospring.peers import Peers
+from bamboospring.sessions.model import PendingChange
+from bamboospring.sessions.model import PrimaryRecord
+from bamboospring.sessions.model import SessionBoard
+from bamboospring.sessions.proof_release import ProofReleases
+from bamboospring.sessions.vm_registry import ListedVm
 from features.steps.unanswered_steps import FakeClock
 
 LEADER = "leader:1"
@@ -52,6 +57,7 @@
         self.listeners = {}
         self.streams = []
         self.silent = set()
+        self.frozen = set()
 
     def listen(self, address, on_accept):
         self.listeners[address] = on_accept
@@ -63,6 +69,8 @@
         self.streams.append(near)
 
         def open_both():
+            if address in self.frozen:
+                self.silent |= {near, far}
             self.listeners[address](far)
             on_open(near)
 
@@ -107,6 +115,93 @@
         self.network.run_until(self.network.now() + interval)
 
 
+class AnyRecords:
+    """Accepts every record."""
+
+    def apply(self, record):
+        pass
+
+
+class OtherVms:
+    """A complete list of VMs."""
+
+    def __init__(self, *vms):
+        self.vms = {vm.name: vm for vm in vms}
+
+    def is_complete(self, now):
+        return True
+
+    def refresh(self, on_listed):
+        on_listed(self.vms)
+
+
+def make_releases(network, peers, *others):
+    return ProofReleases(
+        reactor=network,
+        board=SessionBoard(vm=peers.vm, availability_zone="z"),
+        peers=peers,
+        registry=OtherVms(*others),
+        records=AnyRecords(),
+    )
+
+
+@given("a leader that changes a primary, and a VM with which it had a link")
+def given_change(context):
+    context.vms = vms = TwoVms()
+    vm = ListedVm(name="vm", address="vm:1", availability_zone="z", nonce="n")
+    make_releases(vms.network, vms.vm)
+    context.releases = make_releases(vms.network, vms.leader, vm)
+    request_release(context)
+    vms.network.run_until(1.0)
+    assert context.released_at, "a link that works"
+
+
+def request_release(context):
+    network = context.vms.network
+    context.asked_at = network.now()
+    context.released_at = []
+    change = PendingChange(term=2, vm="leader", nonce="n", cause="failed")
+    record = PrimaryRecord(
+        group="g", version=7, term=1, primary="m0", change=change
+    )
+    context.releases.request_release(
+        record, lambda: context.released_at.append(network.now())
+    )
+
+
+@when("that link goes silent and the leader asks for the release of proofs")
+def when_silent_release(context):
+    context.vms.network.silence()
+    request_release(context)
+
+
+@when("the VM answers nothing and the leader asks for the release of proofs")
+def when_frozen_release(context):
+    network = context.vms.network
+    network.silence()
+    network.frozen.add("vm:1")
+    context.log_lines = []
+    logs.configure(write=context.log_lines.append)
+    try:
+        request_release(context)
+        network.run_until(network.now() + 3.0)
+    finally:
+        logs.configure()
+
+
+@then("the VM has released its proof within {seconds:g} s")
+def then_released(context, seconds):
+    context.vms.network.run_until(context.asked_at + seconds)
+    assert context.released_at
+
+
+@then("no release is known after 3 s, and the log says so once")
+def then_not_released(context):
+    assert not context.released_at
+    lines = [x for x in context.log_lines if "event=release_unanswered" in x]
+    assert len(lines) == 1, context.log_lines
+
+
 @then("a link that goes silent at any moment is replaced within {seconds:g} s")
 def then_replaced(context, seconds):
     context.log_lines = []
