--- a/features/statement_bytes.feature
+++ b/features/statement_bytes.feature
@@ -65,8 +65,8 @@
   Scenario: Callers write bytes that are no text through holders
     # Guards against a prepared write that is acknowledged although its target
     # has kept other data.
-    Given an estate with 15 VMs, load control and 12 connections of each target
-    When 16 callers work for 8 s
+    Given an estate with 12 VMs, load control and 10 connections of each target
+    When 10 callers work for 8 s
     Then every promise was kept
     And at least 95 percent of the operations were served
     And statements of transactions ran through holders
