Do not read a replaced primary whose successor a VM has not heard of

What callers saw: regions.feature, "what the far region sends between the regions is lost, the primary is far": a read through a VM of the far region was answered at term 2 by the replaced primary, which may hold entries that no other target has.

Cause: a replica is read if its last entry has the term of the group's record. A VM that hears of the new record late has term 1 there, as the last entry of the old primary, which itself reports term 2 by then.

Change: the primary of the record is not read as a replica or fenced target once it reports a later term than the record. Other targets are read as before: their logs hold nothing of their own.

Tests: the properties of routing get targets that know of a later term, of which they had next to none. Before: choice_is_safe and choice_is_made_where_possible failed; after: passed.

--- a/bamboospring/routing.py
+++ b/bamboospring/routing.py
@@ -340,13 +340,19 @@
     def _is_candidate(
         self, target: Target, state: TargetState, role: Role
     ) -> bool:
+        record = self.group.record
         # If the last entry of a target has the group's term, its log is a
         # prefix of that term's log. Otherwise the target may be a former
         # primary that follows the new one but has not yet dropped entries
-        # that no other target has.
+        # that no other target has. The group's record may be older than what
+        # its primary knows.
+        is_replaced = target.name == record.primary and (
+            state.term > record.term
+        )
         return (
             state.role is role
-            and state.last_term == self.group.record.term
+            and state.last_term == record.term
+            and not is_replaced
             and target.name not in self.requirements.excluded
             and target.name not in self.row.leaving_targets
             and not state.leaving
--- a/features/steps/regions_steps.py
+++ b/features/steps/regions_steps.py
@@ -185,7 +185,20 @@
     for vm in FAR_VMS:
         reader = caller_at(context.fleet, vm, deadline_ms=500)
         answer = reader.read(GROUP, "SELECT 1", staleness_ms=120_000)
-        assert not answer.done, answer
+        assert not answer.done, (answer, far_views(context))
+
+
+def far_views(context: Any) -> dict[str, Any]:
+    """Return the far target's own state, and what the far VMs know of it."""
+    views: dict[str, Any] = {
+        context.far_target: context.fleet.probe(context.far_target)
+    }
+    for vm in FAR_VMS:
+        status = Operator(fleet=context.fleet, vm=vm).call(
+            "GET", "/status.json"
+        )
+        views[vm] = status["groups"].get(GROUP, "not a holder")
+    return views
 
 
 @when("an operator edits the table in the near region")
--- a/features/steps/session_properties.py
+++ b/features/steps/session_properties.py
@@ -9,6 +9,7 @@
 
 import base64
 from collections.abc import Callable
+import dataclasses
 import hmac
 from typing import Any
 
@@ -106,8 +107,12 @@
 
 
 def states(name: str, term: int) -> Any:
-    """Return facts about a target; half of the cases are good replicas."""
-    return st.one_of(good_states(name, term), any_states(name, term))
+    """Return facts about a target; a third of the cases are good replicas."""
+    return st.one_of(
+        good_states(name, term),
+        later_states(name, term),
+        any_states(name, term),
+    )
 
 
 def good_states(name: str, term: int) -> Any:
@@ -128,6 +133,16 @@
     )
 
 
+def later_states(name: str, term: int) -> Any:
+    """Return facts of a target that knows of a later term than its group."""
+    return st.builds(
+        dataclasses.replace,
+        good_states(name, term),
+        term=st.just(term + 1),
+        role=st.sampled_from([Role.REPLICA, Role.FENCED]),
+    )
+
+
 def any_states(name: str, term: int) -> Any:
     """Return any facts about a target of a group at `term`."""
     near = st.integers(max(0, term - 1), term + 1)
@@ -234,6 +249,15 @@
         assert merged.position(group) == expected
 
 
+def is_replaced_primary(group: Group, target: Target) -> bool:
+    """Return whether the record's primary is at a later term itself.
+
+    It may hold entries that no other target has.
+    """
+    term = group.state(target.name).term
+    return target.name == group.record.primary and term > group.record.term
+
+
 @fixed
 @given(group=groups(), row=rows, need=needs, drawn=draws)
 def choice_is_safe(
@@ -254,6 +278,7 @@
     if choice.replica:
         assert state.applied >= choice.min_index
         assert state.last_term == record.term
+        assert not is_replaced_primary(group, choice.target)
         assert state.role in (Role.REPLICA, Role.FENCED)
         assert not state.leaving
         assert choice.target.name not in row.leaving_targets
@@ -279,6 +304,7 @@
         for target in record.targets
         if (state := group.state(target.name)).role is Role.REPLICA
         and state.last_term == record.term
+        and not is_replaced_primary(group, target)
         and state.applied >= index
         and not state.leaving
         and NOW - state.last_response_at <= MAX_REPORT_AGE
