Let the store answer nothing in the scenario of 1,700 routes

Cause: the test. The store was made silent with the mode `silent` of the fault proxy, which loses the data of the connections that are open then; new ones work. Since connections to the store are not reused after a second of rest, VMs that have lost the store that way open new ones and read it, so who gets the configuration from whom is a race.

Evidence: the same estate with the mode `silent`, none of the four VMs logs platform_lost; with `freeze`, which holds the data of all connections, all four do, and three get the configuration from VMs while the fourth leads.

Change: `freeze`, which is what the scenario says. The checks are unchanged.

--- a/features/steps/configuration_transfer_steps.py
+++ b/features/steps/configuration_transfer_steps.py
@@ -1027,8 +1027,9 @@
 
     async def silence() -> None:
         for vm in vm_names(names):
+            # Not `silent`, which loses the data of open connections only.
             links[f"{vm}-store"].set_mode(
-                mode="silent", direction="both", delay_ms=0
+                mode="freeze", direction="both", delay_ms=0
             )
 
     act(context, after, silence)
