Let waits of tests outlast an operators' listener that opens late

Unreachable: no VM answers: 127.0.0.1:40027: [Errno 111] Connection refused

The restarted VM had no log line yet. A VM's callers' listener accepts once it is constructed (Server.__init__, _make_entry), the operators' listener is constructed after it and `listening` is logged after both. Fleet.wait_vm asks the callers' address, so a test can go on between the two. wait_until takes a failed call for "not yet", as its documentation says, but not the one that the operators' client raises.

wait_until now takes it for a failed call as well; the deadline of each wait is unchanged.

--- a/bamboospring/testing/fleet.py
+++ b/bamboospring/testing/fleet.py
@@ -33,6 +33,7 @@
 from typing import Any
 
 from bamboospring.blackboard import Vm
+from bamboospring.operator_client import Unreachable
 from bamboospring.rendezvous import choose_holders
 from bamboospring.rendezvous import HOLDERS_PER_GROUP
 from bamboospring.testing.process import ManagedProcess
@@ -130,15 +131,21 @@
 ) -> Any:
     """Poll until `condition` returns a true value, and return that value.
 
-    A failed call counts as false. Raises `StartFailed` with the last error
-    after `seconds`.
+    A failed call counts as false, also one to an operators' listener that is
+    not open yet. Raises `StartFailed` with the last error after `seconds`.
     """
     deadline = time.monotonic() + seconds
     last_error: Exception | None = None
     while time.monotonic() < deadline:
         try:
             result = condition()
-        except (OSError, CallFailed, KeyError, ValueError) as exc:
+        except (
+            OSError,
+            CallFailed,
+            Unreachable,
+            KeyError,
+            ValueError,
+        ) as exc:
             result, last_error = None, exc
         if result:
             return result
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -44,6 +44,12 @@
     And a VM is killed and started with the addresses of its peers
     Then the VM has the edit in force and serves within 15 s
 
+  # A VM that starts accepts callers a moment before its operators' listener is
+  # open. A test that asked it then ended with an error.
+  Scenario: A test waits for an operators' listener that opens late
+    Given an operators' listener that opens after 300 ms
+    Then waiting for its answer succeeds within 10 s
+
   Scenario: Calls back off and never overlap
     Then in 200 generated runs waits grow, stay within their limit and differ
 
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+from http.server import BaseHTTPRequestHandler
+from http.server import HTTPServer
+import threading
 import time
 from types import SimpleNamespace
 from typing import Any
@@ -23,6 +26,7 @@
 from bamboospring.blackboard import Blackboard
 from bamboospring.blackboard import Vm
 from bamboospring.fact_store import FactStore
+from bamboospring.operator_client import OperatorClient
 from bamboospring.platform_client import Backoff
 from bamboospring.platform_client import FIRST_BACKOFF
 from bamboospring.platform_client import VmsFound
@@ -157,6 +161,48 @@
         assert answer.done, answer
 
 
+class _EmptyAnswers(BaseHTTPRequestHandler):
+    """Answers each GET request with an empty JSON object."""
+
+    def do_GET(self) -> None:
+        self.send_response(200)
+        self.end_headers()
+        self.wfile.write(b"{}")
+
+    def log_message(self, *_args: Any) -> None:
+        """Write no line for each request."""
+
+
+@given("an operators' listener that opens after {delay:d} ms")
+def given_late_listener(context: Any, delay: int) -> None:
+    server = HTTPServer(
+        ("127.0.0.1", 0), _EmptyAnswers, bind_and_activate=False
+    )
+    server.server_bind()
+    context.operators_listen = f"127.0.0.1:{server.server_port}"
+
+    def serve() -> None:
+        time.sleep(delay / 1000)
+        server.server_activate()
+        server.serve_forever()
+
+    thread = threading.Thread(target=serve, daemon=True)
+    thread.start()
+    context.add_cleanup(server.server_close)
+    context.add_cleanup(server.shutdown)
+
+
+@then("waiting for its answer succeeds within {seconds:d} s")
+def then_answers(context: Any, seconds: int) -> None:
+    client = OperatorClient(vms=(context.operators_listen,), token="")
+    answer = wait_until(
+        lambda: client.call("GET", "/table/in-force"),
+        seconds=seconds,
+        what="the operators' listener to answer",
+    )
+    assert answer.status == 200, answer
+
+
 @then(
     "in {count:d} generated runs waits grow, stay within their limit and "
     "differ"
