Tell in failures of tests when they occurred

Eight entries of KNOWN-RED.txt are failures beside load whose output has `loop_late` lines, by which stand-ins got no processor time. They could not be matched with the failed requests, since neither had a time: whether a request failed because its target stood still, or for a fault, can't be told apart.

`loop_late` lines, answers that callers received and the failures of the background loads now carry the time of day in the format of the logs. No check changes.

--- a/bamboospring/testing/caller.py
+++ b/bamboospring/testing/caller.py
@@ -17,6 +17,8 @@
 import time
 from typing import Any
 
+from bamboospring.testing.timestamps import timestamp
+
 __all__ = ["Caller", "CallerAnswer"]
 
 DEFAULT_DEADLINE_MS = 2000
@@ -32,7 +34,7 @@
 
     `outcome` is `lost` if the connection failed before the answer was
     complete; as with `unknown`, the statement may have taken effect.
-    `elapsed` is in seconds.
+    `elapsed` is in seconds. `received_at` is the time of day, as in the logs.
     """
 
     outcome: str
@@ -52,6 +54,7 @@
     token: str = ""
     status: int = 0
     elapsed: float = 0.0
+    received_at: str = ""
 
     @property
     def done(self) -> bool:
@@ -152,7 +155,10 @@
             self._close_connection()
             elapsed = time.monotonic() - started_at
             return CallerAnswer(
-                outcome=OUTCOME_LOST, message=repr(exc), elapsed=elapsed
+                outcome=OUTCOME_LOST,
+                message=repr(exc),
+                elapsed=elapsed,
+                received_at=timestamp(),
             )
         elapsed = time.monotonic() - started_at
         if data.get("token"):
@@ -281,4 +287,5 @@
         token=data.get("token") or "",
         status=status,
         elapsed=elapsed,
+        received_at=timestamp(),
     )
--- a/bamboospring/testing/loop_monitor.py
+++ b/bamboospring/testing/loop_monitor.py
@@ -10,6 +10,8 @@
 import asyncio
 import time
 
+from bamboospring.testing.timestamps import timestamp
+
 __all__ = ["report_loop_delays"]
 
 CHECK_INTERVAL = 0.1
@@ -18,10 +20,16 @@
 
 
 async def report_loop_delays() -> None:
-    """Print a line whenever this event loop was delayed; run as a task."""
+    """Print a line whenever this event loop was delayed; run as a task.
+
+    The time in the line is that of the end of the delay.
+    """
     while True:
         due = time.monotonic() + CHECK_INTERVAL
         await asyncio.sleep(CHECK_INTERVAL)
         delay = time.monotonic() - due
         if delay > MAX_DELAY:
-            print(f"loop_late seconds={delay:.2f}", flush=True)
+            print(
+                f"loop_late time={timestamp()} seconds={delay:.2f}",
+                flush=True,
+            )
--- a/features/steps/configuration_support.py
+++ b/features/steps/configuration_support.py
@@ -20,6 +20,7 @@
 from bamboospring.testing.fleet import OPERATOR_TOKEN
 from bamboospring.testing.operator import Operator
 from bamboospring.testing.operator import TableVersionObserver
+from bamboospring.testing.timestamps import timestamp
 from bamboospring.testing.topology import SMALL
 from bamboospring.testing.topology import Topology
 
@@ -122,7 +123,7 @@
                     caller, turn, self.hold_seconds == 0 or number == 0
                 )
             except ConnectionError as exc:
-                self.failures.append(f"connect: {exc!r}")
+                self.failures.append(f"{timestamp()} connect: {exc!r}")
         caller.close()
 
     def _run_statement(
@@ -160,7 +161,8 @@
             self.done += 1
         else:
             self.failures.append(
-                f"{what}: {answer.outcome} {answer.reason} {answer.message}"
+                f"{answer.received_at} {what} after {answer.elapsed:.2f} s: "
+                f"{answer.outcome} {answer.reason} {answer.message}"
             )
         return bool(answer.done)
 
--- a/features/steps/processes_steps.py
+++ b/features/steps/processes_steps.py
@@ -111,7 +111,10 @@
             answer = caller.read(GROUP, "SELECT 1")
             self.done += answer.done
             if not answer.done:
-                self.faults.append(f"{answer.outcome} {answer.message}")
+                self.faults.append(
+                    f"{answer.received_at} after {answer.elapsed:.2f} s: "
+                    f"{answer.outcome} {answer.message}"
+                )
 
 
 @given("a fleet of {count:d} VMs whose processes may share addresses")
