Explore changes of primary with a synchronous replica (red)

The exploration adds commits to the simulated changes of primary.

A second scenario checks that the worlds have deaf replicas, late reports and promotions, and that asynchronous groups lose commits there.

Answers of 503 and lost answers of the promotion service are not part of it yet.

--- a/features/session_decisions.feature
+++ b/features/session_decisions.feature
@@ -46,6 +46,15 @@
     # holds the next term, all of them confirm the old one.
     Then a change that has no term held is found in 400 explored changes
 
+  Scenario: A change keeps what a synchronous replica has received
+    # Guards against promoting a replica that lacks acknowledged commits while
+    # the only other one, which has them, reports late.
+    Then in 300 explored changes with a synchronous replica no acknowledged commit is lost
+
+  Scenario: The exploration of synchronous replicas reaches its faults
+    Then in 300 explored changes replicas were deaf, reported late and were promoted
+    And without a synchronous replica promotions lost commits
+
   Scenario: No read is older than its route accepts
     # Guards against a read at a replica that lacks a commit older than the
     # staleness that the route accepts.
--- a/features/steps/session_decisions_steps.py
+++ b/features/steps/session_decisions_steps.py
@@ -54,6 +54,7 @@
 from bamboospring.sessions.vm_registry import VmRegistry
 from bamboospring.statements import Position
 from features.steps import session_worlds
+from features.steps.sync_commit_worlds import explore_sync_commits
 
 PROVEN_AT = 10.0
 
@@ -83,6 +84,33 @@
     assert session_worlds.explore_changes(count, hold=False).wrong
 
 
+@then(
+    "in {count:d} explored changes with a synchronous replica no acknowledged"
+    " commit is lost"
+)
+def then_none_lost(context, count):
+    seen = explore_sync_commits(count, sync_replicas=1)
+    assert not seen.wrong, (len(seen.wrong), seen.wrong[:3])
+
+
+@then(
+    "in {count:d} explored changes replicas were deaf, reported late and were"
+    " promoted"
+)
+def then_faults_seen(context, count):
+    seen = explore_sync_commits(count, sync_replicas=1).counts
+    assert seen["deaf"] >= count, seen
+    assert seen["late_report"] > count / 2, seen
+    assert seen["promoted"] > count / 2, seen
+    context.explored_count = count
+
+
+@then("without a synchronous replica promotions lost commits")
+def then_asynchronous_lost(context):
+    seen = explore_sync_commits(context.explored_count, sync_replicas=0)
+    assert seen.counts["changes_with_loss"] > 10, seen.counts
+
+
 @then("in {count:d} explored histories no read lacks what it must see")
 def then_fresh(context, count):
     context.seen = session_worlds.explore_reads(count)
--- /dev/null
+++ b/features/steps/sync_commit_worlds.py
@@ -0,0 +1,126 @@
+"""Simulated changes of primary beside commits that a replica must receive.
+
+The primary commits all the while. With a synchronous replica a commit is
+acknowledged once one replica has received it. Replicas receive nothing for a
+while, and reports come late or not at all, as from a target without a free
+slot. The target that is promoted must have all acknowledged commits.
+"""
+
+from __future__ import annotations
+
+from features.steps.session_worlds import ChangeWorld
+from features.steps.session_worlds import Seen
+
+__all__ = ["explore_sync_commits"]
+
+REPLICAS = ("m1", "m2")
+COMMIT_INTERVAL = 0.03
+
+
+class SyncCommitWorld(ChangeWorld):
+    """One simulation with `sync_replicas` 0 or 1."""
+
+    def __init__(self, seed, seen, *, sync_replicas):
+        super().__init__(seed, seen, wait=True, hold=True, finish=False)
+        self.sync_replicas = sync_replicas
+        self.last_acknowledged = 0
+        self.deaf = set()
+        self.reporting_late = set()
+
+    def run(self):
+        deaf = self.random.choice(REPLICAS)
+        late = self.random.choice(REPLICAS)
+        self.schedule(
+            self.random.uniform(0.2, 4.0), lambda: self.silence(deaf)
+        )
+        self.schedule(self.random.uniform(1.5, 3.0), lambda: self.delay(late))
+        self.schedule(0.1, self.commit)
+        super().run()
+
+    def silence(self, name):
+        """A replica receives nothing for a while."""
+        self.deaf.add(name)
+        self.seen.counts["deaf"] += 1
+        self.schedule(
+            self.random.uniform(0.5, 6.0), lambda: self.deaf.discard(name)
+        )
+
+    def delay(self, name):
+        """A replica reports late, or not at all, for a while."""
+        self.reporting_late.add(name)
+        self.schedule(
+            self.random.uniform(0.5, 3.0),
+            lambda: self.reporting_late.discard(name),
+        )
+
+    # Commits.
+
+    def commit(self):
+        primary = self.members["m0"]
+        if not primary.is_running:
+            return
+        primary.received_index += 1
+        index = primary.received_index
+        if self.sync_replicas == 0:
+            self.acknowledge(index)
+        for name in REPLICAS:
+            self.schedule(
+                self.random.uniform(0.001, 0.02),
+                lambda name=name: self.receive(name, index),
+            )
+        self.schedule(COMMIT_INTERVAL, self.commit)
+
+    def receive(self, name, index):
+        replica, primary = self.members[name], self.members["m0"]
+        follows = replica.term == primary.term and not replica.held_term
+        if name in self.deaf or not follows:
+            return
+        # What it has missed comes first.
+        replica.received_index = max(replica.received_index, index)
+        if primary.is_running:
+            self.acknowledge(index)
+
+    def acknowledge(self, index):
+        if index > self.last_acknowledged:
+            self.last_acknowledged = index
+            self.seen.counts["acknowledged"] += 1
+
+    # Changes.
+
+    def send_order(self, change, name, order):
+        if name not in self.reporting_late:
+            super().send_order(change, name, order)
+            return
+        self.seen.counts["late_report"] += 1
+        if self.random.random() < 0.5:
+            return
+        self.schedule(
+            self.random.uniform(0.05, 0.6),
+            lambda: super(SyncCommitWorld, self).send_order(
+                change, name, order
+            ),
+        )
+
+    def complete_promotion(self, name):
+        promoted_before = self.seen.counts["promoted"]
+        # Only commits of the first primary are simulated.
+        is_first = all(m.term == 1 for m in self.members.values())
+        received = self.members[name].received_index
+        super().complete_promotion(name)
+        promoted = self.seen.counts["promoted"] > promoted_before
+        lost = self.last_acknowledged - received
+        if is_first and promoted and lost > 0:
+            self.seen.counts["changes_with_loss"] += 1
+            if self.sync_replicas:
+                self.seen.wrong.append(
+                    f"{name} was promoted without the last {lost} of "
+                    f"{self.last_acknowledged} acknowledged commits"
+                )
+
+
+def explore_sync_commits(count, *, sync_replicas):
+    """Run `count` simulations, each with its own seed."""
+    seen = Seen()
+    for seed in range(count):
+        SyncCommitWorld(seed, seen, sync_replicas=sync_replicas).run()
+    return seen
