--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,4 +1,5 @@
 #!/bin/sh
+# TROUBLE=0 leaves the disruption out (see review/estate_2.py).
 # Exit code: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 case=$(basename "$(cd "$(dirname "$0")" && pwd)")
 cd "$(dirname "$0")/../.." || exit 2
