Log what is unfinished when a VM with sessions stops

The line "stopped unfinished=11" can't tell why statements are unfinished at the exit of a stopping VM. Four explanations were open: sessions that are never idle at one of the checks, and go on; callers that connect after the notice period; transactions that outlast their half of the grace time; statements that were accepted early and wait since then.

Each unfinished session is now logged with the times of its opening, its transaction and its statement, relative to the signal (at most 20 of them).

--- a/bamboospring/sessions/session.py
+++ b/bamboospring/sessions/session.py
@@ -49,6 +49,7 @@
     "HeldTransaction",
     "Job",
     "MAX_PENDING_STATEMENTS",
+    "RunningStatement",
     "Session",
     "SessionTransaction",
     "StatementExecutor",
@@ -154,6 +155,14 @@
         raise NotImplementedError
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RunningStatement:
+    """The id of a statement and when it was received."""
+
+    id: str
+    received_at: float
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class _Pending:
     id: str
@@ -179,13 +188,24 @@
     is_busy: bool = False
     disconnected: bool = False
     disconnect_requested: bool = False
+    opened_at: float = field(init=False)
     last_used_at: float = field(init=False)
     transaction: SessionTransaction | None = None
+    _current: _Pending | None = None
     _pending: deque[_Pending] = field(default_factory=deque)
     _idle_timer: Timer | None = None
 
     def __post_init__(self) -> None:
-        self.last_used_at = self.reactor.now()
+        self.opened_at = self.last_used_at = self.reactor.now()
+
+    @property
+    def current(self) -> RunningStatement | None:
+        """Return the statement that is being handled, if any."""
+        if self._current is None:
+            return None
+        return RunningStatement(
+            id=self._current.id, received_at=self._current.received_at
+        )
 
     @property
     def is_backlog_full(self) -> bool:
@@ -269,6 +289,7 @@
             pending = self._pending.popleft()
             self._stop_timer()
             self.is_busy = True
+            self._current = pending
             self._handle(pending)
 
     def _handle(self, pending: _Pending) -> None:
@@ -485,6 +506,7 @@
         self, outcome: SessionOutcome, position: Position | None = None
     ) -> None:
         self.is_busy = False
+        self._current = None
         self.last_used_at = self.reactor.now()
         if self.disconnected:
             self._drop_transaction()
--- a/bamboospring/sessions/session_shutdown.py
+++ b/bamboospring/sessions/session_shutdown.py
@@ -48,6 +48,7 @@
 IDLE_CLOSED_FRACTION = 0.40
 TRANSACTIONS_END_FRACTION = 0.5
 EXIT_FRACTION = 0.88
+MAX_LOGGED_STATEMENTS = 20
 
 
 def plan_shutdown(begun_at: float, grace: float) -> DrainPlan:
@@ -183,5 +184,22 @@
             seconds=elapsed,
             unfinished=len(unfinished),
         )
+        for session in unfinished[:MAX_LOGGED_STATEMENTS]:
+            self._log_unfinished(session)
         self._callers.listener.close()
         self.root.stop()
+
+    def _log_unfinished(self, session: Session) -> None:
+        """Log when a session and its statement began, relative to the stop."""
+        assert self._plan is not None
+        started_at = self._plan.started_at
+        tx, current = session.transaction, session.current
+        logs.log_event(
+            "unfinished_at_stop",
+            level=logs.Level.WARNING,
+            caller=session.caller,
+            trace=current.id if current else "",
+            received_after=current and current.received_at - started_at,
+            transaction_after=tx and tx.started_at - started_at,
+            session_after=session.opened_at - started_at,
+        )
