Refuse what a stopping VM with sessions can't finish

What callers saw: a VM that was told to stop served sessions that went on working until its exit 5.3 s later, of a grace time of 6 s.

Cause: a stopping VM looked every 50 ms for sessions that were idle at that instant, and asked only these to go. A session whose caller sends its next statement 6 ms after an answer is hardly ever found idle. Nothing else ended work: neither a statement, nor BEGIN, nor a new session looked at the stop, and open transactions were rolled back once, without those that had a statement in progress.

Change: a plan of the stop, made at the signal, says from when nothing begins (0.42 of the grace time; the platform has noticed by then) and from when open transactions are rolled back (half of it). It is compared with the clock at each statement, since a process that was paused reads its sockets before its timers run. A session is asked to go together with the answer that was under way, new operations and sessions are refused as draining (BUSY, a promise), and a transaction that had a statement in progress is rolled back after it. What is unanswered at the exit is answered with what is known: not run, or unknown for a write or commit that was sent. All statements of a packet that crosses the word to go are refused, not only the first. Refusals of a stopping VM are logged.

Why this works: what has begun by then has 2.3 to 2.8 s of the 6 to end, more than the time limits of routes in use; the rest is told before its connection ends. An operation that is refused has not run, and its caller can go to another VM at once.

--- a/bamboospring/sessions/forwarded_transaction.py
+++ b/bamboospring/sessions/forwarded_transaction.py
@@ -367,6 +367,10 @@
             self._on_answer,
         )
 
+    def interrupt(self) -> None:
+        """Finish with what is known now, as the process exits."""
+        self._finish(self._lost(Reason.DRAINING, sent=True), None)
+
     def _on_answer(self, answer: Any) -> None:
         observed = self._group().observed_target(self._held.target)
         observed.in_flight -= 1
@@ -427,6 +431,8 @@
     def _finish(
         self, outcome: SessionOutcome, position: Position | None
     ) -> None:
+        if not self._runner.on_step_finished(self._session):
+            return
         self._runner.statement_logger.log_outcome(self._trace, outcome)
         self._on_complete(outcome, position)
 
--- a/bamboospring/sessions/model.py
+++ b/bamboospring/sessions/model.py
@@ -15,6 +15,7 @@
 from bamboospring.sessions.overdue import ResponseTimes
 from bamboospring.sessions.proofs import Proof
 from bamboospring.sessions.quota_holders import QuotaHolders
+from bamboospring.sessions.stop_plan import StopPlan
 from bamboospring.statements import Position
 from bamboospring.store_version import UnsettledState
 from bamboospring.store_version import VersionedState
@@ -339,9 +340,24 @@
     targets_seen_at: float = -1e9
     change_duration: float = INITIAL_CHANGE_DURATION
     vm_count: int = INITIAL_VM_COUNT
-    draining: bool = False
+    stop_plan: StopPlan | None = None
     load_control: bool = False
 
+    @property
+    def draining(self) -> bool:
+        """Return whether this VM was told to stop."""
+        return self.stop_plan is not None
+
+    def accepts_operations(self, now: float) -> bool:
+        """Return whether a session, statement or transaction may begin."""
+        plan = self.stop_plan
+        return plan is None or plan.accepts_operations(now)
+
+    def accepts_transactions(self, now: float) -> bool:
+        """Return whether transactions that are open may go on."""
+        plan = self.stop_plan
+        return plan is None or plan.accepts_transactions(now)
+
     def is_urgent(self, route: Route) -> bool:
         """Return whether a route has precedence over others of its group."""
         if self.catalog is None:
--- a/bamboospring/sessions/runner.py
+++ b/bamboospring/sessions/runner.py
@@ -81,6 +81,7 @@
         self.backpressure_refusal_count = 0
         self.probes = HolderProbes(reactor=reactor, peers=peers, vm=board.vm)
         self._executions: dict[Session, StatementExecution] = {}
+        self._steps: dict[Session, TransactionStep | ForwardedStep] = {}
 
     def run(
         self,
@@ -157,6 +158,19 @@
         if execution is not None:
             execution.cancel()
 
+    def interrupt(self, session: Session) -> None:
+        """Answer the session's statement now, as the process exits."""
+        execution = self._executions.get(session)
+        step = self._steps.get(session)
+        if execution is not None:
+            execution.interrupt()
+        elif step is not None:
+            step.interrupt()
+
+    def on_step_finished(self, session: Session) -> bool:
+        """Remove the session's step; return False if it was answered."""
+        return self._steps.pop(session, None) is not None
+
     def on_execution_finished(self, session: Session) -> None:
         """Remove the session's statement, which has finished."""
         self._executions.pop(session, None)
@@ -181,13 +195,14 @@
         elif tx is not None and tx.held is not None:
             step = ForwardedStep
         if tx is not None and step is not None:
-            step(
+            self._steps[session] = step(
                 runner=self,
                 session=session,
                 job=job,
                 tx=tx,
                 on_complete=on_complete,
-            ).start()
+            )
+            self._steps[session].start()
             return
         execution = StatementExecution(
             runner=self,
--- a/bamboospring/sessions/session.py
+++ b/bamboospring/sessions/session.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 
+from bamboospring import logs
 from bamboospring.outcomes import Failed
 from bamboospring.outcomes import NotRun
 from bamboospring.outcomes import Overloaded
@@ -154,6 +155,10 @@
         """Cancel the pending statement of a caller that has disconnected."""
         raise NotImplementedError
 
+    def interrupt(self, session: Session) -> None:
+        """Answer the session's statement now, as the process exits."""
+        raise NotImplementedError
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RunningStatement:
@@ -188,6 +193,7 @@
     is_busy: bool = False
     disconnected: bool = False
     disconnect_requested: bool = False
+    _is_refusal_finished: bool = False
     opened_at: float = field(init=False)
     last_used_at: float = field(init=False)
     transaction: SessionTransaction | None = None
@@ -233,8 +239,7 @@
     def submit(self, id: str, statement: SessionStatement) -> None:
         """Queue a statement; it is handled after those before it."""
         if self.disconnect_requested:
-            self.channel.finish_refusal(self.state)
-            self.channel.close()
+            self._refuse_crossing(id)
             return
         self._pending.append(
             _Pending(
@@ -244,6 +249,23 @@
         if not self.is_busy:
             self._handle_next()
 
+    def _refuse_crossing(self, id: str) -> None:
+        """Refuse a statement that crossed the request to disconnect.
+
+        The first one takes that request as its answer. Others that were sent
+        with it are refused before the connection is closed.
+        """
+        self._log_refused(id)
+        if not self._is_refusal_finished:
+            self._is_refusal_finished = True
+            self.channel.finish_refusal(self.state)
+            self.reactor.call_later(0, self.channel.close)
+            return
+        refusal = NotRun(reason=Reason.DRAINING)
+        self.channel.answer(
+            SessionAnswer(outcome=refusal, state=self.state, position=None)
+        )
+
     def handle_disconnect(self) -> None:
         """Discard all state after the caller has disconnected."""
         if self.disconnected:
@@ -264,7 +286,11 @@
         connection instead, the caller could not know whether the statement
         ran, and would not retry a write.
         """
-        if not self.is_idle or self.disconnected or self.disconnect_requested:
+        if self.is_idle:
+            self._ask_to_disconnect()
+
+    def _ask_to_disconnect(self) -> None:
+        if self.is_busy or self.disconnected or self.disconnect_requested:
             return
         self.disconnect_requested = True
         self.channel.begin_refusal(NotRun(reason=Reason.DRAINING))
@@ -276,11 +302,31 @@
         The caller is told with the answer to its next statement: anything sent
         without a request would be taken for that answer.
         """
+        if not self.is_busy:
+            self._roll_back_for(reason)
+
+    def _roll_back_for(self, reason: Reason) -> None:
         tx = self.transaction
-        if tx is None or tx.lost_reason is not None or self.is_busy:
+        if tx is not None and tx.lost_reason is None:
+            tx.lost_reason = reason
+            self.executor.roll_back(tx)
+
+    def end(self) -> None:
+        """Answer what is unanswered, and ask the caller to disconnect.
+
+        To be called right before the process exits. If the connection was
+        closed instead, the caller could not know what became of a write or of
+        a commit that is queued here or in transit.
+        """
+        if self.is_busy:
+            self.executor.interrupt(self)
+        if self.is_busy or self._pending:
+            # Told to go after the last of its answers.
             return
-        tx.lost_reason = reason
-        self.executor.roll_back(tx)
+        self.abandon_transaction(Reason.DRAINING)
+        if self.state is SessionState.OPEN:
+            self.state = SessionState.FAILED
+        self._ask_to_disconnect()
 
     # Handling of statements, one at a time.
 
@@ -293,6 +339,8 @@
             self._handle(pending)
 
     def _handle(self, pending: _Pending) -> None:
+        if self.board.draining and self._refuse_at_stop(pending):
+            return
         match pending.statement:
             case SetValue(name=name, value=value):
                 self._apply_locally(
@@ -317,6 +365,23 @@
             case Execute(name=name, arguments=arguments):
                 self._run_prepared(pending, name, arguments)
 
+    def _refuse_at_stop(self, pending: _Pending) -> bool:
+        """Refuse what this VM, which is stopping, no longer begins.
+
+        A transaction whose time is up is rolled back before its statement,
+        which is then told so.
+        """
+        now = self.reactor.now()
+        if self.state is not SessionState.IDLE:
+            if not self.board.accepts_transactions(now):
+                self._roll_back_for(Reason.DRAINING)
+            return False
+        if self.board.accepts_operations(now):
+            return False
+        self._log_refused(pending.id)
+        self._answer(NotRun(reason=Reason.DRAINING))
+        return True
+
     def _apply_locally(self, action: Callable[[], None]) -> None:
         if self.state is SessionState.FAILED:
             self._reject("the transaction has failed")
@@ -520,6 +585,29 @@
         # sent ahead don't nest their calls.
         if self._pending:
             self.reactor.call_later(0, self._resume)
+        elif self.board.draining:
+            self._leave_if_due()
+
+    def _leave_if_due(self) -> None:
+        """End what this VM, which is stopping, does not continue.
+
+        The periodic look for idle sessions would miss a session whose caller
+        sends its next statement within milliseconds.
+        """
+        now = self.reactor.now()
+        if not self.board.accepts_transactions(now):
+            self.abandon_transaction(Reason.DRAINING)
+        if not self.board.accepts_operations(now):
+            self.request_disconnect()
+
+    def _log_refused(self, id: str) -> None:
+        logs.log_event(
+            "statement_refused",
+            trace=id,
+            caller=self.caller,
+            database=self.database,
+            reason=Reason.DRAINING,
+        )
 
     def _resume(self) -> None:
         if not self.is_busy:
--- a/bamboospring/sessions/session_opening.py
+++ b/bamboospring/sessions/session_opening.py
@@ -56,6 +56,8 @@
     seconds for which this process has been running, `held` the number of
     seconds for which the caller has been waiting.
     """
+    if not board.accepts_operations(now):
+        return NotRun(reason=Reason.DRAINING)
     if board.catalog is None:
         return _wait_or_refuse(held)
     route = board.route(database)
--- a/bamboospring/sessions/session_shutdown.py
+++ b/bamboospring/sessions/session_shutdown.py
@@ -4,8 +4,10 @@
 new connections to other VMs; the platform needs two readiness checks to
 notice. Idle sessions are disconnected a few at a time, because callers that
 all reconnect elsewhere at once would overload the other VMs. Sessions in use
-are left alone until the platform has had time to notice, and sessions in a
-transaction have half of the grace time to end it.
+are left alone until the platform has had time to notice. From then on nothing
+new begins (see `stop_plan`): a session is asked to go right after its answer,
+and new sessions are refused. Sessions in a transaction have half of the grace
+time to end it. What is unanswered at the exit is answered with what is known.
 """
 
 from __future__ import annotations
@@ -27,37 +29,35 @@
 from bamboospring.sessions.model import SessionBoard
 from bamboospring.sessions.platform_adapters import CallerListener
 from bamboospring.sessions.session import Session
+from bamboospring.sessions.stop_plan import plan_stop
+from bamboospring.sessions.stop_plan import StopPlan
 
 __all__ = [
     "SessionShutdown",
     "disconnect_count",
-    "plan_shutdown",
     "sessions_to_disconnect",
 ]
 
 CHECK_INTERVAL = 0.05
-# Fractions of the grace time by which these are done: the platform has noticed
-# that the VM is not ready, idle sessions are disconnected, open transactions
-# are ended, the process has exited.
-NOTICE_FRACTION = 0.42
 # A session that was opened or answered less than this many seconds ago is in
 # use: its next statement is probably on its way. It is not disconnected until
 # IDLE_CLOSED_FRACTION of the grace time has passed; after that, every idle
 # session is.
 RECENT_USE = 0.3
 IDLE_CLOSED_FRACTION = 0.40
-TRANSACTIONS_END_FRACTION = 0.5
-EXIT_FRACTION = 0.88
+# Seconds between the last answers and the exit. What callers send meanwhile,
+# also over connections that have not been accepted yet, is refused.
+LINGER_DURATION = 0.1
 MAX_LOGGED_STATEMENTS = 20
 
 
-def plan_shutdown(begun_at: float, grace: float) -> DrainPlan:
-    """Return the phases of a shutdown that takes `grace` seconds."""
+def drain_plan(plan: StopPlan) -> DrainPlan:
+    """Return the phases of a shutdown."""
     return DrainPlan(
-        started_at=begun_at,
-        notice_period=grace * NOTICE_FRACTION,
-        idle_grace=grace * (EXIT_FRACTION - NOTICE_FRACTION),
-        max_duration=grace * EXIT_FRACTION,
+        started_at=plan.started_at,
+        notice_period=plan.operations_end_at - plan.started_at,
+        idle_grace=plan.exit_at - plan.operations_end_at,
+        max_duration=plan.exit_at - plan.started_at,
     )
 
 
@@ -115,15 +115,17 @@
         self._grace = grace
         self._blocking_count = blocking_count
         self._end_held_transactions = end_held_transactions
-        self._plan: DrainPlan | None = None
+        self._plan: StopPlan | None = None
         self._transactions_ended = False
 
     def begin(self) -> None:
         """Start the shutdown, unless it has already started."""
         if self._plan is not None:
             return
-        self._plan = plan_shutdown(self._reactor.now(), self._grace)
-        self._board.draining = True
+        self._plan = plan_stop(
+            started_at=self._reactor.now(), grace=self._grace
+        )
+        self._board.stop_plan = self._plan
         logs.log_event("stopping", sessions=len(self._callers.sessions()))
         self._check()
 
@@ -144,11 +146,11 @@
         elapsed = now - self._plan.started_at
         sessions = self._callers.sessions()
         self._disconnect_some(elapsed)
-        if elapsed >= self._grace * TRANSACTIONS_END_FRACTION:
+        if not self._plan.accepts_transactions(now):
             self._end_transactions()
         active_count = sum(not session.is_idle for session in sessions)
         phase = drain_phase(
-            self._plan,
+            drain_plan(self._plan),
             now=now,
             work=active_count + self._blocking_count(),
             connections=len(sessions),
@@ -186,8 +188,10 @@
         )
         for session in unfinished[:MAX_LOGGED_STATEMENTS]:
             self._log_unfinished(session)
-        self._callers.listener.close()
-        self.root.stop()
+        self._callers.listener.drain()
+        for session in self._callers.sessions():
+            session.end()
+        self._reactor.call_later(LINGER_DURATION, self.root.stop)
 
     def _log_unfinished(self, session: Session) -> None:
         """Log when a session and its statement began, relative to the stop."""
--- a/bamboospring/sessions/statement_execution.py
+++ b/bamboospring/sessions/statement_execution.py
@@ -176,6 +176,18 @@
             each.cancel()
         self._finish(NotRun(reason=Reason.CALLER_GONE), None)
 
+    def interrupt(self) -> None:
+        """Finish with what is known now, as the process exits.
+
+        A transaction of which this is the first statement is rolled back with
+        its connection.
+        """
+        was_sent = any(each.sent for each in self._active)
+        outcome: NotRun | Unknown = NotRun(reason=Reason.DRAINING)
+        if was_sent and self.job.writes and self.tx is None:
+            outcome = Unknown(reason=Reason.DRAINING)
+        self._finish(outcome, None)
+
     def _describe_wait(self) -> str:
         """Return what the statement waits for, as text for the log."""
         names = ", ".join(sorted(each.target for each in self._active))
--- a/bamboospring/sessions/transaction_step.py
+++ b/bamboospring/sessions/transaction_step.py
@@ -9,6 +9,7 @@
 from bamboospring.outcomes import Reason
 from bamboospring.outcomes import Unknown
 from bamboospring.pool import LeasedConnection
+from bamboospring.sessions.held_transaction_rules import lost_step_outcome
 from bamboospring.sessions.link_setup import setup_orders
 from bamboospring.sessions.model import ObservedTarget
 from bamboospring.sessions.ports import LinkLost
@@ -77,6 +78,16 @@
             objective_at=self._objective_at(),
         )
 
+    def interrupt(self) -> None:
+        """Finish with what is known now, as the process exits."""
+        outcome = lost_step_outcome(
+            is_commit=self._is_commit,
+            sent=self._sent_at > 0,
+            has_written=self._tx.has_written,
+            reason=Reason.DRAINING,
+        )
+        self._finish(outcome, None)
+
     def _objective_at(self) -> float | None:
         if not self._runner.board.load_control:
             return None
@@ -235,5 +246,7 @@
     def _finish(
         self, outcome: SessionOutcome, position: Position | None
     ) -> None:
+        if not self._runner.on_step_finished(self._session):
+            return
         self._runner.statement_logger.log_outcome(self._trace, outcome)
         self._on_complete(outcome, position)
--- a/bamboospring/testing/session_fleet.py
+++ b/bamboospring/testing/session_fleet.py
@@ -89,6 +89,7 @@
         member_settings: MemberSettings | None = None,
         seed: int = 0,
         grace_ms: int = 4000,
+        timeout_ms: int = 1000,
         teams: dict[str, FleetTeam] | None = None,
         key_life_ms: int | None = None,
         load_control: bool = False,
@@ -107,6 +108,7 @@
         self.links: dict[str, Link] = {}
         self._vm_count = vms
         self._grace_ms = grace_ms
+        self._timeout_ms = timeout_ms
         self._directory = tempfile.TemporaryDirectory()
         self._ports = ReservedPorts()
         self._tasks: list[asyncio.Task[None]] = []
@@ -200,7 +202,7 @@
                     "database": f"{group}-{kind}",
                     "pathPrefix": "/",
                     "kind": kind,
-                    "timeoutMs": 1000,
+                    "timeoutMs": self._timeout_ms,
                     "targetLatencyMs": 300,
                     "priority": 1 if kind == "primary" else 2,
                     "service": group,
--- a/features/steps/held_transactions_steps.py
+++ b/features/steps/held_transactions_steps.py
@@ -50,6 +50,7 @@
 from bamboospring.sessions.ports import Shape
 from bamboospring.sessions.ports import TextStatement
 from bamboospring.sessions.session import Session
+from bamboospring.sessions.stop_plan import plan_stop
 from bamboospring.sessions.zone_holders import MIN_CONNECTIONS
 from features.steps.unanswered_steps import FakeClock
 from features.steps.zone_holders_steps import Crowd
@@ -147,6 +148,13 @@
         wait = 0.0 if is_local else self.pause
         self.crowd.clock.call_later(wait, self._next)
 
+    def begin_refusal(self, refusal: NotRun) -> None:
+        """Ignore the word to go, which follows the last answer."""
+        assert self.outcome is not None
+
+    def close(self) -> None:
+        self.leave()
+
     @property
     def ran_count(self) -> int:
         """Return how many statements were not answered locally."""
@@ -629,9 +637,14 @@
     assert context.holder.held.open_count == 1
 
 
+def begin_stop(vm: CrowdVm) -> None:
+    now = vm.crowd.clock.now()
+    vm.board.stop_plan = plan_stop(started_at=now, grace=6.0)
+
+
 @when("the holder shuts down")
 def when_shutdown(context: Any) -> None:
-    context.holder.board.draining = True
+    begin_stop(context.holder)
 
 
 @when("half of its grace period is over")
@@ -659,7 +672,7 @@
             for vm in crowd.vms:
                 vm.protocol = 1
         case "accept any since it shuts down":
-            context.holder.board.draining = True
+            begin_stop(context.holder)
 
 
 @then("the next transaction is served {way}")
@@ -837,7 +850,7 @@
 
     def shut_down() -> None:
         vm = rng.choice([vm for vm in crowd.vms if vm.is_running])
-        vm.board.draining = True
+        begin_stop(vm)
         crowd.clock.call_later(0.1, vm.held.end_all)
 
     def fall_mute() -> None:
--- a/features/steps/session_stage.py
+++ b/features/steps/session_stage.py
@@ -27,19 +27,28 @@
 class SessionFleetRun:
     """An estate in its own event loop, with actions run meanwhile."""
 
-    def __init__(self, vms, groups, connections=22, load_control=False):
+    def __init__(
+        self,
+        vms,
+        groups,
+        connections=22,
+        load_control=False,
+        settings=None,
+        timeout_ms=1000,
+    ):
         self.loop = asyncio.new_event_loop()
         self.thread = threading.Thread(
             target=self.loop.run_forever, daemon=True
         )
         self.thread.start()
-        settings = MemberSettings(connections=connections)
+        settings = settings or MemberSettings(connections=connections)
         self.fleet = SessionFleet(
             vms=vms,
             groups=groups,
             member_settings=settings,
             seed=3,
             load_control=load_control,
+            timeout_ms=timeout_ms,
         )
         self.outcomes = Counter()
         self.acts = []
