Let a stopping holder finish the statements of other VMs

What callers would see: a VM that stops exits while it runs statements for callers of other VMs; their entry loses the link, and a write is told as unknown although the target has answered it.

Cause: the exit waited for this VM's own sessions, its lease and the transactions it holds, but not for single statements that other VMs had forwarded to it. It takes no new ones from the signal on, so only those count that were under way, 2.5 s later at the earliest.

The exit now waits for these statements as well.

Test: zone_holders.feature, "A holder that is told to stop waits for what it runs for others". Without the change it ends in an AttributeError, since there was no such count; that the exit uses it is one line of node.py without a test.

--- a/bamboospring/sessions/holder_server.py
+++ b/bamboospring/sessions/holder_server.py
@@ -76,6 +76,11 @@
         peers.add_handler("heldAsk", self._on_request)
         peers.add_handler("heldCancel", self._on_cancel)
 
+    @property
+    def pending_count(self) -> int:
+        """Return the number of statements without a result."""
+        return len(self._statements)
+
     def turns(self, target: str) -> SlotTurns:
         """Return the turns that this VM leaves to others at a target."""
         return self._turns.setdefault(target, SlotTurns())
--- a/bamboospring/sessions/node.py
+++ b/bamboospring/sessions/node.py
@@ -389,6 +389,7 @@
         return (
             self.leader.lease.blocks_others()
             + self.held_transactions.open_count
+            + self.holder_server.pending_count
         )
 
     def _on_primary_failed(self, group: str, primary: str) -> None:
--- a/features/steps/zone_holders_steps.py
+++ b/features/steps/zone_holders_steps.py
@@ -71,6 +71,7 @@
 from bamboospring.sessions.session import Job
 from bamboospring.sessions.session import Session
 from bamboospring.sessions.statement_trace import StatementLogger
+from bamboospring.sessions.stop_plan import plan_stop
 from bamboospring.sessions.target_keeper import TargetKeeper
 from bamboospring.sessions.team_quota import QuotaTolerance
 from bamboospring.sessions.zone_holders import ZoneHolders
@@ -928,3 +929,28 @@
         )
         assert ran[id] in allowed, (id, reported_outcome, ran[id])
     assert "Unknown" in crowd.reported_outcome.values()
+
+
+@when("holders that run statements for other VMs are told to stop")
+def when_holders_stop(context: Any) -> None:
+    crowd: Crowd = context.crowd
+    crowd.clock.run_until(crowd.clock.now() + 0.6)
+    crowd.outcomes.clear()
+    for _ in range(20):
+        crowd.ask()
+    crowd.clock.run_until(crowd.clock.now() + 3 * HOP_SECONDS)
+    context.holders = [vm for vm in crowd.vms if vm.server.pending_count]
+    now = crowd.clock.now()
+    for vm in context.holders:
+        vm.board.stop_plan = plan_stop(started_at=now, grace=6.0)
+
+
+@then("they count these statements until all are answered")
+def then_counted(context: Any) -> None:
+    crowd: Crowd = context.crowd
+    assert context.holders
+    while any(vm.server.pending_count for vm in context.holders):
+        assert sum(crowd.outcomes.values()) < 20, crowd.outcomes
+        crowd.clock.run_until(crowd.clock.now() + 0.001)
+    crowd.clock.run_until(crowd.clock.now() + 1.0)
+    assert crowd.outcomes == {"served": 20}, crowd.outcomes
--- a/features/zone_holders.feature
+++ b/features/zone_holders.feature
@@ -98,3 +98,10 @@
 
   Scenario: Reads come back whole, whatever is in them
     Then 300 generated reads and results are the same after decoding
+
+  Scenario: A holder that is told to stop waits for what it runs for others
+    # Guards against statements of other VMs that end without an answer when
+    # their holder exits, since only its own callers' statements were counted.
+    Given 60 VMs in 2 zones before a target of 6 slots and 53 connections
+    When holders that run statements for other VMs are told to stop
+    Then they count these statements until all are answered
