Refuse HTTP requests that a stopping process can't finish

What callers saw: a request on an open connection that reached a process in its last moments was begun and got no response when the process exited.

Cause: the shutdown closed the listener after the notice period, but a request on an open connection was handled until the exit, also in the 0.3 s after the last message to the peers, when nothing waits for work any more.

Change: from the end of the time for idle connections, and in any case once the process says farewell, a new request gets a 503 with `not_run` and `draining`.

Test: membership.feature, 300 simulated shutdowns with 60 open connections. A request that is under way at `drain_ms` is still cut.

--- a/bamboospring/drain.py
+++ b/bamboospring/drain.py
@@ -5,8 +5,8 @@
 statements to other holders. As a holder it refuses new work as not run, which
 an entry then sends to another holder at once. Each answer closes its
 connection. The process continues to listen in this phase, because the load
-balancer notices only after a while. Then it waits for work in progress and
-exits.
+balancer notices only after a while. Then it waits for work in progress, refuses
+what still arrives over open connections, and exits.
 """
 
 from __future__ import annotations
@@ -24,11 +24,19 @@
 from bamboospring.events import drain_started
 from bamboospring.http_server import HttpServer
 from bamboospring import logs
+from bamboospring.outcomes import Reason
 from bamboospring.peers import new_envelope
 from bamboospring.peers import Peers
 from bamboospring.reactor import Reactor
+from bamboospring.responses import not_begun
 
-__all__ = ["Drain", "DrainPhase", "DrainPlan", "drain_phase"]
+__all__ = [
+    "Drain",
+    "DrainPhase",
+    "DrainPlan",
+    "begins_requests",
+    "drain_phase",
+]
 
 CHECK_INTERVAL = 0.05
 # Seconds between the last message to peers and the exit: statements that an
@@ -78,6 +86,11 @@
     return DrainPhase.FAREWELL
 
 
+def begins_requests(plan: DrainPlan, now: float) -> bool:
+    """Return whether requests over open connections are still handled."""
+    return now - plan.started_at < plan.notice_period + plan.idle_grace
+
+
 class Drain(BaseComponent):
     """End the process gracefully on SIGTERM, and at once on a second one.
 
@@ -150,6 +163,9 @@
         )
         if phase is not DrainPhase.NOTICE:
             self._callers.listener.drain()
+        is_ending = phase is DrainPhase.FAREWELL
+        if is_ending or not begins_requests(self._plan, self._reactor.now()):
+            self._callers.refusal = not_begun(Reason.DRAINING)
         if phase is DrainPhase.FAREWELL:
             self._notify_peers()
             self._reactor.call_later(FAREWELL_DELAY, self._end)
--- a/bamboospring/http_server.py
+++ b/bamboospring/http_server.py
@@ -109,7 +109,8 @@
 
     The handler gets a `respond` callable and must call it exactly once, at
     once or later. Requests on one connection are handled in order, one at a
-    time. While `draining` is set, each response closes its connection.
+    time. While `draining` is set, each response closes its connection. While
+    `refusal` is set, new requests get it and are not handled.
     """
 
     def __init__(
@@ -125,6 +126,7 @@
         self.reactor = reactor
         self.handler = handler
         self.draining = False
+        self.refusal: Response | None = None
         self.connections: set[_ServerConnection] = set()
         self.listener: Listener = reactor.listen(
             address, self._on_accept, reuse_port=reuse_port
@@ -290,6 +292,9 @@
             return
         req, self._keep_alive = self._queue.popleft()
         self.busy = True
+        if self._server.refusal is not None:
+            self._respond(self._server.refusal)
+            return
         self._server.handler(req, self._respond)
 
     def _respond(self, response: Response) -> None:
--- a/bamboospring/responses.py
+++ b/bamboospring/responses.py
@@ -16,7 +16,7 @@
 from bamboospring.outcomes import Reason
 from bamboospring.outcomes import Unknown
 
-__all__ = ["bad_request", "encode_outcome", "explain"]
+__all__ = ["bad_request", "encode_outcome", "explain", "not_begun"]
 
 OK = 200
 BAD_REQUEST = 400
@@ -75,6 +75,21 @@
     return Response(status=status, body=orjson.dumps(body))
 
 
+def not_begun(reason: Reason) -> Response:
+    """Return the response to a request that this process does not begin."""
+    body = {
+        "outcome": "not_run",
+        "reason": reason.value,
+        "message": "",
+        "retry_after_ms": 0,
+    }
+    return Response(
+        status=UNAVAILABLE,
+        body=orjson.dumps(body),
+        headers={"Retry-After": "0"},
+    )
+
+
 def explain(exc: ValidationError) -> str:
     """Return the errors with their locations but without the input."""
     parts = []
--- a/features/membership.feature
+++ b/features/membership.feature
@@ -85,3 +85,8 @@
 
   Scenario: A draining process ends neither too early nor too late
     Then in 300 generated shutdowns nothing under way is cut before the limit
+
+  Scenario: A request in the last moments of a shutdown is refused, not cut
+    # Guards against a request on an open connection that is begun right before
+    # the process exits and gets no response.
+    Then in 300 simulated shutdowns each request has a response, some a refusal
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -22,6 +22,7 @@
 from bamboospring.testing.caller import Caller
 from bamboospring.testing.fleet import Fleet
 from bamboospring.testing.fleet import wait_until
+from features.steps.drain_worlds import explore_drains
 
 LIST_LAG_MS = 1000
 # Much longer than the shutdown of a VM with short transactions.
@@ -330,3 +331,13 @@
 )
 def then_drains(context: Any, count: int) -> None:
     membership_properties.check_drain(count)
+
+
+@then(
+    "in {count:d} simulated shutdowns each request has a response, some a"
+    " refusal"
+)
+def then_all_answered(context: Any, count: int) -> None:
+    seen, wrong = explore_drains(count)
+    assert not wrong, "\n".join(wrong[:5])
+    assert seen["refused"] > 100 and seen["handled"] > 1000, seen
