--- a/bamboospring/drain.py
+++ b/bamboospring/drain.py
@@ -5,8 +5,8 @@
 statements to other holders. As a holder it refuses new work as not run, which
 an entry then sends to another holder at once. Each answer closes its
 connection. The process continues to listen in this phase, because the load
-balancer notices only after a while. Then it waits for work in progress, refuses
-what still arrives over open connections, and exits.
+balancer notices only after a while. Then it waits for work in progress,
+refuses what still arrives over open connections, and exits.
 """
 
 from __future__ import annotations
