Log what a change of primary chose its candidate from

A change now logs its candidate, at the intent and at the order, with the position of each target that was heard, and which targets were unheard or leaving.

--- a/bamboospring/explain.py
+++ b/bamboospring/explain.py
@@ -33,6 +33,7 @@
     {
         "record",
         "change_begun",
+        "candidate_chosen",
         "proofs_released",
         "release_unanswered",
         "promotion_ordered",
@@ -46,6 +47,7 @@
 CHANGE_EVENTS = frozenset(
     {
         "change_begun",
+        "candidate_chosen",
         "proofs_released",
         "release_unanswered",
         "promotion_ordered",
--- a/bamboospring/sessions/takeover_runner.py
+++ b/bamboospring/sessions/takeover_runner.py
@@ -51,6 +51,8 @@
 # change. After that an old primary learns of the change from the new one.
 STEP_DOWN_PERIOD = 20.0
 STEP_DOWN_INTERVAL = 0.5
+# Phases that begin with the choice of a candidate.
+CHOICE_PHASES = (TakeoverPhase.INTEND, TakeoverPhase.PROMOTE)
 
 
 class TakeoverRunner:
@@ -82,6 +84,7 @@
         self._lease = lease
         self._on_ended = on_ended
         self._takeovers: dict[str, Takeover] = {}
+        self._logged_choices: dict[str, tuple[TakeoverPhase, str]] = {}
 
     def tick(self, group: SessionGroup) -> bool:
         """Advance a group's change; return False if there is none."""
@@ -134,6 +137,7 @@
             ineligible=tuple(leaving_targets),
         )
         self._takeovers[group.name] = takeover
+        self._logged_choices.pop(group.name, None)
         logs.log_event(
             "change_begun",
             group=group.name,
@@ -148,11 +152,36 @@
     def _advance(
         self, group: SessionGroup, takeover: Takeover, actions: list[Action]
     ) -> None:
+        self._log_choice(group, takeover)
         for action in actions:
             self._execute(group, takeover, action)
         if takeover.is_over and self._takeovers.get(group.name) is takeover:
             self._finish(group, takeover)
 
+    def _log_choice(self, group: SessionGroup, takeover: Takeover) -> None:
+        """Log a candidate with the reports that it was chosen from."""
+        choice = (takeover.phase, takeover.candidate)
+        if (
+            takeover.phase not in CHOICE_PHASES
+            or self._logged_choices.get(group.name) == choice
+        ):
+            return
+        self._logged_choices[group.name] = choice
+        heard = {n: r for n, r in takeover.reports.items() if r is not None}
+        logs.log_event(
+            "candidate_chosen",
+            group=group.name,
+            phase=takeover.phase.value,
+            candidate=takeover.candidate,
+            positions=",".join(
+                f"{name}={report.received_term}.{report.received_index}"
+                for name, report in sorted(heard.items())
+            ),
+            unheard=",".join(sorted(set(takeover.targets) - heard.keys())),
+            leaving=",".join(sorted(takeover.ineligible)),
+            holder=takeover.term_holder,
+        )
+
     def _execute(
         self, group: SessionGroup, takeover: Takeover, action: Action
     ) -> None:
