Choose a leaving replica if only it has acknowledged commits

Cause: a change of primary left every leaving target out of its choice, whatever its log held, and no decision read `sync_replicas`. A replica that leaves goes on receiving and counts for acknowledgements, so it may be the only one that has them.

Change: with synchronous replicas the most advanced target is chosen, leaving or not; of equal ones, one that stays. A planned change first names a target that stays, has the other one hold the term, and compares the positions again right before the promotion: normally the one that stays has received the rest by then. Without synchronous replicas a leaving target is chosen only if there is no other, and not to replace a primary that itself leaves or is replaced by order; until now such a group had no primary until a new member came. A leaving target that was promoted is replaced again as any leaving primary.

Why this works: a commit is acknowledged once a replica has received it, and replicas receive in order, so the most advanced of all replicas has all of them.

--- a/bamboospring/sessions/model.py
+++ b/bamboospring/sessions/model.py
@@ -372,6 +372,16 @@
             found = self.groups[name] = SessionGroup(name=name)
         return found
 
+    def sync_replicas(self, group: str) -> int:
+        """Return how many replicas receive a commit before it is told.
+
+        Without a catalog it is unknown, so one is assumed.
+        """
+        if self.catalog is None:
+            return 1
+        limits = self.catalog.groups.get(group)
+        return limits.sync_replicas if limits is not None else 0
+
     def route(self, database: str) -> Route | None:
         """Return the route of a database in the current catalog."""
         if self.catalog is None:
--- a/bamboospring/sessions/takeover.py
+++ b/bamboospring/sessions/takeover.py
@@ -94,6 +94,10 @@
         )
 
 
+# Causes for which a primary is replaced that can go on for a while.
+WORKING_CAUSES = (TakeoverCause.LEAVING, TakeoverCause.ORDERED)
+
+
 class TakeoverPhase(Enum):
     """The current step of a change."""
 
@@ -147,9 +151,10 @@
     """One attempt to change a group's primary.
 
     `record` is the record as last read or stored. `targets` are all targets of
-    the group; those in `ineligible` must not be promoted. `term_holder` and
-    `second_holder` are targets that hold the new term. `reports` has None for
-    a target whose process is not running.
+    the group, `leaving` those that will end soon. `sync_replicas` is how many
+    replicas have received a commit before it is acknowledged. `term_holder`
+    and `second_holder` are targets that hold the new term. `reports` has None
+    for a target whose process is not running.
     """
 
     vm: str
@@ -157,7 +162,8 @@
     cause: TakeoverCause
     record: PrimaryRecord
     targets: Collection[str]
-    ineligible: Collection[str] = ()
+    leaving: Collection[str] = ()
+    sync_replicas: int = 0
     phase: TakeoverPhase = TakeoverPhase.SURVEY
     term: int = 0
     candidate: str = ""
@@ -578,24 +584,44 @@
         }
 
     def _best_candidate(self, reports: dict[str, TargetReport]) -> str:
-        """Return the most advanced eligible target, or an empty string."""
+        """Return the target to promote, or an empty string.
+
+        With synchronous replicas only the most advanced target certainly has
+        all acknowledged commits, so it is chosen even if it is leaving.
+        Otherwise a leaving target, which would soon have to be replaced
+        again, is only chosen if there is no other, and not to replace a
+        primary that still works.
+        """
         eligible = [
             name
             for name in reports
-            if name != self.record.primary
-            and name not in self.ineligible
-            and name not in self._refused
+            if name != self.record.primary and name not in self._refused
         ]
-        # The target that holds the term has stopped receiving, so it loses
-        # against one with an equal log position.
-        return max(
-            eligible,
-            key=lambda name: (
+        staying = [name for name in eligible if name not in self.leaving]
+        if not self.sync_replicas:
+            if staying or self.cause in WORKING_CAUSES:
+                eligible = staying
+        elif staying and self._is_choice_provisional():
+            eligible = staying
+
+        def preference(name: str) -> tuple[tuple[int, int], bool, bool]:
+            # The target that holds the term has stopped receiving, so it
+            # loses against one with an equal log position.
+            return (
                 _log_position(reports[name]),
+                name not in self.leaving,
                 name != self.term_holder,
-            ),
-            default="",
-        )
+            )
+
+        return max(eligible, key=preference, default="")
+
+    def _is_choice_provisional(self) -> bool:
+        """Return whether the primary goes on, and positions with it.
+
+        The candidate then receives until it is compared with the others
+        again, right before the promotion.
+        """
+        return self.phase is TakeoverPhase.SURVEY and self.cause.is_planned
 
     def _ask(self, targets: Collection[str], now: float) -> list[Action]:
         self._sent_at = now
--- a/bamboospring/sessions/takeover_runner.py
+++ b/bamboospring/sessions/takeover_runner.py
@@ -125,16 +125,14 @@
         now: float,
     ) -> None:
         """Start a change of a group's primary."""
-        leaving_targets = [
-            n for n, listed in group.targets.items() if listed.leaving
-        ]
         takeover = Takeover(
             vm=self._board.vm,
             nonce=secrets.token_hex(8),
             cause=cause,
             record=record,
             targets=tuple(group.targets),
-            ineligible=tuple(leaving_targets),
+            leaving=_leaving_targets(group),
+            sync_replicas=self._board.sync_replicas(group.name),
         )
         self._takeovers[group.name] = takeover
         self._logged_choices.pop(group.name, None)
@@ -178,7 +176,7 @@
                 for name, report in sorted(heard.items())
             ),
             unheard=",".join(sorted(set(takeover.targets) - heard.keys())),
-            leaving=",".join(sorted(takeover.ineligible)),
+            leaving=",".join(sorted(takeover.leaving)),
             holder=takeover.term_holder,
         )
 
@@ -415,3 +413,7 @@
             )
 
         self._questions.ask(group, target, order, REPORT_TIMEOUT, on_report)
+
+
+def _leaving_targets(group: SessionGroup) -> tuple[str, ...]:
+    return tuple(n for n, listed in group.targets.items() if listed.leaving)
--- a/features/session_decisions.feature
+++ b/features/session_decisions.feature
@@ -51,6 +51,42 @@
     # the only other one, which has them, reports late.
     Then in 300 explored changes with a synchronous replica no acknowledged commit is lost
 
+  Scenario: A change keeps what only a leaving replica has received
+    # Guards against leaving a replica out of the choice because it leaves,
+    # although no other one has all acknowledged commits (review/5).
+    Then in 300 explored changes with leaving replicas no acknowledged commit is lost
+    And in 100 or more of them a leaving replica was promoted
+
+  Scenario: A failed primary is replaced although all replicas leave
+    # Guards against a group without a primary while a leaving replica could
+    # serve until there is a new one.
+    Then in 300 explored changes without synchronous replicas leaving ones leave none without a primary
+
+  Scenario Outline: With <sync> synchronous replicas, a primary that <fate>
+    # Guards against promoting a leaving target, which is soon replaced again,
+    # where another one loses nothing.
+    Given m1 at <staying> and m2 at <leaving>, which is leaving
+    When m0 at 7 <fate> in a group with <sync> synchronous replicas
+    Then the change first names <named>
+
+    Examples:
+      | sync | fate      | staying | leaving | named |
+      | 0    | has ended | 5       | 7       | m1    |
+      | 1    | has ended | 5       | 7       | m2    |
+      | 1    | has ended | 7       | 7       | m1    |
+      | 0    | has ended | -       | 7       | m2    |
+      | 0    | leaves    | -       | 7       | none  |
+      | 0    | leaves    | 5       | 7       | m1    |
+      | 1    | leaves    | 5       | 7       | m1    |
+
+  Scenario: A planned change is made at the replica that is not behind
+    # Guards against a planned change that ends at the target it first named,
+    # although that one has received nothing for a while.
+    Given m1 at 5 and m2 at 7, which is leaving
+    When m0 at 7 leaves in a group with 1 synchronous replicas
+    And all VMs have released their proofs, and m1 is still at 5
+    Then m2 is named before it is promoted
+
   Scenario: The exploration of synchronous replicas reaches its faults
     Then in 300 explored changes replicas were deaf, reported late and were promoted
     And without a synchronous replica promotions lost commits
--- a/features/steps/session_decisions_steps.py
+++ b/features/steps/session_decisions_steps.py
@@ -105,6 +105,99 @@
     context.explored_count = count
 
 
+@then(
+    "in {count:d} explored changes with leaving replicas no acknowledged"
+    " commit is lost"
+)
+def then_leaving_kept(context, count):
+    seen = explore_sync_commits(
+        count, sync_replicas=1, late=False, leaving=True
+    )
+    context.counts = seen.counts
+    assert not seen.wrong, (len(seen.wrong), seen.wrong[:3])
+
+
+@then("in {count:d} or more of them a leaving replica was promoted")
+def then_leaving_promoted(context, count):
+    assert context.counts["leaving_promoted"] >= count, context.counts
+
+
+@then(
+    "in {count:d} explored changes without synchronous replicas leaving ones"
+    " leave none without a primary"
+)
+def then_none_without(context, count):
+    promoted = [
+        explore_sync_commits(
+            count, sync_replicas=0, late=False, leaving=leaving
+        ).counts["promoted"]
+        for leaving in (False, True)
+    ]
+    # Some changes end otherwise, for example since the primary works.
+    assert promoted[1] >= 0.95 * promoted[0], promoted
+
+
+@given("m1 at {staying} and m2 at {leaving:d}, which is leaving")
+def given_leaving(context, staying, leaving):
+    context.positions = {"m2": leaving}
+    if staying != "-":
+        context.positions["m1"] = int(staying)
+
+
+@when("m0 at {index:d} {fate} in a group with {sync:d} synchronous replicas")
+def when_fate(context, index, fate, sync):
+    is_planned = fate == "leaves"
+    change = context.change = Takeover(
+        vm="v",
+        nonce="n",
+        cause=TakeoverCause.LEAVING if is_planned else TakeoverCause.GONE,
+        record=PrimaryRecord(group="g", version=1, term=1, primary="m0"),
+        targets=("m0", *context.positions),
+        leaving=("m2",),
+        sync_replicas=sync,
+    )
+    change.begin(0.0)
+    context.primary = replica(received=index, is_primary=True)
+    context.actions = change.on_report(
+        "m0", context.primary if is_planned else None, 0.0
+    )
+    for name, received in context.positions.items():
+        context.actions = change.on_report(name, replica(received), 0.0)
+
+
+@then("the change first names {name}")
+def then_first_named(context, name):
+    if name == "none":
+        assert context.change.is_over, context.change.phase
+        return
+    (action,) = context.actions
+    assert isinstance(action, StoreRecord), action
+    assert action.record.change.candidate == name
+
+
+@when("all VMs have released their proofs, and m1 is still at {index:d}")
+def when_still_behind(context, index):
+    change = context.change
+    change.on_stored(2, 0.0)
+    assert change.term_holder == "m2", change.term_holder
+    change.on_report("m2", replica(received=7, held_term=2), 0.0)
+    change.on_proofs_released(0.1)
+    change.on_report("m0", context.primary, 0.15)
+    change.on_report("m1", replica(received=index), 0.15)
+    context.actions = change.on_report(
+        "m2", replica(received=7, held_term=2), 0.15
+    )
+
+
+@then("m2 is named before it is promoted")
+def then_m2_named(context):
+    (action,) = context.actions
+    assert isinstance(action, StoreRecord), action
+    assert action.record.change.candidate == "m2"
+    (action,) = context.change.on_stored(3, 0.8)
+    assert action == OrderPromotion(target="m2")
+
+
 @then("without a synchronous replica promotions lost commits")
 def then_asynchronous_lost(context):
     seen = explore_sync_commits(context.explored_count, sync_replicas=0)
@@ -749,9 +842,9 @@
     context.change = change
 
 
-def replica(received, held_term=0):
+def replica(received, held_term=0, is_primary=False):
     return TargetReport(
-        is_primary=False,
+        is_primary=is_primary,
         term=1,
         received_term=1,
         received_index=received,
--- a/features/steps/session_worlds.py
+++ b/features/steps/session_worlds.py
@@ -470,6 +470,7 @@
             cause=cause,
             record=record,
             targets=NAMES,
+            **self.group_state(),
         )
         self.changes.append(change)
         if len(self.changes) == 2:
@@ -477,6 +478,10 @@
         self.execute(change, change.begin(self.now))
         self.tick(change)
 
+    def group_state(self):
+        """Return what else a leader knows of the group."""
+        return {}
+
     def tick(self, change):
         if change.is_over:
             return
--- a/features/steps/sync_commit_worlds.py
+++ b/features/steps/sync_commit_worlds.py
@@ -2,8 +2,9 @@
 
 The primary commits all the while. With a synchronous replica a commit is
 acknowledged once one replica has received it. Replicas receive nothing for a
-while, and reports come late or not at all, as from a target without a free
-slot. The target that is promoted must have all acknowledged commits.
+while, replicas leave, and reports come late or not at all, as from a target
+without a free slot. The target that is promoted must have all acknowledged
+commits.
 """
 
 from __future__ import annotations
@@ -18,11 +19,18 @@
 
 
 class SyncCommitWorld(ChangeWorld):
-    """One simulation with `sync_replicas` 0 or 1."""
+    """One simulation with `sync_replicas` 0 or 1.
 
-    def __init__(self, seed, seen, *, sync_replicas):
+    With `late` a replica reports late, with `leaving` one or both leave.
+    """
+
+    def __init__(self, seed, seen, *, sync_replicas, late, leaving):
         super().__init__(seed, seen, wait=True, hold=True, finish=False)
         self.sync_replicas = sync_replicas
+        self.late = late
+        self.leaving = ()
+        if leaving:
+            self.leaving = self.random.choice((("m1",), ("m2",), REPLICAS))
         self.last_acknowledged = 0
         self.deaf = set()
         self.reporting_late = set()
@@ -33,7 +41,10 @@
         self.schedule(
             self.random.uniform(0.2, 4.0), lambda: self.silence(deaf)
         )
-        self.schedule(self.random.uniform(1.5, 3.0), lambda: self.delay(late))
+        if self.late:
+            self.schedule(
+                self.random.uniform(1.5, 3.0), lambda: self.delay(late)
+            )
         self.schedule(0.1, self.commit)
         super().run()
 
@@ -87,6 +98,9 @@
 
     # Changes.
 
+    def group_state(self):
+        return {"leaving": self.leaving, "sync_replicas": self.sync_replicas}
+
     def send_order(self, change, name, order):
         if name not in self.reporting_late:
             super().send_order(change, name, order)
@@ -109,6 +123,8 @@
         super().complete_promotion(name)
         promoted = self.seen.counts["promoted"] > promoted_before
         lost = self.last_acknowledged - received
+        if promoted and name in self.leaving:
+            self.seen.counts["leaving_promoted"] += 1
         if is_first and promoted and lost > 0:
             self.seen.counts["changes_with_loss"] += 1
             if self.sync_replicas:
@@ -118,9 +134,15 @@
                 )
 
 
-def explore_sync_commits(count, *, sync_replicas):
+def explore_sync_commits(count, *, sync_replicas, late=True, leaving=False):
     """Run `count` simulations, each with its own seed."""
     seen = Seen()
     for seed in range(count):
-        SyncCommitWorld(seed, seen, sync_replicas=sync_replicas).run()
+        SyncCommitWorld(
+            seed,
+            seen,
+            sync_replicas=sync_replicas,
+            late=late,
+            leaving=leaving,
+        ).run()
     return seen
