Do not leave a target out since the platform refused an order

What callers would see: with one synchronous replica, acknowledged commits are missing after a change of primary during which the platform refused an order.

Cause: any answer but 2xx and 429 counted as a refusal of the target, which was then left out of the choice; the next best one was ordered, whatever it had received. A 409 may be given for a target that reports.

--- a/bamboospring/platform/promotion_client.py
+++ b/bamboospring/platform/promotion_client.py
@@ -13,7 +13,7 @@
 from bamboospring.reactor import Reactor
 from bamboospring.sessions.ports import PromotionResult
 
-__all__ = ["PromotionClient"]
+__all__ = ["PromotionClient", "promotion_result"]
 
 
 class PromotionClient:
@@ -60,12 +60,13 @@
 
         def on_answer(answer: HttpResponse | HttpFailure) -> None:
             conn.close()
-            on_complete(_promotion_result(answer))
+            on_complete(promotion_result(answer))
 
         conn.connect(timeout, on_connected)
 
 
-def _promotion_result(answer: HttpResponse | HttpFailure) -> PromotionResult:
+def promotion_result(answer: HttpResponse | HttpFailure) -> PromotionResult:
+    """Return what an answer to an order says about its target."""
     match answer:
         case HttpFailure():
             return PromotionResult.UNKNOWN
@@ -73,7 +74,11 @@
             status < HTTPStatus.MULTIPLE_CHOICES
         ):
             return PromotionResult.ACCEPTED
-        case HttpResponse(status=HTTPStatus.TOO_MANY_REQUESTS):
+        case HttpResponse(status=status) if (
+            status == HTTPStatus.TOO_MANY_REQUESTS
+            or status >= HTTPStatus.INTERNAL_SERVER_ERROR
+        ):
+            # Nothing was done, and another target would fare no better.
             return PromotionResult.NOT_SENT
         case _:
             return PromotionResult.REFUSED
--- a/bamboospring/sessions/takeover.py
+++ b/bamboospring/sessions/takeover.py
@@ -178,6 +178,7 @@
     _storing: bool = False
     _second_holder_tries: int = 0
     _refused: set[str] = field(default_factory=set)
+    _must_verify: bool = False
 
     @property
     def is_over(self) -> bool:
@@ -265,6 +266,11 @@
             case PromotionResult.ACCEPTED | PromotionResult.UNKNOWN:
                 self._enter(TakeoverPhase.CONFIRM, now)
                 return self._ask([self.candidate], now)
+            case PromotionResult.REFUSED if self.sync_replicas:
+                # The others may lack acknowledged commits. If the candidate
+                # reports again, it is ordered again.
+                self._must_verify = True
+                self._sent_at = now
             case PromotionResult.REFUSED:
                 self._refused.add(self.candidate)
                 return self._verify(now)
@@ -314,6 +320,9 @@
                 return self._hold(now)
             case TakeoverPhase.SEAL | TakeoverPhase.CHECK:
                 return self._verify(now)
+            case TakeoverPhase.PROMOTE if self._must_verify:
+                self._must_verify = False
+                return self._verify(now)
             case TakeoverPhase.PROMOTE:
                 return [OrderPromotion(target=self.candidate)]
         return []
@@ -595,7 +604,8 @@
         eligible = [
             name
             for name in reports
-            if name != self.record.primary and name not in self._refused
+            if name != self.record.primary
+            and (self.sync_replicas or name not in self._refused)
         ]
         staying = [name for name in eligible if name not in self.leaving]
         if not self.sync_replicas:
--- a/features/session_decisions.feature
+++ b/features/session_decisions.feature
@@ -62,6 +62,23 @@
     # serve until there is a new one.
     Then in 300 explored changes without synchronous replicas leaving ones leave none without a primary
 
+  Scenario: A change keeps what a replica has that the platform refused
+    # Guards against leaving a replica out of the choice because one order to
+    # promote it was refused, although it runs.
+    Then in 300 explored changes with refused orders no acknowledged commit is lost
+
+  Scenario: A platform that is busy refuses no target
+    # Guards against trying the other replicas in turn, without a pause, while
+    # the platform answers every order with 503.
+    Then these answers to an order to promote mean
+      | status | result   |
+      | 200    | accepted |
+      | 409    | refused  |
+      | 404    | refused  |
+      | 429    | not_sent |
+      | 500    | not_sent |
+      | 503    | not_sent |
+
   Scenario Outline: With <sync> synchronous replicas, a primary that <fate>
     # Guards against promoting a leaving target, which is soon replaced again,
     # where another one loses nothing.
--- a/features/steps/session_decisions_steps.py
+++ b/features/steps/session_decisions_steps.py
@@ -14,10 +14,12 @@
 from bamboospring.blackboard import Target
 from bamboospring.connections import ConnectionTiming
 from bamboospring.connections import ConnectionTracker
+from bamboospring.http_client import HttpResponse
 from bamboospring.object_store import Conflict
 from bamboospring.outcomes import NotRun
 from bamboospring.outcomes import Overloaded
 from bamboospring.outcomes import Reason
+from bamboospring.platform.promotion_client import promotion_result
 from bamboospring.sessions.change_wait import change_wait
 from bamboospring.sessions.freshness import SampleLog
 from bamboospring.sessions.link_setup import link_fit
@@ -137,6 +139,24 @@
     assert promoted[1] >= 0.95 * promoted[0], promoted
 
 
+@then(
+    "in {count:d} explored changes with refused orders no acknowledged commit"
+    " is lost"
+)
+def then_refused_kept(context, count):
+    seen = explore_sync_commits(count, sync_replicas=1, late=False)
+    assert seen.counts["order_refused"] >= 50, seen.counts
+    assert not seen.wrong, (len(seen.wrong), seen.wrong[:3])
+
+
+@then("these answers to an order to promote mean")
+def then_answers_mean(context):
+    for row in context.table:
+        response = HttpResponse(status=int(row["status"]), body=b"")
+        result = promotion_result(response)
+        assert result.value == row["result"], (row, result)
+
+
 @given("m1 at {staying} and m2 at {leaving:d}, which is leaving")
 def given_leaving(context, staying, leaving):
     context.positions = {"m2": leaving}
--- a/features/steps/session_worlds.py
+++ b/features/steps/session_worlds.py
@@ -510,12 +510,17 @@
                 self.seen.counts["lost"] += 1
                 if isinstance(action, StoreRecord):
                     self.store(change, action, answered=False)
+                elif isinstance(action, SendToTarget):
+                    self.report_nothing(change, action.target)
                 continue
             way = self.random.uniform(0.001, 0.15)
             if ordering:
                 way = self.random.uniform(0.001, ORDER_TIMEOUT)
             self.schedule(way, lambda a=action: self.handle_action(change, a))
 
+    def report_nothing(self, change, name):
+        """The leader gets no report from a target."""
+
     def handle_action(self, change, action):
         match action:
             case SendToTarget(target=name, order=order):
--- a/features/steps/sync_commit_worlds.py
+++ b/features/steps/sync_commit_worlds.py
@@ -9,6 +9,9 @@
 
 from __future__ import annotations
 
+from bamboospring.sessions.ports import PromotionResult
+from bamboospring.sessions.takeover import TakeoverCause
+from bamboospring.sessions.takeover import TakeoverPhase
 from features.steps.session_worlds import ChangeWorld
 from features.steps.session_worlds import Seen
 
@@ -16,6 +19,7 @@
 
 REPLICAS = ("m1", "m2")
 COMMIT_INTERVAL = 0.03
+RETRY_DELAY = 0.5
 
 
 class SyncCommitWorld(ChangeWorld):
@@ -92,7 +96,12 @@
             self.acknowledge(index)
 
     def acknowledge(self, index):
-        if index > self.last_acknowledged:
+        """A VM tells a caller that a commit is kept, if it still may."""
+        is_usable = any(
+            vm.record.primary == "m0" and vm.proof.covers(self.now)
+            for vm in self.vms
+        )
+        if is_usable and index > self.last_acknowledged:
             self.last_acknowledged = index
             self.seen.counts["acknowledged"] += 1
 
@@ -101,12 +110,30 @@
     def group_state(self):
         return {"leaving": self.leaving, "sync_replicas": self.sync_replicas}
 
+    def tick(self, change):
+        """Begin a change that was given up again, as the leader does."""
+        super().tick(change)
+        if change.phase is TakeoverPhase.GIVEN_UP:
+            number = int(change.vm[2:])
+            self.schedule(RETRY_DELAY, lambda: self.begin_again(number))
+
+    def begin_again(self, number):
+        if not self.holds_lease(number) or not self.record.is_current:
+            return
+        cause = TakeoverCause.UNREACHED if number else TakeoverCause.GONE
+        if self.record.change is not None:
+            cause = TakeoverCause.UNFINISHED
+        if self.record.primary == "m0":
+            self.seen.counts["begun_again"] += 1
+            self.begin(number, cause, self.record)
+
     def send_order(self, change, name, order):
         if name not in self.reporting_late:
             super().send_order(change, name, order)
             return
         self.seen.counts["late_report"] += 1
         if self.random.random() < 0.5:
+            self.report_nothing(change, name)
             return
         self.schedule(
             self.random.uniform(0.05, 0.6),
@@ -115,6 +142,18 @@
             ),
         )
 
+    def promote(self, change, name):
+        """The platform may refuse a target that is running."""
+        draw = self.random.random()
+        if not self.members[name].is_running or draw > 0.2:
+            super().promote(change, name)
+            return
+        result = PromotionResult.REFUSED
+        if draw < 0.1:
+            result = PromotionResult.NOT_SENT
+        self.seen.counts["order_refused"] += 1
+        self.execute(change, change.on_promotion_result(result, self.now))
+
     def complete_promotion(self, name):
         promoted_before = self.seen.counts["promoted"]
         # Only commits of the first primary are simulated.
