Wait for replicas that may have more acknowledged commits

Cause: a change left out every target that had not reported in 0.1 s (0.5 s in a planned change), for example since its STATUS found no slot, and was never asked again.

Change: with s synchronous replicas a change goes on only if fewer than s replicas are unheard, or if the candidate has all that the primary reports; it is not enough if the candidate is behind and has received nothing of the primary's term. Until then missing reports are asked for again, one question a target at a time, every 0.25 s. A planned change ends after 0.5 s, since the primary goes on, any other after 2 s; the leader begins it again with the targets that are listed then. So a crashed replica is waited for until it is back or its entry has gone.

Why this works: a commit is acknowledged once s replicas have it and replicas receive in order, so if fewer than s are unheard, the most advanced of the others has all of them.

Not covered: a replica whose entry has expired although it will be back with its log; a primary that fails right after its promotion, before any replica has received what it had more.

--- a/bamboospring/sessions/takeover.py
+++ b/bamboospring/sessions/takeover.py
@@ -55,6 +55,9 @@
 # After this many seconds the survey no longer waits for a failed primary, and
 # the verification waits only for the target that holds the term.
 SURVEY_GRACE_PERIOD = 0.1
+# With synchronous replicas, a change waits this many seconds for targets that
+# may have more acknowledged commits before it begins anew.
+UNHEARD_TIMEOUT = 2.0
 # Seconds after which an unanswered request is sent again.
 RESEND_INTERVAL = 0.25
 # A leaving primary still accepts commits. Its replica may need this many
@@ -178,6 +181,7 @@
     _storing: bool = False
     _second_holder_tries: int = 0
     _refused: set[str] = field(default_factory=set)
+    _to_ask: set[str] = field(default_factory=set)
     _must_verify: bool = False
 
     @property
@@ -211,6 +215,17 @@
                 return self._on_confirm_report(report, now)
         return []
 
+    def on_no_report(self, target: str) -> None:
+        """Handle that a target has not reported; `tick` may ask it again."""
+        self._to_ask.add(target)
+
+    def update_targets(
+        self, targets: Collection[str], leaving: Collection[str]
+    ) -> None:
+        """Handle a new list of the group's targets."""
+        self._to_ask.update(set(targets) - set(self.targets))
+        self.targets, self.leaving = targets, leaving
+
     def on_stored(self, version: int, now: float) -> list[Action]:
         """Handle a successful update of the record."""
         self._storing = False
@@ -288,15 +303,15 @@
         elapsed = now - self._phase_at
         match self.phase:
             case TakeoverPhase.SURVEY if elapsed >= SURVEY_TIMEOUT:
-                return self._leave_survey(now)
+                return self._leave_survey(now) or self._ask_unheard(now)
             case TakeoverPhase.SURVEY if elapsed >= SURVEY_GRACE_PERIOD:
-                return self._try_leave_survey(now)
+                return self._try_leave_survey(now) or self._ask_unheard(now)
             case TakeoverPhase.WAIT if self._have_proofs_expired(now):
                 return self._verify(now)
             case TakeoverPhase.VERIFY if elapsed >= SURVEY_TIMEOUT:
-                return self._leave_verify(now)
+                return self._leave_verify(now) or self._ask_unheard(now)
             case TakeoverPhase.VERIFY:
-                return self._try_leave_verify(now)
+                return self._try_leave_verify(now) or self._ask_unheard(now)
             case TakeoverPhase.CONFIRM if elapsed >= CONFIRM_TIMEOUT:
                 return self._survey_again(now)
             case TakeoverPhase.CONFIRM if (
@@ -360,11 +375,65 @@
         if not self.candidate:
             self._give_up("no other target can be reached", now)
             return []
+        if not self._is_safe(reports, self.candidate):
+            return self._survey_longer(now)
         terms = [report.newest_term for report in reports.values()]
         self.term = max([self.record.term, *terms]) + 1
         self._enter(TakeoverPhase.INTEND, now)
         return self._store(now)
 
+    def _survey_longer(self, now: float) -> list[Action]:
+        """Wait for the replicas that may have more acknowledged commits.
+
+        A primary that still works goes on meanwhile, so a planned change ends
+        and is tried again.
+        """
+        elapsed = now - self._phase_at
+        limit = SURVEY_TIMEOUT if self.cause.is_planned else UNHEARD_TIMEOUT
+        if elapsed < limit:
+            return []
+        unheard = sorted(set(self.targets) - self._received_reports().keys())
+        self._give_up(
+            f"acknowledged commits may be at {', '.join(unheard)}", now
+        )
+        return []
+
+    def _ask_unheard(self, now: float) -> list[Action]:
+        """Ask targets again that have not reported.
+
+        Without synchronous replicas a change goes on without their reports.
+        """
+        is_waiting = self.phase in (TakeoverPhase.SURVEY, TakeoverPhase.VERIFY)
+        is_due = now - self._sent_at >= RESEND_INTERVAL
+        if not (self.sync_replicas and is_waiting and is_due and self._to_ask):
+            return []
+        unheard = set(self.targets) - self._received_reports().keys()
+        asked, self._to_ask = self._to_ask & unheard, set()
+        return self._ask(sorted(asked), now)
+
+    def _is_safe(
+        self, reports: dict[str, TargetReport], candidate: str
+    ) -> bool:
+        """Return whether a target certainly has all acknowledged commits.
+
+        A commit is acknowledged once `sync_replicas` replicas have it, and
+        replicas receive in order. So if fewer replicas than that are unheard,
+        the most advanced of the others has all commits of the primary's
+        term. It also has those of earlier terms, unless it has received
+        nothing of this one and is behind the primary.
+        """
+        if not self.sync_replicas:
+            return True
+        primary = reports.get(self.record.primary)
+        position = _log_position(reports[candidate])
+        if primary is not None and primary.is_primary:
+            if position >= _log_position(primary):
+                return True
+            if reports[candidate].received_term < primary.term:
+                return False
+        unheard = set(self.targets) - reports.keys() - {self.record.primary}
+        return len(unheard) < self.sync_replicas
+
     def _primary_works(self, reports: dict[str, TargetReport]) -> bool:
         if self.cause.is_planned or self.record.change is not None:
             return False
@@ -506,6 +575,10 @@
         candidate = self._best_candidate(reports)
         if not candidate:
             return self._survey_again(now)
+        if not self._is_safe(reports, candidate):
+            if now - self._phase_at < UNHEARD_TIMEOUT:
+                return []
+            return self._survey_again(now)
         self.candidate = candidate
         if self.proofs_released:
             return self._promote(now)
@@ -605,6 +678,7 @@
             name
             for name in reports
             if name != self.record.primary
+            and name in self.targets
             and (self.sync_replicas or name not in self._refused)
         ]
         staying = [name for name in eligible if name not in self.leaving]
--- a/bamboospring/sessions/takeover_runner.py
+++ b/bamboospring/sessions/takeover_runner.py
@@ -91,6 +91,10 @@
         takeover = self._takeovers.get(group.name)
         if takeover is None:
             return False
+        if takeover.sync_replicas:
+            takeover.update_targets(
+                tuple(group.targets), _leaving_targets(group)
+            )
         self._advance(group, takeover, takeover.tick(self._reactor.now()))
         return True
 
@@ -203,8 +207,10 @@
         order: ControlOrder,
     ) -> None:
         def on_report(result: TargetReport | NoReport) -> None:
-            if isinstance(result, NoReport) and not result.refused:
-                return
+            if isinstance(result, NoReport):
+                takeover.on_no_report(target)
+                if not result.refused:
+                    return
             report = result if isinstance(result, TargetReport) else None
             now = self._reactor.now()
             self._advance(
--- a/features/session_decisions.feature
+++ b/features/session_decisions.feature
@@ -96,6 +96,31 @@
       | 0    | leaves    | 5       | 7       | m1    |
       | 1    | leaves    | 5       | 7       | m1    |
 
+  Scenario Outline: A change waits for a replica that may have more commits
+    # Guards against promoting a replica that lacks acknowledged commits since
+    # the only other one reports late, or is busy (review/1).
+    Given <cause> change in a group with <sync> synchronous replicas
+    When m1 reports at once and m2 reports at <time> s with more
+    Then the change names <named> at <moment> s
+
+    Examples:
+      | cause       | sync | time | named | moment |
+      | a necessary | 1    | 0.9  | m2    | 0.9    |
+      | a necessary | 1    | 3.0  | none  | 2.0    |
+      | a necessary | 0    | 0.9  | m1    | 0.5    |
+      | a planned   | 1    | 0.4  | m2    | 0.4    |
+      | a planned   | 1    | 0.9  | none  | 0.5    |
+      | a planned   | 0    | 0.9  | m1    | 0.5    |
+
+  Scenario: A replica that has not reported is asked again
+    # Guards against waiting for a report that was never asked for again, since
+    # the first question found no slot.
+    Given a necessary change in a group with 1 synchronous replicas
+    When m1 reports at once and m2 is busy
+    Then m2 is asked again, once for each missing report
+    When m2 has left and m3 is new
+    Then m3 is asked, and its report is enough
+
   Scenario: A planned change is made at the replica that is not behind
     # Guards against a planned change that ends at the target it first named,
     # although that one has received nothing for a while.
--- a/features/steps/session_decisions_steps.py
+++ b/features/steps/session_decisions_steps.py
@@ -35,6 +35,7 @@
 from bamboospring.sessions.overdue_change import finished_record
 from bamboospring.sessions.overdue_change import is_finisher
 from bamboospring.sessions.overdue_change import is_overdue
+from bamboospring.sessions.ports import AskReport
 from bamboospring.sessions.ports import Refusal
 from bamboospring.sessions.ports import ResetConnection
 from bamboospring.sessions.proofs import TargetReport
@@ -45,9 +46,11 @@
 from bamboospring.sessions.session_shutdown import disconnect_count
 from bamboospring.sessions.session_shutdown import sessions_to_disconnect
 from bamboospring.sessions.takeover import OrderPromotion
+from bamboospring.sessions.takeover import SendToTarget
 from bamboospring.sessions.takeover import StoreRecord
 from bamboospring.sessions.takeover import Takeover
 from bamboospring.sessions.takeover import TakeoverCause
+from bamboospring.sessions.takeover import TakeoverPhase
 from bamboospring.sessions.target_choice import choose_target
 from bamboospring.sessions.target_choice import NoTarget
 from bamboospring.sessions.target_choice import SendTo
@@ -195,6 +198,80 @@
     assert action.record.change.candidate == name
 
 
+@given("a {cause} change in a group with {sync:d} synchronous replicas")
+def given_waiting_change(context, cause, sync):
+    is_planned = cause == "planned"
+    change = context.change = Takeover(
+        vm="v",
+        nonce="n",
+        cause=TakeoverCause.ORDERED if is_planned else TakeoverCause.GONE,
+        record=PrimaryRecord(group="g", version=1, term=1, primary="m0"),
+        targets=("m0", "m1", "m2"),
+        sync_replicas=sync,
+    )
+    change.begin(0.0)
+    primary = replica(received=8, is_primary=True) if is_planned else None
+    change.on_report("m0", primary, 0.0)
+
+
+@when("m1 reports at once and m2 reports at {time:f} s with more")
+def when_late_report(context, time):
+    change = context.change
+    change.on_report("m1", replica(received=5), 0.0)
+    context.named_at = None
+    for tenth in range(1, 31):
+        now = tenth / 10
+        if now == time:
+            change.on_report("m2", replica(received=7), now)
+        change.tick(now)
+        if change.phase is not TakeoverPhase.SURVEY:
+            context.named_at = now
+            return
+
+
+@then("the change names {name} at {moment:f} s")
+def then_named_at(context, name, moment):
+    change = context.change
+    assert context.named_at == moment, (context.named_at, change.phase)
+    if name == "none":
+        assert change.phase is TakeoverPhase.GIVEN_UP, change.phase
+        assert "m2" in change.end_reason, change.end_reason
+        return
+    assert change.phase is TakeoverPhase.INTEND, change.phase
+    assert change.candidate == name, change.candidate
+
+
+@when("m1 reports at once and m2 is busy")
+def when_busy(context):
+    context.change.on_report("m1", replica(received=5), 0.0)
+    context.change.on_no_report("m2")
+
+
+@then("m2 is asked again, once for each missing report")
+def then_asked_again(context):
+    change = context.change
+    ask = [SendToTarget(target="m2", order=AskReport())]
+    assert change.tick(0.3) == ask
+    assert change.tick(0.6) == []
+    change.on_no_report("m2")
+    assert change.tick(0.9) == ask
+
+
+@when("m2 has left and m3 is new")
+def when_replaced(context):
+    context.change.update_targets(("m1", "m3"), ())
+
+
+@then("m3 is asked, and its report is enough")
+def then_enough(context):
+    change = context.change
+    ask = [SendToTarget(target="m3", order=AskReport())]
+    assert change.tick(1.2) == ask
+    change.on_report("m3", replica(received=9), 1.3)
+    assert change.phase is TakeoverPhase.INTEND, change.phase
+    assert change.candidate == "m3", change.candidate
+
+
 @when("all VMs have released their proofs, and m1 is still at {index:d}")
 def when_still_behind(context, index):
     change = context.change
--- a/features/steps/session_worlds.py
+++ b/features/steps/session_worlds.py
@@ -62,6 +62,7 @@
 DISAGREEMENT_TIMEOUT = 1.0
 # An order to promote arrives within this many seconds or never.
 ORDER_TIMEOUT = 0.6
+REPORT_TIMEOUT = 0.5
 
 
 @dataclass
@@ -519,7 +520,11 @@
             self.schedule(way, lambda a=action: self.handle_action(change, a))
 
     def report_nothing(self, change, name):
-        """The leader gets no report from a target."""
+        """The leader gives up waiting for a target's report."""
+        self.schedule(
+            REPORT_TIMEOUT,
+            lambda: change.on_no_report(name),
+        )
 
     def handle_action(self, change, action):
         match action:
