Serve the callers that wait in the listener's queue at a shutdown

The phase was decided before the listener's queue was emptied, so that a process without open connections said farewell, and refused the requests of those that it had just accepted.

The simulated shutdowns now have connections in the queue; without the change requests of them were refused.

--- a/bamboospring/drain.py
+++ b/bamboospring/drain.py
@@ -161,8 +161,10 @@
             work=sum(self._pending_work().values()),
             connections=len(self._callers.connections),
         )
-        if phase is not DrainPhase.NOTICE:
-            self._callers.listener.drain()
+        if phase is not DrainPhase.NOTICE and self._take_waiting_callers():
+            # Their first requests are read before any is refused.
+            self._reactor.call_later(CHECK_INTERVAL, self._check)
+            return
         is_ending = phase is DrainPhase.FAREWELL
         if is_ending or not begins_requests(self._plan, self._reactor.now()):
             self._callers.refusal = not_begun(Reason.DRAINING)
@@ -172,6 +174,12 @@
         else:
             self._reactor.call_later(CHECK_INTERVAL, self._check)
 
+    def _take_waiting_callers(self) -> bool:
+        """Close the listener; return whether connections waited in it."""
+        count = len(self._callers.connections)
+        self._callers.listener.drain()
+        return len(self._callers.connections) > count
+
     def _end(self) -> None:
         assert self._plan is not None
         remaining = self._pending_work()
--- a/features/steps/drain_worlds.py
+++ b/features/steps/drain_worlds.py
@@ -40,12 +40,20 @@
 
 
 class _Reactor(Clock):
+    """Also the listener, in whose queue connections may wait."""
+
+    def __init__(self):
+        super().__init__()
+        self.on_closed = None
+
     def listen(self, address, on_accept, *, reuse_port=False):
         self.on_accept = on_accept
         return self
 
     def drain(self):
-        pass
+        on_closed, self.on_closed = self.on_closed, None
+        if on_closed is not None:
+            on_closed()
 
     close = drain
 
@@ -91,6 +99,8 @@
         self.streams = [_Stream() for _ in range(60)]
         for stream in self.streams:
             self.clock.on_accept(stream)
+        self.waiting = [_Stream() for _ in range(rng.randrange(3))]
+        self.clock.on_closed = self.accept_waiting
 
     def run(self):
         clock = self.clock
@@ -103,6 +113,14 @@
         if not self.has_exited:
             self.wrong.append(f"world {self.seed}: it has not exited")
 
+    def accept_waiting(self):
+        """Accept the connections in the queue; each has sent a request."""
+        for stream in self.waiting:
+            self.clock.on_accept(stream)
+            self.clock.at(
+                self.clock.now(), lambda stream=stream: self.request(stream)
+            )
+
     def request(self, stream):
         if not self.has_exited and not stream.closed:
             stream.received = b""
@@ -120,6 +138,11 @@
         for stream, at in self.begun_at.items():
             if b"HTTP/1.1 503" in stream.received:
                 self.seen["refused"] += 1
+                if stream in self.waiting:
+                    self.wrong.append(
+                        f"world {self.seed}: a request that waited in the "
+                        "listener's queue was refused"
+                    )
             elif not stream.received:
                 self.wrong.append(
                     f"world {self.seed}: a request of {now - at:.3f} s before "
