Log which targets a proof asks, and which one holds a change's term

Its log told how many targets were asked, not which, and the log of a change did not name the target that holds its term. So these could not be told apart:

1. the holder has joined after the VM's list was read; 2. the holder is in the list, but refuses the connection, which counts as a target that does not run; 3. the holder is in the list and has lost the term (a restart, a late order to resume); 4. the proof is older than the wait, or the promotion comes before its end.

`asked_targets` now has the term that each target knows (or unanswered, refused) and the age of the list; `term_held` has the holder and the list of the change.

--- a/bamboospring/sessions/record_keeper.py
+++ b/bamboospring/sessions/record_keeper.py
@@ -531,4 +531,16 @@
             heard=sum(r is not None for r in reports.values()),
             asked=len(others),
             term=record.term,
+            targets=",".join(
+                f"{name}={_report_text(reports, name)}" for name in others
+            ),
+            list_age_ms=round((asked_at - self._board.targets_seen_at) * 1000),
         )
+
+
+def _report_text(reports: dict[str, TargetReport | None], name: str) -> str:
+    """Return the newest term that a target knows, or why it is unknown."""
+    if name not in reports:
+        return "unanswered"
+    report = reports[name]
+    return "refused" if report is None else str(report.newest_term)
--- a/bamboospring/sessions/takeover_runner.py
+++ b/bamboospring/sessions/takeover_runner.py
@@ -22,6 +22,7 @@
 from bamboospring.sessions.model import SessionBoard
 from bamboospring.sessions.model import SessionGroup
 from bamboospring.sessions.ports import AskReport
+from bamboospring.sessions.ports import HoldTerm
 from bamboospring.sessions.ports import PromotionOrders
 from bamboospring.sessions.ports import PromotionResult
 from bamboospring.sessions.ports import ResumeReceiving
@@ -213,12 +214,32 @@
                     return
             report = result if isinstance(result, TargetReport) else None
             now = self._reactor.now()
+            if isinstance(order, HoldTerm):
+                self._log_hold(group, takeover, target, report)
             self._advance(
                 group, takeover, takeover.on_report(target, report, now)
             )
 
         self._questions.ask(group, target, order, REPORT_TIMEOUT, on_report)
 
+    def _log_hold(
+        self,
+        group: SessionGroup,
+        takeover: Takeover,
+        target: str,
+        report: TargetReport | None,
+    ) -> None:
+        now = self._reactor.now()
+        logs.log_event(
+            "term_held",
+            group=group.name,
+            target=target,
+            term=takeover.term,
+            known=report.newest_term if report is not None else "refused",
+            listed=",".join(sorted(group.targets)),
+            list_age_ms=round((now - self._board.targets_seen_at) * 1000),
+        )
+
     def _store(
         self, group: SessionGroup, takeover: Takeover, record: PrimaryRecord
     ) -> None:
