Let the soak replace members while VMs are cut off

The soak could cut a VM off from the store, but not from the other VMs, since a VM listens at the address that it tells them; and its members never changed.

Meanwhile replicas and primaries are replaced or restart, and some are out of reach for everybody but the VMs that are cut off. Callers use all VMs. The links between VMs go through proxies that tell VMs apart by their source addresses; the new setting `peers_listen` lets a VM listen elsewhere than where it is reached. Terms of the stand-in only increase, also if members leave.

--- a/bamboospring/sessions/node.py
+++ b/bamboospring/sessions/node.py
@@ -205,7 +205,9 @@
     def _create_keepers(self) -> None:
         adapters = self.adapters
         self.peers = Peers(
-            reactor=self.reactor, vm=self.cfg.vm, listen=self.cfg.peers
+            reactor=self.reactor,
+            vm=self.cfg.vm,
+            listen=self.cfg.peers_listen or self.cfg.peers,
         )
         self.registry = VmRegistry(
             reactor=self.reactor,
--- a/bamboospring/sessions/settings.py
+++ b/bamboospring/sessions/settings.py
@@ -119,6 +119,13 @@
     peers: Address = Field(
         description="Where the system's other VMs connect, `ip:port`."
     )
+    peers_listen: Address | None = Field(
+        default=None,
+        description=(
+            "Where this VM listens for them, if something between forwards "
+            "their connections; null: at `peers`."
+        ),
+    )
     callers: Address = Field(description="Where callers connect, `ip:port`.")
     readiness: Address = Field(
         description="Where the platform asks whether callers may be sent here."
--- a/bamboospring/testing/fault_proxy.py
+++ b/bamboospring/testing/fault_proxy.py
@@ -54,7 +54,8 @@
     """A listening port that is forwarded to one upstream in some mode.
 
     An upstream never learns that the client of a silent connection has closed
-    it, or with `keepalive` so many seconds later.
+    it, or with `keepalive` so many seconds later. All data of connections from
+    an IP address in `silenced_sources` is dropped, whatever the mode.
     """
 
     def __init__(
@@ -73,6 +74,7 @@
         self.direction = "both"
         self.delay_ms = 0
         self.source = ""
+        self.silenced_sources: set[str] = set()
         self._connections: set[ProxiedConnection] = set()
         self._mode_changed = asyncio.Event()
         self._server: asyncio.Server | None = None
@@ -119,6 +121,13 @@
         for conn in self._connections:
             conn.dropped_directions |= {"to_upstream", "to_client"}
 
+    def silence_source(self, source: str) -> None:
+        """Drop all data of open and new connections from an address."""
+        self.silenced_sources.add(source)
+        for conn in self._connections:
+            if conn.source == source:
+                conn.dropped_directions |= {"to_upstream", "to_client"}
+
     def as_json(self) -> dict[str, Any]:
         """Return the link as it is in the API."""
         return {
@@ -174,6 +183,8 @@
         conn = ProxiedConnection(
             client=writer, upstream=upstream_streams[1], source=source
         )
+        if source in self.silenced_sources:
+            conn.dropped_directions |= {"to_upstream", "to_client"}
         set_nodelay(writer)
         set_nodelay(upstream_streams[1])
         await self._forward_both(conn, reader, upstream_streams[0])
--- a/bamboospring/testing/session_fleet.py
+++ b/bamboospring/testing/session_fleet.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Collection
 from dataclasses import dataclass
 import json
 import os
@@ -42,6 +43,8 @@
 # is gone, where connections are fewer than VMs. Without it, the connections
 # that each fault leaves behind would soon be all that the member allows.
 MEMBER_KEEPALIVE = 3.0
+# The same for silent connections between VMs.
+PEER_KEEPALIVE = 1.0
 # Kind, maximum age in seconds, share of writes and share of transactions.
 ROUTE_KINDS: tuple[tuple[str, float | None, float, float], ...] = (
     ("primary", None, 0.35, 0.4),
@@ -60,13 +63,17 @@
 
 @dataclass(slots=True, kw_only=True)
 class VmProcess:
-    """One VM: its process and its listening addresses."""
+    """One VM: its process and its listening addresses.
+
+    All of its connections come from the IP address `source`, if it has one.
+    """
 
     name: str
     process: ManagedProcess
     callers: str
     readiness: str
     settings: Path
+    source: str = ""
 
     def is_ready(self) -> bool:
         """Return whether the VM reports that it is ready for callers."""
@@ -79,7 +86,11 @@
 
 
 class SessionFleet:
-    """Groups of three members, a store, a promotion service and VMs."""
+    """Groups of three members, a store, a promotion service and VMs.
+
+    VMs that are `separable` can be cut off from each other, and members from
+    some VMs.
+    """
 
     def __init__(
         self,
@@ -93,11 +104,13 @@
         teams: dict[str, FleetTeam] | None = None,
         key_life_ms: int | None = None,
         load_control: bool = False,
+        separable: bool = False,
     ) -> None:
         self.checker = SessionChecker()
         self.teams = teams
         self._key_life_ms = key_life_ms
         self._load_control = load_control
+        self._separable = separable
         self._keepalive = MEMBER_KEEPALIVE if load_control else None
         if key_life_ms is not None:
             self.checker.removed_key_lifetime = key_life_ms / 1000
@@ -113,6 +126,7 @@
         self._ports = ReservedPorts()
         self._tasks: list[asyncio.Task[None]] = []
         self._missed_heartbeats: dict[str, int] = {}
+        self._added_members = 0
         self._config_version = 0
         self._config: dict[str, Any] = {}
         self.added_databases: list[str] = []
@@ -143,7 +157,12 @@
         for number in range(self._vm_count):
             name = f"vm{number}"
             await self._add_link(f"{name}-store", self.store.address)
-            self._add_vm(name, ZONES[number % len(ZONES)])
+            peers_listen = self._ports.reserve()
+            if self._separable:
+                await self._add_link(
+                    f"{name}-peers", peers_listen, keepalive=PEER_KEEPALIVE
+                )
+            self._add_vm(number, ZONES[number % len(ZONES)], peers_listen)
         self.write_config()
         self._tasks.append(asyncio.create_task(self._send_heartbeats()))
         for vm in self.vms.values():
@@ -169,9 +188,12 @@
         return [m for g in self.groups.values() for m in g.members.values()]
 
     def primary(self, group: str) -> Member:
-        """Return the member that is primary of the highest term."""
+        """Return the member that is primary of the highest term.
+
+        If there is none, return the one with the newest log.
+        """
         members = self.groups[group].members.values()
-        return max((m for m in members if m.is_primary), key=lambda m: m.term)
+        return max(members, key=lambda m: (m.is_primary, m.term, m.position))
 
     def routes(self) -> list[CallerRoute]:
         """Return the databases of the configuration as callers see them."""
@@ -271,6 +293,68 @@
             for key in team.keys
         ]
 
+    def separate_vms(self, names: Collection[str]) -> None:
+        """Cut VMs off from the store and from all other VMs."""
+        for name in names:
+            store = self.links[f"{name}-store"]
+            store.set_mode(mode="freeze", direction="both", delay_ms=0)
+            for other in self.vms.values():
+                if other.name != name:
+                    self.links[f"{name}-peers"].silence_source(other.source)
+                    self.links[f"{other.name}-peers"].silence_source(
+                        self.vms[name].source
+                    )
+
+    def join_vms(self) -> None:
+        """Have all VMs reach the store and each other again."""
+        for name in self.vms:
+            store = self.links[f"{name}-store"]
+            store.set_mode(mode="pass", direction="both", delay_ms=0)
+            self.links[f"{name}-peers"].silenced_sources.clear()
+
+    def separate_member(self, member: Member, names: Collection[str]) -> None:
+        """Cut a member off from the store, other members and some VMs."""
+        self.suppressed_heartbeats.add(member.id)
+        member.group.partitioned_pairs |= {
+            frozenset((member.id, other))
+            for other in member.group.members
+            if other != member.id
+        }
+        for name in names:
+            self.links[member.id].silence_source(self.vms[name].source)
+
+    def join_members(self) -> None:
+        """Have all members reach everything again."""
+        self.suppressed_heartbeats.clear()
+        for group in self.groups.values():
+            group.partitioned_pairs.clear()
+        for member in self.members():
+            self.links[member.id].silenced_sources.clear()
+
+    async def add_member(self, group: MemberGroup, zone: str) -> Member:
+        """Start a new replica with the log of the primary."""
+        self._added_members += 1
+        primary = self.primary(group.name)
+        member = group.add(
+            f"{group.name}-n{self._added_members}", zone, primary=False
+        )
+        member.term, member.log = primary.term, list(primary.log)
+        member.address = self._ports.reserve()
+        await member.start()
+        await self._add_link(
+            member.id, member.address, keepalive=self._keepalive
+        )
+        self._update_entry(member)
+        return member
+
+    def remove_member(self, member: Member) -> None:
+        """End a member for good."""
+        member.stop()
+        member.is_primary = False
+        del member.group.members[member.id]
+        self.store.delete("servers", member.id)
+        self.links[member.id].close()
+
     async def wait_ready(self, seconds: float = 20.0) -> None:
         """Wait until all running VMs report that they are ready."""
         deadline = time.monotonic() + seconds
@@ -338,11 +422,15 @@
         }
         self.store.put("servers", member.id, entry)
 
-    def _add_vm(self, name: str, zone: str) -> None:
+    def _add_vm(self, number: int, zone: str, peers_listen: str) -> None:
+        name = f"vm{number}"
         directory = Path(self._directory.name)
-        callers, readiness, peers, metrics = (
-            self._ports.reserve() for _ in range(4)
-        )
+        callers, readiness, metrics = (self._ports.reserve() for _ in range(3))
+        peers, source, module = peers_listen, "", ["bamboospring.platform"]
+        if self._separable:
+            peers = self.links[f"{name}-peers"].listen
+            source = f"127.0.1.{number + 1}"
+            module = ["bamboospring.testing.from_address", source, *module]
         settings = directory / f"{name}.json"
         cfg = {
             "vm": name,
@@ -350,6 +438,7 @@
             "callers": callers,
             "readiness": readiness,
             "peers": peers,
+            "peers_listen": peers_listen,
             "operators": metrics,
             "platform": self.links[f"{name}-store"].listen,
             "orders": self.promotion_service.address,
@@ -363,7 +452,7 @@
         root = str(Path(__file__).resolve().parents[2])
         process = ManagedProcess(
             name=name,
-            argv=[sys.executable, "-m", "bamboospring.platform"],
+            argv=[sys.executable, "-m", *module],
             log_path=directory / f"{name}.log",
             env={
                 **os.environ,
@@ -377,6 +466,7 @@
             callers=callers,
             readiness=readiness,
             settings=settings,
+            source=source,
         )
 
 
--- a/bamboospring/testing/session_members.py
+++ b/bamboospring/testing/session_members.py
@@ -98,6 +98,7 @@
         self.observer = observer
         self.settings = settings
         self.members: dict[str, Member] = {}
+        self.newest_term = 1
         self.rng = random.Random(f"{seed}/{name}")
         self.partitioned_pairs: set[frozenset[str]] = set()
 
@@ -133,7 +134,8 @@
         await asyncio.sleep(self.settings.promotion_seconds)
         if not member.is_running:
             return False
-        member.term = max(m.term for m in self.members.values()) + 1
+        self.newest_term += 1
+        member.term = self.newest_term
         member.is_primary = True
         member.held_term = 0
         self.observer.on_promotion(self, member)
--- a/bamboospring/testing/session_soak.py
+++ b/bamboospring/testing/session_soak.py
@@ -2,6 +2,9 @@
 
     python -m bamboospring.testing.session_soak --seed 1 --seconds 20
 
+With --members, members are replaced while VMs are cut off from the store and
+from each other; this is the only fault then, but for --stops.
+
 With --load-control there are as many VMs, and as few connections, as make
 statements and transactions go through the holders of their targets.
 
@@ -33,6 +36,7 @@
 from bamboospring.testing.configuration_checker import ConfigurationChecker
 from bamboospring.testing.configuration_checker import Disturbances
 from bamboospring.testing.configuration_checker import EVERY_VM
+from bamboospring.testing.member_series import MemberSeries
 from bamboospring.testing.session_callers import SessionCaller
 from bamboospring.testing.session_fleet import SessionFleet
 from bamboospring.testing.session_members import MemberGroup
@@ -362,13 +366,17 @@
     restore_store: bool = False,
     load_control: bool = False,
     stops: bool = False,
+    members: bool = False,
 ) -> SessionSoakResult:
     """Run callers and faults, wait until the fleet settles, and check.
 
     With `stops` VMs are also stopped in overlapping series, and half of the
-    callers don't pause between operations.
+    callers don't pause between operations. With `members` VMs are cut off
+    while members are replaced, and there are no other faults but `stops`.
     """
-    fleet = _make_fleet(vms, seed, load_control=load_control)
+    fleet = _make_fleet(
+        vms, seed, load_control=load_control, separable=members
+    )
     faults = _Faults(fleet, seed, restore_store=restore_store)
     try:
         await fleet.start()
@@ -404,8 +412,15 @@
             record=faults.record,
             disturb=faults.disturbances.record,
         )
+        member_series = MemberSeries(
+            fleet=fleet,
+            seed=seed,
+            record=faults.record,
+            disturbing=faults.disturbances.during,
+        )
         await asyncio.gather(
-            _inject_faults(faults, end), *([series.run(end)] if stops else [])
+            member_series.run(end) if members else _inject_faults(faults, end),
+            *([series.run(end)] if stops else []),
         )
         # The last fault may end seconds after the schedule, so the settling
         # time starts at its end.
@@ -457,14 +472,17 @@
             fleet.checker.violations.append(f"the soak itself failed: {exc!r}")
 
 
-def _make_fleet(vms: int, seed: int, *, load_control: bool) -> SessionFleet:
+def _make_fleet(
+    vms: int, seed: int, *, load_control: bool, separable: bool
+) -> SessionFleet:
     if not load_control:
-        return SessionFleet(vms=vms, seed=seed)
+        return SessionFleet(vms=vms, seed=seed, separable=separable)
     return SessionFleet(
         vms=max(vms, LOAD_CONTROL_VMS),
         seed=seed,
         member_settings=MemberSettings(connections=LOAD_CONTROL_CONNECTIONS),
         load_control=True,
+        separable=separable,
     )
 
 
@@ -514,6 +532,11 @@
         action="store_true",
         help="also stop VMs in overlapping series",
     )
+    parser.add_argument(
+        "--members",
+        action="store_true",
+        help="replace members while VMs are cut off, instead of other faults",
+    )
     parser.add_argument(
         "--logs", default="", help="directory for the logs of the VMs"
     )
@@ -527,6 +550,7 @@
             restore_store=args.returns,
             load_control=args.load_control,
             stops=args.stops,
+            members=args.members,
         )
     )
     print("faults:", "; ".join(result.history))
