Take up a change only with the target that its record names

Cause: a leader that takes up a change looks for a target that leads a later term than the record, and took any. One that was ordered first and then was out of reach, so that the record named another one, came back, and was recorded although the other one had been promoted after it. The end of a change by other VMs has asked for the named target since it was found there.

Change: only the candidate of the record counts as promoted. Another leader of a later term is a target as any other, and a term above it is won.

--- a/bamboospring/sessions/takeover.py
+++ b/bamboospring/sessions/takeover.py
@@ -415,7 +415,7 @@
     def _leave_survey(self, now: float) -> list[Action]:
         reports = self._received_reports()
         promoted = self._already_promoted(reports)
-        if promoted is not None and self.record.change is not None:
+        if promoted is not None:
             self.candidate = promoted
             return self._on_confirm_report(reports[promoted], now)
         if self._primary_works(reports):
@@ -504,17 +504,20 @@
     def _already_promoted(
         self, reports: dict[str, TargetReport]
     ) -> str | None:
-        """Return a target that an earlier attempt at this change promoted.
+        """Return the candidate if an earlier attempt has promoted it.
 
-        In an unsettled group a target that reports itself as primary may be
-        any earlier primary, so none is returned.
+        Another target that leads a later term than the record was ordered
+        under an earlier version of the record, and the candidate may lead a
+        term after that one. In an unsettled group a target that reports itself
+        as primary may be any earlier primary, so none is returned.
         """
-        if self.cause is TakeoverCause.UNSETTLED:
+        change = self.record.change
+        if self.cause is TakeoverCause.UNSETTLED or change is None:
+            return None
+        report = reports.get(change.candidate)
+        if report is None or not report.is_primary:
             return None
-        for name, report in reports.items():
-            if report.is_primary and report.term > self.record.term:
-                return name
-        return None
+        return change.candidate if report.term > self.record.term else None
 
     # Intent, hold, wait.
 
--- a/features/session_decisions.feature
+++ b/features/session_decisions.feature
@@ -24,6 +24,15 @@
     And m1 leading term 3 does not end it, nor does m2 leading term 4
     And nothing ends a change whose record names nobody
 
+  Scenario: A target that an earlier order has promoted is not the new primary
+    # Guards against recording a target that was ordered before the candidate,
+    # and was out of reach, while the candidate leads a later term.
+    Given a change under way whose record of term 1 names m2
+    When a leader takes it up, and m1 leads term 2 and m2 is silent
+    Then no primary is recorded
+    When m2 leads term 3
+    Then m2 is recorded as the primary of term 3
+
   Scenario: Few VMs look after a change, and not before its leader should be done
     Given a change seen at 10.0
     Then it is not overdue at 10.7 and is overdue at 10.9
--- a/features/steps/session_decisions_steps.py
+++ b/features/steps/session_decisions_steps.py
@@ -906,6 +906,57 @@
     assert finished_record(changing(""), {"m1": leading(4)}) is None
 
 
+@given("a change under way whose record of term 1 names m2")
+def given_named_change(context):
+    change = PendingChange(
+        term=2, vm="v", nonce="other", cause="failed", candidate="m2"
+    )
+    context.change = Takeover(
+        vm="v",
+        nonce="n",
+        cause=TakeoverCause.UNFINISHED,
+        record=PrimaryRecord(
+            group="g", version=1, term=1, primary="m0", change=change
+        ),
+        targets=("m0", "m1", "m2"),
+    )
+    context.change.begin(0.0)
+
+
+@when("a leader takes it up, and m1 leads term 2 and m2 is silent")
+def when_taken_up(context):
+    context.former = dataclasses.replace(
+        replica(received=9, is_primary=True), term=2, received_term=2
+    )
+    context.change.on_report("m1", context.former, 0.1)
+    context.actions = context.change.tick(0.2)
+
+
+@then("no primary is recorded")
+def then_none_recorded(context):
+    for action in context.actions:
+        if isinstance(action, StoreRecord):
+            assert action.record.change is not None, action
+
+
+@when("m2 leads term 3")
+def when_m2_leads(context):
+    given_named_change(context)
+    report = dataclasses.replace(context.former, term=3, received_term=3)
+    context.change.on_report("m0", None, 0.1)
+    context.change.on_report("m1", context.former, 0.1)
+    context.actions = context.change.on_report("m2", report, 0.1)
+
+
+@then("m2 is recorded as the primary of term 3")
+def then_m2_recorded(context):
+    (action,) = context.actions
+    assert isinstance(action, StoreRecord), action
+    record = action.record
+    assert (record.primary, record.term) == ("m2", 3), record
+    assert record.change is None
+
+
 @given("a change seen at {at:g}")
 def given_seen(context, at):
     context.group = SessionGroup(name="g")
