Do not send an order to promote whose time is over

The order was sent whenever it had opened, after a suspension of the process as well, and then had its whole time again: with 0.6 s for each, an order could arrive 1.2 s after the lease was found to last for 0.6 s, though orders are to end before the lease passes on.

Change: the connection and the answer share the time of the order. If it is over when the connection has opened, nothing is sent; sockets may be handled before timers, so the time is compared there and not left to a timer. What remains is a suspension between that comparison and the call that writes.

--- a/bamboospring/platform/promotion_client.py
+++ b/bamboospring/platform/promotion_client.py
@@ -21,7 +21,8 @@
 
     A connection whose request got no answer is reset. This discards data
     that is still in transit, so the request can't arrive after the lease
-    under which it was sent has passed to another process.
+    under which it was sent has passed to another process. A request is not
+    sent if its time is over once it is connected, as after a suspension.
     """
 
     def __init__(self, *, reactor: Reactor, address: str) -> None:
@@ -40,9 +41,10 @@
     ) -> None:
         """Request a promotion under the fencing number of the holder's lease.
 
-        `timeout` is in seconds and applies to the connection and to the
-        answer separately.
+        `timeout` is in seconds and applies to the connection and the answer
+        together.
         """
+        deadline = self._reactor.now() + timeout
         conn = HttpConnection(reactor=self._reactor, address=self._address)
         body = orjson.dumps({"service": group, "id": target})
         headers = (
@@ -51,11 +53,13 @@
         )
 
         def on_connected(ok: bool) -> None:
-            if not ok:
+            remaining = deadline - self._reactor.now()
+            if not ok or remaining <= 0:
+                conn.close()
                 on_complete(PromotionResult.NOT_SENT)
                 return
             conn.request(
-                "POST", "/promotion", body, timeout, on_answer, headers
+                "POST", "/promotion", body, remaining, on_answer, headers
             )
 
         def on_answer(answer: HttpResponse | HttpFailure) -> None:
