Do not let an old report release the term of the next change

The report may be late. If the next change has begun by then, the order to resume releases the term of that change: its holder is found without it at the verification, and the change waits for 2.1 s more.

Change: a report is acted on only while the record is the one for which it was asked, and the lease is held. An order that has been sent already can still arrive after the next term is held; a change verifies its holders at the end of the wait, and after that no proof can be extended, whatever a target forgets (see docs/INVARIANTS.md), so no promise depends on it.

--- a/bamboospring/sessions/takeover_runner.py
+++ b/bamboospring/sessions/takeover_runner.py
@@ -429,17 +429,17 @@
         target: str,
         until: float,
     ) -> None:
+        def is_current() -> bool:
+            return group.record == record and self._lease.is_held
+
         def retry() -> None:
-            now = self._reactor.now()
-            if (
-                group.record != record
-                or now > until
-                or not self._lease.is_held
-            ):
-                return
-            self._reconcile_target(group, record, target, until)
+            if is_current() and self._reactor.now() <= until:
+                self._reconcile_target(group, record, target, until)
 
         def on_report(result: TargetReport | NoReport) -> None:
+            if not is_current():
+                # The target may hold the term of the next change by now.
+                return
             if isinstance(result, NoReport):
                 self._reactor.call_later(STEP_DOWN_INTERVAL, retry)
                 return
