Settle no group whose change was under way, nor by an incomplete list

By reading: a target that refuses connections counted as one that agrees, and right after the return the list may lack entries that are not written again yet; the first record of a group was made from such a list as well.

Change: a known change is settled only by its candidate as primary; a refusal is no agreement; settling and the first record wait until a list that was read 2 s after the return. What is not settled is replaced as before, with a term above all. In such a change the primary is not told to step down for VMs that do not answer: they may prove another one, which the store has lost.

The world of session_worlds no longer counts a member that does not run as one that agrees.

--- a/bamboospring/sessions/leader.py
+++ b/bamboospring/sessions/leader.py
@@ -135,6 +135,7 @@
         )
         self._settler = RecordSettler(
             reactor=reactor,
+            board=board,
             platform=platform,
             questions=questions,
             records=records,
@@ -335,6 +336,9 @@
         """
         now = self._reactor.now()
         is_recent = self._records.read_at > now - 1.0
+        if self._platform.may_be_incomplete(self._board.targets_seen_at):
+            # The entry of the newest primary may be lost.
+            return
         if not is_recent or now < self._retry_at.get(group.name, -1e9):
             return
         era = self._platform.era
--- a/bamboospring/sessions/record_settler.py
+++ b/bamboospring/sessions/record_settler.py
@@ -17,6 +17,7 @@
 from bamboospring.sessions.group_records import encode_record
 from bamboospring.sessions.group_records import RECORD_KIND
 from bamboospring.sessions.model import PrimaryRecord
+from bamboospring.sessions.model import SessionBoard
 from bamboospring.sessions.model import SessionGroup
 from bamboospring.sessions.ports import AskReport
 from bamboospring.sessions.proof_release import ProofReleases
@@ -51,6 +52,7 @@
         self,
         *,
         reactor: Reactor,
+        board: SessionBoard,
         platform: PlatformClient,
         questions: TargetControl,
         records: RecordKeeper,
@@ -60,6 +62,7 @@
         on_disagreed: OnDisagreed,
     ) -> None:
         self._reactor = reactor
+        self._board = board
         self._platform = platform
         self._questions = questions
         self._records = records
@@ -81,6 +84,9 @@
         known, unsettled = group.record, group.unsettled
         if known is None or unsettled is None or not group.targets:
             return
+        if self._platform.may_be_incomplete(self._board.targets_seen_at):
+            # A target that was promoted lately may have lost its entry.
+            return
         self._unsettled_since.setdefault(group.name, now)
         self._surveyed_at[group.name] = now
         self._busy.add(group.name)
@@ -93,15 +99,13 @@
         unsettled: UnsettledState,
     ) -> None:
         targets = tuple(group.targets)
-        reports: dict[str, TargetReport | None] = {}
+        reports: dict[str, TargetReport] = {}
         remaining = set(targets)
 
         def handle(name: str, result: TargetReport | NoReport) -> None:
             remaining.discard(name)
             if isinstance(result, TargetReport):
                 reports[name] = result
-            elif result.refused:
-                reports[name] = None
             if not remaining:
                 self._busy.discard(group.name)
                 self._settle_or_replace(
@@ -123,7 +127,7 @@
         known: PrimaryRecord,
         unsettled: UnsettledState,
         targets: tuple[str, ...],
-        reports: dict[str, TargetReport | None],
+        reports: dict[str, TargetReport],
     ) -> None:
         is_unchanged = group.record is known and group.unsettled == unsettled
         if not is_unchanged or not self._is_leader():
@@ -144,7 +148,7 @@
             group=group.name,
             primary=known.primary,
             term=known.term,
-            heard=sum(report is not None for report in reports.values()),
+            heard=len(reports),
             asked=len(targets),
         )
         self._unsettled_since.pop(group.name, None)
--- a/bamboospring/sessions/settled_record.py
+++ b/bamboospring/sessions/settled_record.py
@@ -7,6 +7,8 @@
 term. So if one target is primary and all others know no later term, it is
 recorded as the primary in the current era of the store. If they do not agree,
 the primary is replaced as in a planned change, with a term above all others.
+So it is if a change is known to have been under way: its candidate may have
+been promoted, and neither it nor the target that holds the term may be listed.
 
 Pure decisions.
 """
@@ -28,15 +30,18 @@
     known: PrimaryRecord,
     unsettled: UnsettledState,
     targets: Collection[str],
-    reports: Mapping[str, TargetReport | None],
+    reports: Mapping[str, TargetReport],
 ) -> PrimaryRecord | None:
     """Return the record on which all targets agree, None if they don't.
 
-    `reports` are as in `proofs.others_confirm_term`. `known` is the newest
-    known record, whether or not the store still has it. A former primary of an
+    `reports` has those that were received. `known` is the newest known
+    record, whether or not the store still has it. A former primary of an
     earlier term that still reports itself as primary does not matter.
     """
     latest = latest_known_record(known, unsettled, reports)
+    change = known.change
+    if change is not None and latest.primary != change.candidate:
+        return None
     report = reports.get(latest.primary)
     if report is None or not report.is_primary or report.term != latest.term:
         return None
@@ -48,21 +53,18 @@
 
 def _no_later_term(
     others: Collection[str],
-    reports: Mapping[str, TargetReport | None],
+    reports: Mapping[str, TargetReport],
     term: int,
 ) -> bool:
     if any(name not in reports for name in others):
         return False
-    received = [report for report in reports.values() if report is not None]
-    if len(received) < 2:
-        return False
-    return all(report.newest_term <= term for report in received)
+    return all(report.newest_term <= term for report in reports.values())
 
 
 def latest_known_record(
     known: PrimaryRecord,
     unsettled: UnsettledState,
-    reports: Mapping[str, TargetReport | None],
+    reports: Mapping[str, TargetReport],
 ) -> PrimaryRecord:
     """Return a record of the newest primary that is known or reports itself.
 
@@ -72,11 +74,7 @@
         known, version=unsettled.version, era=unsettled.era
     )
     for name, report in reports.items():
-        if (
-            report is not None
-            and report.is_primary
-            and report.term > latest.term
-        ):
+        if report.is_primary and report.term > latest.term:
             latest = dataclasses.replace(
                 latest, primary=name, term=report.term, change=None
             )
--- a/bamboospring/sessions/takeover.py
+++ b/bamboospring/sessions/takeover.py
@@ -200,6 +200,19 @@
         """Return whether the change has succeeded or failed."""
         return self.phase in (TakeoverPhase.DONE, TakeoverPhase.GIVEN_UP)
 
+    @property
+    def _is_unsettled(self) -> bool:
+        """Return whether the record may name an earlier primary.
+
+        A change that takes up another one does not know more than that one.
+        """
+        change = self.record.change
+        return self.cause is TakeoverCause.UNSETTLED or (
+            self.cause is TakeoverCause.UNFINISHED
+            and change is not None
+            and change.cause == TakeoverCause.UNSETTLED.value
+        )
+
     @property
     def is_waiting(self) -> bool:
         """Return whether VMs may still hold proofs of the primary."""
@@ -536,7 +549,11 @@
                 term=self.term,
                 vm=self.vm,
                 nonce=self.nonce,
-                cause=self.cause.value,
+                cause=(
+                    TakeoverCause.UNSETTLED
+                    if self._is_unsettled
+                    else self.cause
+                ).value,
                 candidate=self.candidate,
             )
             return PrimaryRecord(
@@ -646,6 +663,9 @@
         return report is not None and report.is_primary
 
     def _must_step_down(self, now: float) -> bool:
+        if self._is_unsettled:
+            # VMs may prove another primary, which the store has lost.
+            return False
         proofs = self.outstanding
         return (
             proofs.stepped_down_since is None
--- a/features/steps/membership_stage.py
+++ b/features/steps/membership_stage.py
@@ -35,11 +35,14 @@
 from bamboospring.sessions.proof_release import ProofReleases
 from bamboospring.sessions.proofs import TargetReport
 from bamboospring.sessions.record_keeper import RecordKeeper
+from bamboospring.sessions.record_settler import RecordSettler
 from bamboospring.sessions.takeover_runner import TakeoverRunner
 from bamboospring.sessions.target_control import NoReport
 from bamboospring.sessions.target_keeper import TargetKeeper
 from bamboospring.sessions.vm_registry import ListedVm
 from bamboospring.sessions.vm_registry import VmRegistry
+from bamboospring.store_version import in_era
+from bamboospring.store_version import version_of
 
 __all__ = [
     "GROUP",
@@ -59,6 +62,8 @@
 STEP_DOWN_SECONDS = 1.0
 MIN_LATENCY, MAX_LATENCY = 0.001, 0.02
 LOST_SHARE = 0.02
+# Members write their entries again within so many seconds after a restore.
+WRITTEN_AGAIN = 2.0
 
 
 class SimTimer:
@@ -124,7 +129,7 @@
         return timer
 
 
-@dataclass(slots=True)
+@dataclass(frozen=True, slots=True)
 class StoredObject:
     """One object of the store."""
 
@@ -134,12 +139,33 @@
 
 
 class SimStore:
-    """Objects by kind and name, with one revision counter."""
+    """Objects by kind and name, with one revision counter.
+
+    `era` is the number of restores from an older copy.
+    """
 
     def __init__(self) -> None:
+        self.era = 0
         self.revision = 1
         self.objects: dict[tuple[str, str], StoredObject] = {}
 
+    @property
+    def version(self) -> int:
+        """Return the current version."""
+        return version_of(era=self.era, revision=self.revision)
+
+    def copy(self) -> SimStore:
+        """Return a copy for `restore`."""
+        made = SimStore()
+        made.era = self.era
+        made.revision, made.objects = self.revision, dict(self.objects)
+        return made
+
+    def restore(self, copy: SimStore) -> None:
+        """Lose all that was written since a copy was made."""
+        self.era += 1
+        self.revision, self.objects = copy.revision, dict(copy.objects)
+
     def write(self, kind: str, name: str, value: Any) -> int:
         """Store an object unconditionally."""
         self.revision += 1
@@ -153,20 +179,24 @@
         if self.objects.pop((kind, name), None) is not None:
             self.revision += 1
 
+    def state(self, kind: str, name: str) -> tuple[int, Any]:
+        """Return an object's version and value, 0 if there is none."""
+        if (kind, name) not in self.objects:
+            return 0, None
+        found = self.found(kind, name)
+        return found.version, found.value
+
     def found(self, kind: str, name: str) -> Found:
         """Return an object as the VMs decode it."""
         stored = self.objects[kind, name]
-        return make_found(kind, name, stored)
-
-
-def make_found(kind: str, name: str, stored: StoredObject) -> Found:
-    return Found(
-        kind=kind,
-        name=name,
-        version=stored.revision,
-        value=stored.value,
-        created=stored.created,
-    )
+        found = Found(
+            kind=kind,
+            name=name,
+            version=stored.revision,
+            value=stored.value,
+            created=stored.created,
+        )
+        return in_era(found, self.era)
 
 
 @dataclass(slots=True, kw_only=True, eq=False)
@@ -226,7 +256,17 @@
         self.on_restored: list[Callable[[], None]] = []
 
     def may_be_incomplete(self, asked_at: float) -> bool:
-        return False
+        restored_at = self.restored_at
+        return restored_at is not None and asked_at < (
+            restored_at + WRITTEN_AGAIN
+        )
+
+    def _on_era(self, era: int) -> None:
+        if era > self.era:
+            self.era = era
+            self.restored_at = self.reactor.now()
+            for callback in self.on_restored:
+                callback()
 
     def _call(
         self,
@@ -239,13 +279,16 @@
         lost = Unavailable(maybe_applied=True, retry_after=0.1)
 
         def arrive() -> None:
-            result = act()
+            result, era = act(), stage.store.era
+
+            def answer() -> None:
+                self._on_era(era)
+                on_result(result)
+
             if stage.is_lost() or self.vm in stage.vms_without_store:
                 give_up()
             else:
-                self.reactor.call_later(
-                    stage.latency(), lambda: on_result(result)
-                )
+                self.reactor.call_later(stage.latency(), answer)
 
         def give_up() -> None:
             self.reactor.call_later(timeout or 1.0, lambda: on_result(lost))
@@ -267,11 +310,11 @@
 
         def act() -> Changes:
             objects = tuple(
-                make_found(kind, name, stored)
-                for (stored_kind, name), stored in store.objects.items()
+                store.found(kind, name)
+                for stored_kind, name in store.objects
                 if stored_kind == kind
             )
-            return Changes(objects=objects, revision=store.revision)
+            return Changes(objects=objects, revision=store.version)
 
         self._call(act, on_result, timeout)
 
@@ -307,13 +350,11 @@
         store = self.stage.store
 
         def act() -> Stored | Conflict:
-            known = store.objects.get((kind, name))
-            version = known.revision if known else 0
+            version, current = store.state(kind, name)
             if version != if_version:
-                return Conflict(
-                    version=version, value=known.value if known else None
-                )
-            return Stored(version=store.write(kind, name, value))
+                return Conflict(version=version, value=current)
+            store.write(kind, name, value)
+            return Stored(version=store.version)
 
         self._call(act, on_result, timeout)
 
@@ -328,9 +369,9 @@
         store = self.stage.store
 
         def act() -> Deleted | Conflict:
-            known = store.objects.get((kind, name))
-            if known is not None and known.revision != if_version:
-                return Conflict(version=known.revision, value=known.value)
+            version, current = store.state(kind, name)
+            if version not in (0, if_version):
+                return Conflict(version=version, value=current)
             store.remove(kind, name)
             return Deleted()
 
@@ -547,6 +588,19 @@
             lease=self.lease,
             on_ended=lambda group: None,
         )
+        # Begins a change with the record that is the latest one known.
+        self.on_disagreed: Callable[[Any], None] = lambda record: None
+        self.settler = RecordSettler(
+            reactor=reactor,
+            board=self.board,
+            platform=platform,
+            questions=control,
+            records=self.records,
+            releases=self.releases,
+            is_leader=lambda: self.lease.is_held,
+            on_settled=self.runner.reconcile,
+            on_disagreed=lambda group, record: self.on_disagreed(record),
+        )
 
     def start(self) -> None:
         self.targets.on_listed = self.on_targets_listed
--- a/features/steps/membership_worlds.py
+++ b/features/steps/membership_worlds.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from collections import Counter
 from dataclasses import dataclass
 from dataclasses import field
@@ -17,6 +18,7 @@
 from bamboospring.sessions.takeover import TakeoverCause
 from features.steps.membership_stage import SimLease
 from features.steps.membership_stage import SimMember
+from features.steps.membership_stage import SimStore
 from features.steps.membership_stage import SimVm
 from features.steps.membership_stage import Stage
 from features.steps.membership_stage import TARGET_KIND
@@ -353,6 +355,9 @@
         group, record = vm.group, vm.group.record
         if not group.targets or record is None or vm.runner.tick(group):
             return
+        if group.unsettled is not None:
+            vm.settler.tick(group)
+            return
         cause = self.cause(vm, record)
         now = self.reactor.now()
         if cause is None or now < self.retry_at[vm.name]:
@@ -408,6 +413,35 @@
                 )
 
 
+class RestoringWorld(MembershipWorld):
+    """The store is restored from an older copy, once or twice."""
+
+    def run(self) -> None:
+        for vm in self.vms.values():
+            vm.on_disagreed = lambda record, vm=vm: self.replace_unsettled(
+                vm, record
+            )
+        for _ in range(self.rng.randint(1, 2)):
+            self.at(2.0, 12.0, self.copy_store)
+        super().run()
+
+    def copy_store(self) -> None:
+        copy = self.store.copy()
+        self.at(0.3, 5.0, lambda: self.restore(copy))
+
+    def restore(self, copy: SimStore) -> None:
+        if copy.era == self.store.era:
+            self.seen.counts["restored"] += 1
+            self.store.restore(copy)
+
+    def replace_unsettled(self, vm: SimVm, record: PrimaryRecord) -> None:
+        now = self.reactor.now()
+        if now >= self.retry_at[vm.name]:
+            self.retry_at[vm.name] = now + RETRY_DELAY
+            self.seen.counts["replaced_unsettled"] += 1
+            vm.runner.begin(vm.group, record, TakeoverCause.UNSETTLED, now)
+
+
 class FinishingWorld(MembershipWorld):
     """VMs without the lease also end changes that their leader has left."""
 
@@ -435,15 +469,18 @@
 
 
 def explore_membership(
-    count: int, *, first_seed: int = 0, until_wrong: bool = False
+    seeds: Iterable[int], *, until_wrong: bool = False, restores: bool = False
 ) -> MembershipSeen:
-    """Run up to `count` simulations, each with its own seed.
+    """Run a simulation for each seed.
 
-    With `until_wrong` the first violation ends the exploration.
+    With `until_wrong` the first violation ends the exploration. With
+    `restores` the store is restored from older copies.
     """
     seen = MembershipSeen()
-    for seed in range(first_seed, first_seed + count):
+    for seed in seeds:
         world = FinishingWorld if seed % 2 else MembershipWorld
+        if restores:
+            world = RestoringWorld
         world(seed, seen).run()
         if until_wrong and seen.wrong:
             break
--- a/features/steps/outstanding_proofs_steps.py
+++ b/features/steps/outstanding_proofs_steps.py
@@ -42,7 +42,7 @@
     "in {count:d} explored histories of targets no VM uses a replaced primary"
 )
 def then_none_replaced(context, count):
-    context.seen = explore_membership(count)
+    context.seen = explore_membership(range(count))
     assert not context.seen.wrong, context.seen.wrong
 
 
@@ -53,6 +53,18 @@
         assert counts[event] > 200, (event, counts)
 
 
+@then(
+    "in {count:d} explored histories with returns of the store no VM uses a"
+    " replaced primary, nor with seeds {first:d} and {second:d}"
+)
+def then_none_restored(context, count, first, second):
+    seeds = (first, second, *range(count))
+    seen = explore_membership(seeds, restores=True)
+    assert not seen.wrong, seen.wrong
+    assert seen.counts["restored"] > count, seen.counts
+    assert seen.counts["replaced_unsettled"] > count / 4, seen.counts
+
+
 # Seeded faults.
 
 
@@ -114,7 +126,7 @@
 @then("the exploration finds in {count:d} histories that {fault}")
 def then_fault_found(context, count, fault):
     with seeded(fault):
-        assert explore_membership(count, until_wrong=True).wrong
+        assert explore_membership(range(count), until_wrong=True).wrong
 
 
 # One VM.
--- a/features/steps/session_worlds.py
+++ b/features/steps/session_worlds.py
@@ -288,9 +288,7 @@
 
         def ask(name):
             member = self.members[name]
-            if not member.is_running:
-                reports[name] = None
-            elif self.random.random() < 0.9:
+            if member.is_running and self.random.random() < 0.9:
                 reports[name] = member.report()
 
         for name in NAMES:
--- a/features/steps/store_return_steps.py
+++ b/features/steps/store_return_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import types
 from typing import Any
 
 from behave import given
@@ -21,10 +22,14 @@
 from bamboospring.sessions.model import SessionBoard
 from bamboospring.sessions.outstanding_proofs import OutstandingProofs
 from bamboospring.sessions.proof_release import ProofReleases
+from bamboospring.sessions.proofs import TargetReport
+from bamboospring.sessions.record_settler import RecordSettler
+from bamboospring.sessions.settled_record import settled_record
 from bamboospring.sessions.target_keeper import TargetKeeper
 from bamboospring.sessions.vm_registry import ListedVm
 from bamboospring.sessions.vm_registry import VM_KIND
 from bamboospring.sessions.vm_registry import VmRegistry
+from bamboospring.store_version import UnsettledState
 from bamboospring.store_version import version_of
 
 ME = ListedVm(name="vm0", address="a", availability_zone="z", nonce="n")
@@ -324,3 +329,112 @@
 @then("the target is no longer leaving")
 def then_stays(context: Any) -> None:
     assert not context.group.targets["m0"].leaving
+
+
+# Settling groups.
+
+
+def report_of(term: int, *, leads: bool = False) -> TargetReport:
+    return TargetReport(
+        is_primary=leads, term=term, received_term=term, received_index=5
+    )
+
+
+@given("a record of m0 in term 1 that the store has lost, and a change to m2")
+def given_lost_record(context: Any) -> None:
+    change = PendingChange(
+        term=2, vm="vm0", nonce="n", cause="failed", candidate="m2"
+    )
+    context.record = PrimaryRecord(
+        group="g", version=7, term=1, primary="m0", change=change
+    )
+
+
+def settle(context: Any, reports: dict[str, TargetReport]) -> None:
+    context.settled = settled_record(
+        context.record,
+        UnsettledState(era=1, version=version_of(era=1, revision=5)),
+        ("m0", "m1", "m2"),
+        reports,
+    )
+
+
+@when("m0 leads term 1 and m1 agrees")
+def when_former_leads(context: Any) -> None:
+    leads, agrees = report_of(1, leads=True), report_of(1)
+    settle(context, {"m0": leads, "m1": agrees, "m2": agrees})
+
+
+@when("m0 leads term 1 and m2 leads it")
+def when_both_lead(context: Any) -> None:
+    leads = report_of(1, leads=True)
+    settle(context, {"m0": leads, "m1": report_of(1), "m2": leads})
+
+
+@when("m2 leads term 2 and m1 agrees")
+def when_candidate_leads(context: Any) -> None:
+    leads, agrees = report_of(2, leads=True), report_of(2)
+    settle(context, {"m0": report_of(1), "m1": agrees, "m2": leads})
+
+
+@when("m2 leads term 2 and m1 has ended")
+def when_other_ended(context: Any) -> None:
+    leads = report_of(2, leads=True)
+    settle(context, {"m0": report_of(1), "m2": leads})
+
+
+@then("{primary} is recorded")
+def then_recorded(context: Any, primary: str) -> None:
+    if primary == "nobody":
+        assert context.settled is None, context.settled
+        return
+    assert context.settled.primary == primary, context.settled
+
+
+@given("a leader whose list of targets may be incomplete")
+def given_incomplete(context: Any) -> None:
+    reactor = context.reactor = SimReactor()
+    board = context.board = SessionBoard(vm="vm0", availability_zone="z")
+    platform = context.platform = ListedTargets()
+    platform.lacks = True
+    context.asked = []
+    control: Any = types.SimpleNamespace(
+        ask=lambda group, name, *_others: context.asked.append(name)
+    )
+    unused: Any = None
+    context.settler = RecordSettler(
+        reactor=reactor,  # type: ignore[arg-type]
+        board=board,
+        platform=platform,  # type: ignore[arg-type]
+        questions=control,
+        records=unused,
+        releases=unused,
+        is_leader=lambda: True,
+        on_settled=unused,
+        on_disagreed=unused,
+    )
+    group = context.group = board.group("g")
+    group.record = PrimaryRecord(group="g", version=7, term=1, primary="m0")
+    group.unsettled = UnsettledState(era=1, version=0)
+    for name in ("m0", "m1"):
+        target = Target(
+            name=name, address="a:1", availability_zone="z", site="z"
+        )
+        group.targets[name] = ListedTarget(target=target, group="g")
+
+
+@then("it asks no target of an unsettled group")
+def then_asks_none(context: Any) -> None:
+    context.settler.tick(context.group)
+    assert not context.asked
+
+
+@when("the list is complete")
+def when_complete(context: Any) -> None:
+    context.platform.lacks = False
+
+
+@then("it asks the targets of the unsettled group")
+def then_asks(context: Any) -> None:
+    context.settler.tick(context.group)
+    assert context.asked == ["m0", "m1"]
--- a/features/store_restore.feature
+++ b/features/store_restore.feature
@@ -67,6 +67,32 @@
     Then in 3000 explored restores of the store no proof outlives a promotion
     And the exploration has seen records lost, settled and replaced
 
+  Scenario: No return of the store lets a cut off VM use a replaced primary
+    # Guards against recording the former primary anew while the target that
+    # was promoted, or is about to be, is not listed.
+    Then in 300 explored histories with returns of the store no VM uses a replaced primary, nor with seeds 1296 and 2057
+
+  Scenario Outline: A change under way when the store came back, <reports>
+    # Guards against forgetting a change whose order to promote has been sent.
+    Given a record of m0 in term 1 that the store has lost, and a change to m2
+    When <reports>
+    Then <primary> is recorded
+
+    Examples:
+      | reports                            | primary |
+      | m0 leads term 1 and m1 agrees      | nobody  |
+      | m0 leads term 1 and m2 leads it    | nobody  |
+      | m2 leads term 2 and m1 agrees      | m2      |
+      | m2 leads term 2 and m1 has ended   | nobody  |
+
+  Scenario: A former primary is not recorded while entries may be lost
+    # Guards against recording a primary although the entry of its successor is
+    # not back yet.
+    Given a leader whose list of targets may be incomplete
+    Then it asks no target of an unsettled group
+    When the list is complete
+    Then it asks the targets of the unsettled group
+
   Scenario: The exploration finds a restored record that is taken as it is
     Then in 3000 explored restores a restored record used as a proof is found
 
