Pass proofs by targets on to other VMs

And each VM asked all targets of all groups for itself.

Change: an answer to a question for facts also has the answering VM's valid proofs by targets, each with the version of its record and its age; also if that VM does not lead any more, since nobody does while the store is away. It renews them every 0.4 s as long as it is asked. A VM takes such a proof, as old as it was, also if its own has expired: the other VM's had not.

A VM that has released its proof may have passed it on before. So unless all VMs have released theirs, a change counts each as blocked only from then on, or since it asks a target that holds the term. A change asks silent targets again while it waits only if some VM is not blocked.

Tests: outstanding_proofs.feature; the exploration of membership has VMs that pass proofs on, alone or in islands.

--- a/bamboospring/sessions/outstanding_proofs.py
+++ b/bamboospring/sessions/outstanding_proofs.py
@@ -5,7 +5,9 @@
 intent in the record. A proof by targets ends for one of these reasons:
 
 - The VM has released its proof, has started anew, or has not renewed its entry
-  for so long that it takes no proofs any more.
+  for so long that it takes no proofs any more. Until then it may have passed
+  its proof on to others, so unless all VMs have released theirs, it counts as
+  blocked from then on.
 - A target that the VM asks holds the change's term. The VM's list of targets
   is at least as new as its entry tells, and a list only gets newer. So the VM
   asks every target that has been listed since before that version.
@@ -37,13 +39,15 @@
 
     `lists` has the version of each such VM's list of targets (0: unknown), by
     the VM's name; None until the list of VMs has been read. With `incomplete`
-    there may be VMs that it lacks. `held_since` has the targets that hold the
+    there may be VMs that it lacks. `released` has the lists of those that have
+    released their proofs, and when. `held_since` has the targets that hold the
     term and since when; `stepped_down_since` is since when the primary has not
     been one.
     """
 
     lists: dict[str, int] | None = None
     incomplete: bool = False
+    released: dict[str, tuple[int, float]] = field(default_factory=dict)
     held_since: dict[str, float] = field(default_factory=dict)
     stepped_down_since: float | None = None
 
@@ -52,10 +56,24 @@
         """Return whether no VM can hold a proof."""
         return self.lists == {} and not self.incomplete
 
-    def release(self, vm: str) -> None:
+    def release(self, vm: str, now: float) -> None:
         """Handle that a VM holds no proof any more."""
-        if self.lists is not None:
-            self.lists.pop(vm, None)
+        if self.lists is not None and vm in self.lists:
+            self.released[vm] = (self.lists.pop(vm), now)
+
+    def update_lists(self, lists: Mapping[str, int], now: float) -> None:
+        """Handle another list of the VMs that may hold a proof.
+
+        One that is missing holds none any more; one that is new never had any,
+        since it has joined after the intent was stored.
+        """
+        if self.lists is None:
+            self.lists = dict(lists)
+            return
+        for vm in self.lists.keys() - lists.keys():
+            self.release(vm, now)
+        for vm, version in self.lists.items():
+            self.lists[vm] = max(version, lists[vm])
 
     def ended_at(self, created: Mapping[str, int]) -> float | None:
         """Return when all proofs will have ended, None if that is unknown.
@@ -70,6 +88,12 @@
         if self.lists is None:
             return None
         ended_at = -1e9
+        if not self.all_released:
+            for version, released_at in self.released.values():
+                since = self._blocked_since(version, created)
+                if since is None or since > released_at:
+                    since = released_at
+                ended_at = max(ended_at, since + PROMOTION_WAIT)
         for version in self.lists.values():
             since = self._blocked_since(version, created)
             if since is None:
--- a/bamboospring/sessions/record_keeper.py
+++ b/bamboospring/sessions/record_keeper.py
@@ -54,6 +54,10 @@
 REQUESTED_READ_INTERVAL = 0.15
 # Age in seconds at which a proof is renewed by asking the targets.
 ASK_TARGETS_AGE = PROOF_LIFETIME * 0.68
+# The same while the store is away and other VMs ask for these proofs, which
+# age by up to one interval of their questions before they have the next.
+PASSED_ON_AGE = PROOF_LIFETIME * 0.2
+PASS_ON_PERIOD = PROOF_LIFETIME * 0.75
 REPORT_TIMEOUT = PROOF_LIFETIME * 0.28
 CHECK_INTERVAL = 0.2
 
@@ -66,6 +70,9 @@
     {TakeoverCause.FAILED.value, TakeoverCause.GONE.value}
 )
 
+# A proof by targets as it is passed on: the group, the version of its record
+# and the proof's age in microseconds.
+ProofRow = tuple[str, int, int]
 # A record as it is passed on: its name, version and value, and the era in
 # which the store no longer has it, or 0 if the store has it.
 RecordRow = tuple[str, int, Any, int]
@@ -99,6 +106,7 @@
         self._asked_at = -1e9
         self._next_read_at = 0.0
         self.read_at = -1e9
+        self._passes_on_until = -1e9
         # When the quota holders were last confirmed to be the newest.
         self.quota_holders_confirmed_at = -1e9
         self.is_platform_reachable = True
@@ -177,6 +185,42 @@
             if group.record is not None and group.unsettled is None:
                 self.apply(group.record, asked_at)
 
+    def pass_on_proofs(self) -> list[ProofRow]:
+        """Return the valid proofs by targets, for another VM.
+
+        They are renewed more often as long as VMs ask for them.
+        """
+        now = self._reactor.now()
+        self._passes_on_until = now + PASS_ON_PERIOD
+        return [
+            (
+                group.name,
+                group.record.version,
+                int((now - group.proof.asked_at) * 1e6) + 1,
+            )
+            for group in self._board.groups.values()
+            if group.record is not None
+            and group.record.change is None
+            and group.proof.asked_at > self.read_at
+            and group.proof.covers(now)
+        ]
+
+    def apply_passed_on(self, rows: list[ProofRow], asked_at: float) -> None:
+        """Apply another VM's proofs by targets, asked for at `asked_at`.
+
+        Unlike an own answer of targets, such a proof may replace one that has
+        expired: the other VM's had not.
+        """
+        if not self._can_take_proofs(asked_at):
+            return
+        for name, version, age_us in rows:
+            group = self._board.groups.get(name)
+            record = group.record if group is not None else None
+            if group is None or record is None or record.change is not None:
+                continue
+            if record.version == version:
+                group.proof.renew(asked_at - age_us / 1e6)
+
     def read_directly(self) -> None:
         """Resume reading the store when no VM passes the records on."""
         self._relayed_until = -1e9
@@ -470,8 +514,12 @@
 
     def _renew_proofs_by_targets(self) -> None:
         now = self._reactor.now()
+        passes_on = (
+            now < self._passes_on_until and not self.is_platform_reachable
+        )
+        max_age = PASSED_ON_AGE if passes_on else ASK_TARGETS_AGE
         for group in self._board.groups.values():
-            if now - group.proof.asked_at < ASK_TARGETS_AGE:
+            if now - group.proof.asked_at < max_age:
                 continue
             if group.unsettled is None and now - self.read_at <= 0.5:
                 continue
--- a/bamboospring/sessions/relay.py
+++ b/bamboospring/sessions/relay.py
@@ -239,6 +239,9 @@
 
         def on_answer(answer: Any) -> None:
             lost = isinstance(answer, PeerLost)
+            if not lost and answer.facts.targetProofs:
+                rows = orjson.loads(answer.facts.targetProofs)
+                self._records.apply_passed_on(rows, asked_at)
             if not lost and answer.facts.informed:
                 self._apply_facts(answer.facts, asked_at)
             elif address not in (leader, self._source.address(leader)):
@@ -450,6 +453,9 @@
             facts.leader = self._lease.holder()
             facts.leaderAddress = self._lease.holder_address()
             self._fill_zone_members(facts, request, now)
+        proofs = self._records.pass_on_proofs()
+        if proofs:
+            facts.targetProofs = orjson.dumps(proofs)
         reply(answer)
 
     def _fill_zone_members(self, facts: Any, request: Any, now: float) -> None:
--- a/bamboospring/sessions/takeover.py
+++ b/bamboospring/sessions/takeover.py
@@ -332,20 +332,11 @@
     ) -> list[Action]:
         """Handle a list of the VMs that may hold a proof, read after INTEND.
 
-        `lists` has the version of each VM's list of targets. A VM that is
-        missing in a later call has released its proof, and one that is new
-        never had any.
+        `lists` has the version of each VM's list of targets.
         """
-        known = self.outstanding.lists
-        if known is None:
-            self.outstanding.lists = dict(lists)
+        if self.outstanding.lists is None:
             self.outstanding.incomplete = incomplete
-        else:
-            self.outstanding.lists = {
-                vm: max(version, lists[vm])
-                for vm, version in known.items()
-                if vm in lists
-            }
+        self.outstanding.update_lists(lists, now)
         if self.phase is not TakeoverPhase.WAIT:
             return []
         if self._have_proofs_ended(now):
@@ -354,7 +345,7 @@
 
     def on_proof_released(self, vm: str, now: float) -> list[Action]:
         """Handle that a VM has released its proof of the primary."""
-        self.outstanding.release(vm)
+        self.outstanding.release(vm, now)
         return self.tick(now)
 
     def on_proofs_released(self, now: float) -> list[Action]:
@@ -675,7 +666,9 @@
         )
 
     def _ask_unreported(self, now: float) -> list[Action]:
-        """Ask the targets again whose reports the wait could make use of."""
+        """Ask the targets again that could block VMs, if any are not."""
+        if self.outstanding.are_blocked(self.created):
+            return []
         unreported = set(self.targets) - self._received_reports().keys()
         return self._ask(sorted(unreported), now)
 
--- a/bamboospring/wire.capnp
+++ b/bamboospring/wire.capnp
@@ -81,6 +81,9 @@
   unusedCatalogData @18 :Data;  # replaced by CatalogPart
   targetsVersion @19 :UInt64; # version of the store that `targets` shows; 0:
                               # unknown, the sender is of an older release
+  targetProofs @20 :Data;     # JSON: group, version of its record and age in
+                              # microseconds of each proof that the sender has
+                              # from targets; also if it is not informed
 }
 
 struct CatalogAsk {           # asks the leader or relay for a part of a
--- a/features/outstanding_proofs.feature
+++ b/features/outstanding_proofs.feature
@@ -53,6 +53,31 @@
     And 3 s go by for it
     Then it does not prove its primary
 
+  Scenario Outline: A proof that another VM passes on, <age> s old
+    # Guards against a VM that has no proofs until the store is back, since its
+    # own have expired while it was frozen.
+    Given a VM that is cut off from the store and other VMs
+    And its proof has expired
+    When another VM passes on its proof of <record> that is <age> s old
+    Then it <proves> its primary
+    When 1 s go by for it
+    Then it <later> its primary
+
+    Examples:
+      | record        | age | proves         | later          |
+      | the primary   | 0.5 | proves         | proves         |
+      | the primary   | 1.5 | proves         | proves         |
+      | the primary   | 2.1 | does not prove | does not prove |
+      | a former term | 0.5 | does not prove | does not prove |
+
+  Scenario: A VM that other VMs ask renews its proofs more often
+    # Guards against passing on proofs that are nearly over, so that all VMs ask
+    # all targets while the store is away.
+    Given a VM that is cut off from the store and other VMs
+    When 4 s go by for it
+    And it is asked for its proofs for 6 s
+    Then they are never older than 0.8 s
+
   Scenario: A list of targets never gets older
     # Guards against a relayed list that is older than the one a VM has, and
     # than the one that its entry shows.
@@ -110,6 +135,14 @@
     And vm1 releases its proof after 5 s
     Then the promotion is ordered after 5.0 s
 
+  Scenario: A proof that was passed on before its VM was asked is waited for
+    # Guards against a promotion while a VM uses a proof of another VM that has
+    # released its own in the meantime.
+    Given m1 listed since 30 and m2 listed since 40, and vm1 with a list of 50
+    When m0 has died and is to be replaced, and vm2 with a list of 20
+    And vm2 releases its proof after 1 s
+    Then the promotion is ordered after 3.1 s
+
   Scenario: A term that its holder has lost is waited for again
     # Guards against a promotion while VMs have renewed their proofs since the
     # holder restarted.
--- a/features/steps/membership_stage.py
+++ b/features/steps/membership_stage.py
@@ -640,7 +640,9 @@
         self.members: dict[str, SimMember] = {}
         self.vms: dict[str, SimVm] = {}
         self.vms_without_store: set[str] = set()
-        self.vms_without_peers: set[str] = set()
+        # The VMs that don't reach those with the store, by the name of their
+        # island; VMs of one island reach each other.
+        self.islands: dict[str, str] = {}
         # Members that don't reach the store, and pairs of a VM or a member
         # and a member that don't reach each other: `silent` or `refused`.
         self.members_without_store: set[str] = set()
@@ -665,8 +667,7 @@
         return self.rng.random() < self.lost_share
 
     def are_linked(self, vm: str, other: str) -> bool:
-        cut = self.vms_without_peers
-        return vm not in cut and other not in cut
+        return self.islands.get(vm) == self.islands.get(other)
 
     def path(self, source: str, member: str) -> str:
         """Return ok, silent or refused."""
--- a/features/steps/membership_worlds.py
+++ b/features/steps/membership_worlds.py
@@ -33,6 +33,7 @@
 JUDGE_INTERVAL = 0.02
 LEADER_INTERVAL = 0.1
 RETRY_DELAY = 0.5
+ASK_PROOFS_INTERVAL = 0.6
 FAILED_AFTER = 0.7
 
 
@@ -85,6 +86,7 @@
         for vm in self.vms.values():
             self.at(0.0, 0.5, vm.start)
             vm.reactor.call_later(0.55, lambda vm=vm: self.lead(vm))
+            vm.reactor.call_later(0.6, lambda vm=vm: self.ask_for_proofs(vm))
         self.judge()
         self.copy_logs()
         self.draw_faults()
@@ -143,7 +145,7 @@
         names = self.rng.sample(VM_NAMES[1:], self.rng.randint(1, 3))
         self.seen.counts["vms_cut"] += len(names)
         self.vms_without_store |= set(names)
-        self.vms_without_peers |= set(names)
+        self.add_island(names)
 
     def on_term_held(self, member: SimMember) -> None:
         """In a series, the holder may start again, out of reach for most."""
@@ -172,14 +174,15 @@
         names = self.rng.sample(VM_NAMES[1:], self.rng.randint(1, 2))
         self.seen.counts["vms_cut"] += len(names)
         added = set(names) - self.vms_without_store
-        from_peers = set(names) if self.rng.random() < 0.8 else set()
-        from_peers -= self.vms_without_peers
         self.vms_without_store |= added
-        self.vms_without_peers |= from_peers
+        from_peers = []
+        if self.rng.random() < 0.8:
+            from_peers = self.add_island(added)
 
         def heal() -> None:
             self.vms_without_store -= added
-            self.vms_without_peers -= from_peers
+            for name in from_peers:
+                del self.islands[name]
 
         self.at(2.0, 14.0, heal)
         for name in names:
@@ -194,6 +197,14 @@
         seconds = self.rng.uniform(0.3, 6.0)
         vm.reactor.frozen_until = self.reactor.now() + seconds
 
+    def add_island(self, vms: Iterable[str]) -> list[str]:
+        """Cut VMs off from the others, and maybe from each other."""
+        alone = self.rng.random() < 0.5
+        names = sorted(set(vms) - self.islands.keys())
+        for name in names:
+            self.islands[name] = name if alone else names[0]
+        return names
+
     def cut_path(self, source: str, member: str) -> None:
         mode = self.rng.choice(("silent", "refused"))
         self.cut_paths[source, member] = mode
@@ -271,7 +282,7 @@
         paths = [
             (vm, name)
             for vm in VM_NAMES
-            if vm not in self.vms_without_peers or self.rng.random() < 0.3
+            if vm not in self.islands or self.rng.random() < 0.3
         ]
         for other in self.members:
             if other != name and self.rng.random() < 0.8:
@@ -344,6 +355,27 @@
             self.change_begun_at = None
         self.announce(member)
 
+    # Proofs that VMs pass on.
+
+    def ask_for_proofs(self, vm: SimVm) -> None:
+        """Ask another VM for its proofs by targets, any one."""
+        vm.reactor.call_later(
+            ASK_PROOFS_INTERVAL, lambda: self.ask_for_proofs(vm)
+        )
+        name = self.rng.choice([name for name in VM_NAMES if name != vm.name])
+        other, asked_at = self.vms[name], self.reactor.now()
+
+        def answer() -> None:
+            rows = other.records.pass_on_proofs()
+            self.seen.counts["passed_on"] += len(rows)
+            vm.reactor.call_later(
+                self.latency(),
+                lambda: vm.records.apply_passed_on(rows, asked_at),
+            )
+
+        if self.are_linked(vm.name, name) and not self.is_lost():
+            other.reactor.call_later(self.latency(), answer)
+
     # The leader.
 
     def lead(self, vm: SimVm) -> None:
--- a/features/steps/outstanding_proofs_steps.py
+++ b/features/steps/outstanding_proofs_steps.py
@@ -149,7 +149,7 @@
 
 def cut_off(context):
     context.stage.vms_without_store.add("vm0")
-    context.stage.vms_without_peers.add("vm0")
+    context.stage.islands["vm0"] = "vm0"
 
 
 @when("{seconds:d} s go by for it")
@@ -200,6 +200,38 @@
     context.stage.members["m0"].is_primary = False
 
 
+@given("its proof has expired")
+def given_expired(context):
+    when_silent(context, 4)
+    assert not is_proven(context)
+
+
+@when("another VM passes on its proof of {record} that is {age:f} s old")
+def when_passed_on(context, record, age):
+    version = context.vm.group.record.version
+    if record != "the primary":
+        version -= 1
+    now = context.stage.reactor.now()
+    rows = [("g", version, int(age * 1e6))]
+    context.vm.records.apply_passed_on(rows, now)
+
+
+@when("it is asked for its proofs for {seconds:d} s")
+def when_asked_for(context, seconds):
+    reactor = context.stage.reactor
+    context.ages = []
+    for number in range(seconds * 5):
+        reactor.run_until(reactor.now() + 0.2)
+        ((_group, _version, age_us),) = context.vm.records.pass_on_proofs()
+        if number >= 5:
+            context.ages.append(age_us / 1e6)
+
+
+@then("they are never older than {seconds:f} s")
+def then_never_older(context, seconds):
+    assert max(context.ages) <= seconds, context.ages
+
+
 @given("a VM with a list of version {version:d}")
 def given_list(context, version):
     given_cut_off(context)
@@ -290,7 +322,7 @@
 
     def __init__(self, created, list_version):
         self.created = created
-        self.list_version = list_version
+        self.lists = {"vm1": list_version}
         self.members = {
             name: SimMember(name=name, is_primary=name == "m0")
             for name in ("m0", *created)
@@ -313,8 +345,7 @@
         )
         self.members["m0"].is_running = leaves
         self.execute(self.takeover.begin(0.0))
-        lists = {"vm1": self.list_version}
-        self.execute(self.takeover.on_vms_listed(lists, 0.0))
+        self.execute(self.takeover.on_vms_listed(self.lists, 0.0))
 
     def run(self, seconds):
         while self.now < seconds and self.promoted_at is None:
@@ -365,14 +396,20 @@
     context.change.begin(leaves=False)
 
 
-@when("vm1 releases its proof after {seconds:d} s")
-def when_released(context, seconds):
+@when("m0 has died and is to be replaced, and vm2 with a list of {version:d}")
+def when_two_vms(context, version):
+    context.change.lists["vm2"] = version
+    context.change.begin(leaves=False)
+
+
+@when("{vm} releases its proof after {seconds:d} s")
+def when_released(context, vm, seconds):
     change = context.change
     change.later.append(
         (
             seconds,
             lambda: change.execute(
-                change.takeover.on_proof_released("vm1", change.now)
+                change.takeover.on_proof_released(vm, change.now)
             ),
         )
     )
@@ -441,7 +478,10 @@
         proofs.lists, proofs.incomplete = dict(lists), incomplete
 
     context.vm.releases.request(
-        record, lambda: not proofs.all_released, on_listed, proofs.release
+        record,
+        lambda: not proofs.all_released,
+        on_listed,
+        lambda vm: proofs.release(vm, context.stage.reactor.now()),
     )
     when_time(context, 1)
     assert list(proofs.lists) == ["vm1"], proofs
--- a/features/steps/peer_links_steps.py
+++ b/features/steps/peer_links_steps.py
@@ -177,7 +177,7 @@
         proofs.lists, proofs.incomplete = lists, incomplete
 
     def on_released(vm):
-        proofs.release(vm)
+        proofs.release(vm, network.now())
         if proofs.all_released:
             context.released_at.append(network.now())
 
--- a/features/steps/store_return_steps.py
+++ b/features/steps/store_return_steps.py
@@ -235,7 +235,10 @@
         proofs.lists, proofs.incomplete = lists, incomplete
 
     context.releases.request(
-        record, lambda: not proofs.all_released, on_listed, proofs.release
+        record,
+        lambda: not proofs.all_released,
+        on_listed,
+        lambda vm: proofs.release(vm, context.reactor.now()),
     )
     context.reactor.run(0.5)
     context.released = proofs.all_released
--- a/features/steps/transfer_fleet.py
+++ b/features/steps/transfer_fleet.py
@@ -345,6 +345,9 @@
     def as_bytes(self) -> bytes:
         return b"[]"
 
+    def pass_on_proofs(self) -> list[Any]:
+        return []
+
     def apply_relayed(self, *_: Any) -> None:
         pass
 
--- a/features/steps/vm_weights_steps.py
+++ b/features/steps/vm_weights_steps.py
@@ -287,6 +287,7 @@
         self.holders = ZoneHolders(local_vm="relay")
         keepers: Any = SimpleNamespace(
             as_bytes=lambda: b"",
+            pass_on_proofs=lambda: [],
             apply_relayed=lambda *args: None,
             listed=[],
             read_at=0.0,
